Add the border between traffic and the control thread

Cause: the callers' front and the control loop are written in parallel and need one agreed border. Pools rather than models, so that plain services are limited in the same way.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -2,12 +2,13 @@
 
 import "time"
 
-// Demand asks for the right to run one generation on some target of a model.
+// Demand asks for the right to run one generation, or one call of a plain service, on some
+// target of a pool.
 type Demand struct {
 	Generation   GenerationID
 	Entry        HostID // host that will talk to the target
 	Team         TeamID
-	Model        ModelID
+	Pool         PoolID
 	Class        Class
 	Priority     Priority
 	PromptTokens Tokens
