--- a/internal/message/summary.go
+++ b/internal/message/summary.go
@@ -4,7 +4,7 @@
 
 // Summary tells entry hosts what an owner can take for one pool.
 type Summary struct {
-	Pool core.PoolID      `cbor:"1,keyasint"`
+	Pool        core.PoolID       `cbor:"1,keyasint"`
 	DataCentre  core.DataCentreID `cbor:"2,keyasint"`
 	Headroom    core.Tokens       `cbor:"3,keyasint"` // forecast free memory over all owned targets
 	FreeStreams int               `cbor:"4,keyasint"` // tickets that could be granted now
