Decide who may run on a target: pool, warm-up, forecast, fairness, routing

Cause: a target bears only so much, and output lengths are unknown. One owner host issues tickets; it must never believe in capacity that is not there.

Ruled out: static slices of a limit per entry host (a cold floor is smaller than the number of hosts); freeing a slot on a lost host, on a failure or on any report that lacks a stream.

Change: pool.Pool as a state machine over warmup.Limit, forecast.Book and Profile, fairness.Queue; routing.Choose picks an owner from summaries. A report of another incarnation that may be older than the newest one only stops grants until a later one tells.

The property test found a real fault before this commit: a report that was overtaken on its way made the pool go back to a dead incarnation (3 streams on a target that bears 2); inDoubt mends it.

--- /dev/null
+++ b/internal/decide/fairness/entry.go
@@ -0,0 +1,16 @@
+package fairness
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Entry is one waiting request.
+type Entry struct {
+	Demand core.Demand
+	Since  time.Time // when the request began to wait
+}
+
+// Deadline returns the moment at which the request must have been answered.
+func (e *Entry) Deadline() time.Time { return e.Since.Add(e.Demand.QueueBudget) }
--- /dev/null
+++ b/internal/decide/pool/grant.go
@@ -0,0 +1,11 @@
+package pool
+
+import "siskintide.example/siskintide/internal/core"
+
+// Grant sends a ticket to the entry host that demanded it.
+type Grant struct {
+	Demand core.Demand
+	Ticket core.Ticket
+}
+
+func (Grant) effect() {}
--- /dev/null
+++ b/internal/decide/pool/pool.go
@@ -0,0 +1,178 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/fairness"
+	"siskintide.example/siskintide/internal/decide/forecast"
+)
+
+// Pool is the owner's state of all targets that it owns in one pool.
+type Pool struct {
+	id       core.PoolID
+	self     core.HostID
+	settings Settings
+	frozen   bool
+	targets  map[core.TargetID]*targetState
+	order    []*targetState // targets by identifier
+	tickets  map[core.GenerationID]*ticketState
+	queue    *fairness.Queue
+	answered *answered // demands that were granted, refused or withdrawn
+	closed   *answered // tickets that ended for certain, by the time of their end
+	vacated  *answered // tickets given up because their request was never seen to start
+	hints    *hints
+	book     *forecast.Book
+	safety   forecast.Safety
+	rate     rate
+	at       time.Time // of the last event
+}
+
+// New returns a pool without targets.
+func New(id core.PoolID, self core.HostID, settings Settings) *Pool {
+	return &Pool{
+		id:       id,
+		self:     self,
+		settings: settings.withDefaults(),
+		targets:  map[core.TargetID]*targetState{},
+		tickets:  map[core.GenerationID]*ticketState{},
+		queue:    fairness.NewQueue(),
+		answered: newAnswered(),
+		closed:   newAnswered(),
+		vacated:  newAnswered(),
+		hints:    newHints(),
+		book:     forecast.NewBook(),
+		safety:   forecast.NewSafety(),
+	}
+}
+
+// SetSettings replaces the bounds of the pool. Waiting requests stay.
+func (p *Pool) SetSettings(settings Settings) { p.settings = settings.withDefaults() }
+
+// SetTeams replaces the weights by which teams share the pool.
+func (p *Pool) SetTeams(weights map[core.TeamID]int) { p.queue.SetWeights(weights) }
+
+// SetFrozen stops, or allows again, the growth of all limits. A host that owns targets
+// without a renewed lease is frozen.
+func (p *Pool) SetFrozen(frozen bool) {
+	p.frozen = frozen
+	for _, target := range p.order {
+		target.limit.SetFrozen(frozen)
+	}
+}
+
+// SetTarget adds an owned target or changes its declaration. A target that had another
+// owner before gets no ticket until a report shows what that owner's tickets started.
+func (p *Pool) SetTarget(spec core.Target, kind core.TargetKind, fence core.Fence, accepts bool, now time.Time) []Effect {
+	target := p.targets[spec.ID]
+	if target == nil {
+		target = newTargetState()
+		target.limit.SetFrozen(p.frozen)
+		p.targets[spec.ID] = target
+		p.order = append(p.order, target)
+	}
+	if target.fence != fence {
+		target.acquire(fence, now)
+	}
+	if target.spec.Address != spec.Address {
+		target.known = false
+	}
+	target.spec = spec
+	target.kind = kind
+	target.accepts = accepts
+	target.limit.SetBounds(kind.ColdStreams, kind.WarmStreams)
+	slices.SortFunc(p.order, func(a, b *targetState) int { return strings.Compare(string(a.spec.ID), string(b.spec.ID)) })
+	return p.schedule(now)
+}
+
+// acquire records a new ownership. Only the first owner ever knows that nobody else has
+// issued tickets.
+func (t *targetState) acquire(fence core.Fence, now time.Time) {
+	t.fence = fence
+	t.acquiredAt = now
+	t.taken = fence > 1
+	t.settled = !t.taken
+}
+
+// RemoveTarget forgets a target that the host no longer owns. Streams on it go on, but
+// the next owner counts them.
+func (p *Pool) RemoveTarget(id core.TargetID, now time.Time) []Effect {
+	target := p.targets[id]
+	if target == nil {
+		return nil
+	}
+	for generation := range target.tickets {
+		delete(p.tickets, generation)
+	}
+	delete(p.targets, id)
+	p.order = slices.DeleteFunc(p.order, func(t *targetState) bool { return t == target })
+	return p.schedule(now)
+}
+
+// HostLost settles everything that a dead entry host held: its waiting requests are
+// refused, and its tickets stay in use until the targets' own lists settle them.
+func (p *Pool) HostLost(host core.HostID, now time.Time) []Effect {
+	lost := p.queue.All(func(e *fairness.Entry) bool { return e.Demand.Entry == host })
+	var effects []Effect
+	for _, entry := range lost {
+		p.queue.Remove(entry.Demand.Generation)
+		gone := notRun(core.RefusedNoCapacity, "the entry host was lost", minRetryAfter)
+		effects = append(effects, p.refuse(entry.Demand, *gone, now))
+	}
+	for _, ticket := range p.tickets {
+		if ticket.demand.Entry == host {
+			ticket.orphan(p.releaseAt(now))
+		}
+	}
+	return append(effects, p.schedule(now)...)
+}
+
+// Held takes an entry host's list of the tickets that it still holds. A ticket that is
+// not in it, and that must have reached the host by now, will not be closed any more.
+func (p *Pool) Held(host core.HostID, held []core.GenerationID, now time.Time) []Effect {
+	holds := make(map[core.GenerationID]bool, len(held))
+	for _, generation := range held {
+		holds[generation] = true
+	}
+	for generation, ticket := range p.tickets {
+		arrived := now.After(ticket.lastStart.Add(settleMargin))
+		if ticket.demand.Entry == host && arrived && !holds[generation] {
+			ticket.orphan(p.releaseAt(now))
+		}
+	}
+	return p.schedule(now)
+}
+
+func (p *Pool) releaseAt(now time.Time) time.Time {
+	return now.Add(p.settings.ReleaseAfter)
+}
+
+// Tick drops what has expired, and moves requests whose time has come. It is called
+// about once a second, and at NextTick.
+func (p *Pool) Tick(now time.Time) []Effect {
+	p.answered.Expire(now)
+	p.closed.Expire(now)
+	p.vacated.Expire(now)
+	p.safety.Pass(now)
+	for _, target := range p.order {
+		p.expireOrphans(target, now)
+		target.settleUnlisted(p.settings.ReleaseAfter, now)
+		target.dirty = true
+	}
+	return p.schedule(now)
+}
+
+// NextTick returns when the first waiting request must be answered, or a second from now
+// if that is earlier.
+func (p *Pool) NextTick(now time.Time) time.Time {
+	next := now.Add(time.Second)
+	p.queue.All(func(e *fairness.Entry) bool {
+		if e.Deadline().Before(next) {
+			next = e.Deadline()
+		}
+		return false
+	})
+	return next
+}
--- /dev/null
+++ b/internal/decide/pool/revoke.go
@@ -0,0 +1,13 @@
+package pool
+
+import "siskintide.example/siskintide/internal/core"
+
+// Revoke asks an entry host to stop a generation on its target and run it on another.
+// The ticket stays in use until the entry host closes it.
+type Revoke struct {
+	Generation core.GenerationID
+	Target     core.TargetID
+	Entry      core.HostID
+}
+
+func (Revoke) effect() {}
--- /dev/null
+++ b/internal/decide/pool/schedule.go
@@ -0,0 +1,157 @@
+package pool
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/fairness"
+	"siskintide.example/siskintide/internal/decide/forecast"
+)
+
+// schedule refuses what has waited too long and grants what fits, in the queue's order.
+func (p *Pool) schedule(now time.Time) []Effect {
+	p.at = now
+	if p.queue.Len() == 0 {
+		p.rate.Waiting(false, now)
+		return nil
+	}
+	effects := p.expire(now)
+	waitedBefore := !p.rate.since.IsZero()
+	granted := 0
+	for {
+		grant, ok := p.grantNext(now)
+		if !ok {
+			break
+		}
+		granted++
+		effects = append(effects, grant)
+	}
+	if waitedBefore {
+		p.rate.Served(granted, now)
+	}
+	p.rate.Waiting(p.queue.Len() > 0, now)
+	return effects
+}
+
+// grantNext grants the first waiting request that fits. A request that does not fit may
+// be overtaken by later ones only for a short time, so that large ones are not starved.
+func (p *Pool) grantNext(now time.Time) (Effect, bool) {
+	if !p.anyFree() {
+		return nil, false
+	}
+	for _, entry := range p.queue.Heads() {
+		if target := p.choose(entry.Demand, now); target != nil {
+			return p.grant(entry, target, now), true
+		}
+		if now.Sub(entry.Since) > bypassWindow && entry.Demand.Avoid == "" {
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+func (p *Pool) anyFree() bool {
+	for _, target := range p.order {
+		if target.free() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the target that should run the request, or nil if none has room: the
+// one that probably holds the prompt's prefix, else the one with the lowest forecast.
+func (p *Pool) choose(demand core.Demand, now time.Time) *targetState {
+	stream := p.wanted(demand)
+	hinted := p.hints.Get(demand.PrefixHash)
+	var best *targetState
+	bestLoad := 0.0
+	for _, target := range p.order {
+		if target.free() == 0 || (target.spec.ID == demand.Avoid && p.anyOther(target)) {
+			continue
+		}
+		load, fits := p.loadWith(target, stream, now)
+		if !fits {
+			continue
+		}
+		if target.spec.ID == hinted {
+			return target
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = target, load
+		}
+	}
+	return best
+}
+
+// anyOther reports whether another target of the pool could serve sooner or later.
+func (p *Pool) anyOther(avoided *targetState) bool {
+	for _, target := range p.order {
+		if target != avoided && target.accepts && target.reachable && !target.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// loadWith returns the share of the target that is in use once the stream runs too, and
+// whether it fits.
+func (p *Pool) loadWith(target *targetState, stream forecast.Stream, now time.Time) (float64, bool) {
+	memory := target.memory()
+	if memory <= 0 {
+		return float64(target.inUse()+1) / float64(target.limit.Streams()), true
+	}
+	profile := *p.profile(target, now)
+	profile.Add(stream)
+	peak := profile.Peak(p.safety.Z())
+	fits := peak <= memory || (target.inUse() == 0 && stream.Context < memory)
+	return float64(peak) / float64(memory), fits
+}
+
+// wanted returns the forecast of a request that does not run yet.
+func (p *Pool) wanted(demand core.Demand) forecast.Stream {
+	return forecast.Stream{
+		Survival: p.book.Survival(keyOf(demand)),
+		Context:  demand.PromptTokens,
+		Limit:    limitOf(demand, p.settings),
+	}
+}
+
+func (p *Pool) grant(entry *fairness.Entry, target *targetState, now time.Time) Effect {
+	demand := entry.Demand
+	stream := p.wanted(demand)
+	charged := demand.PromptTokens + stream.Survival.Remaining(0, stream.Limit)
+	p.queue.Serve(demand.Generation, charged)
+	p.answered.Add(demand.Generation, now)
+	p.hints.Set(demand.PrefixHash, target.spec.ID)
+	ticket := &ticketState{
+		demand:    demand,
+		target:    target.spec.ID,
+		grantedAt: now,
+		lastStart: now.Add(startWindow),
+		outputAt:  now,
+		charged:   charged,
+	}
+	p.tickets[demand.Generation] = ticket
+	target.tickets[demand.Generation] = ticket
+	if !target.dirty {
+		target.profile.Add(stream)
+	}
+	return Grant{Demand: demand, Ticket: p.ticketFor(entry, target, now)}
+}
+
+// ticketFor makes the ticket. The holder counts its validity from before it sent the
+// demand, so the time that the request has waited is added: whatever the demand's
+// transit took, the holder stops earlier than the owner assumes.
+func (p *Pool) ticketFor(entry *fairness.Entry, target *targetState, now time.Time) core.Ticket {
+	return core.Ticket{
+		Generation:  entry.Demand.Generation,
+		Owner:       p.self,
+		Target:      target.spec.ID,
+		Address:     target.spec.Address,
+		Incarnation: target.incarnation,
+		Fence:       target.fence,
+		Priority:    entry.Demand.Priority,
+		ValidFor:    now.Sub(entry.Since) + startWindow,
+	}
+}
--- /dev/null
+++ b/internal/decide/pool/view.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/snapshot"
+)
+
+// Summary returns what other hosts need to know to choose this owner.
+func (p *Pool) Summary() Summary {
+	summary := Summary{Queued: p.queue.Len()}
+	for _, target := range p.order {
+		if !target.accepts || target.leaving {
+			continue
+		}
+		summary.Targets++
+		summary.FreeStreams += target.free()
+		if target.usable() {
+			summary.Headroom += max(target.memory()-p.peak(target), 0)
+		}
+	}
+	return summary
+}
+
+// Views returns the account of each target, ordered by identifier.
+func (p *Pool) Views() []snapshot.TargetView {
+	views := make([]snapshot.TargetView, 0, len(p.order))
+	for _, target := range p.order {
+		views = append(views, snapshot.TargetView{
+			Target:      target.spec.ID,
+			Incarnation: target.incarnation,
+			Fence:       target.fence,
+			Limit:       target.limit.Streams(),
+			Running:     target.inUse(),
+			Queued:      p.queue.Len(),
+			MemoryUsed:  target.memoryUsed,
+			Forecast:    p.peak(target),
+			Preemptions: target.preemptions,
+			Reachable:   target.reachable,
+			Leaving:     target.leaving,
+		})
+	}
+	return views
+}
+
+// peak returns the forecast as of the last event.
+func (p *Pool) peak(target *targetState) core.Tokens {
+	return p.profile(target, p.at).Peak(p.safety.Z())
+}
