--- a/internal/decide/pool/account.go
+++ b/internal/decide/pool/account.go
@@ -16,7 +16,7 @@
 		return &target.profile
 	}
 	target.profile = forecast.Profile{}
-	for _, ticket := range target.tickets {
+	for _, ticket := range target.tickets.ordered {
 		target.profile.Add(p.running(target, ticket, now))
 	}
 	p.addForeign(target)
@@ -28,8 +28,8 @@
 // addForeign counts the streams whose length and request are not known here.
 func (p *Pool) addForeign(target *targetState) {
 	unknown := p.book.Survival(forecast.Key{})
-	for _, context := range target.foreign {
-		target.profile.Add(forecast.Stream{Survival: unknown, Context: context, Limit: p.settings.MaxTokens})
+	for _, stream := range target.foreign {
+		target.profile.Add(forecast.Stream{Survival: unknown, Context: stream.Context, Limit: p.settings.MaxTokens})
 	}
 }
 
@@ -163,7 +163,7 @@
 	}
 	p.queue.Charge(ticket.demand.Team, actual-ticket.charged)
 	delete(p.tickets, id)
-	delete(target.tickets, id)
+	target.tickets.Remove(ticket)
 	p.closed.Add(id, now)
 	target.dirty = true
 }
--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -103,8 +103,8 @@
 	if target == nil {
 		return nil
 	}
-	for generation := range target.tickets {
-		delete(p.tickets, generation)
+	for _, ticket := range target.tickets.ordered {
+		delete(p.tickets, ticket.demand.Generation)
 	}
 	delete(p.targets, id)
 	p.order = slices.DeleteFunc(p.order, func(t *targetState) bool { return t == target })
--- a/internal/decide/pool/report.go
+++ b/internal/decide/pool/report.go
@@ -68,14 +68,14 @@
 	if first {
 		return
 	}
-	for id, ticket := range target.tickets {
+	for _, ticket := range target.tickets.All() {
 		mayStart := !report.ListsStreams && !now.After(ticket.lastStart.Add(settleMargin))
 		if mayStart {
 			ticket.orphan(p.releaseAt(now))
 			continue
 		}
 		p.release(target, ticket, 0, now)
-		p.vacated.Add(id, now)
+		p.vacated.Add(ticket.demand.Generation, now)
 	}
 }
 
@@ -117,11 +117,11 @@
 // takeList settles tickets by the target's own list of streams.
 func (p *Pool) takeList(target *targetState, report core.LoadReport, asOf, now time.Time) []Effect {
 	listed := make(map[core.GenerationID]bool, len(report.Streams))
-	clear(target.foreign)
+	target.foreign = nil
 	var effects []Effect
 	for _, stream := range report.Streams {
 		listed[stream.Generation] = true
-		if ticket := target.tickets[stream.Generation]; ticket != nil {
+		if ticket := target.tickets.Get(stream.Generation); ticket != nil {
 			ticket.context = stream.Context
 			ticket.contextAt = asOf
 			ticket.seen = true
@@ -130,13 +130,13 @@
 		if at, ended := p.closed.At(stream.Generation); ended && !asOf.After(at.Add(closeMargin)) {
 			continue
 		}
-		target.foreign[stream.Generation] = stream.Context
+		target.foreign = append(target.foreign, stream)
 		if p.vacated.Has(stream.Generation) {
 			effects = append(effects, p.cancel(target, stream.Generation))
 		}
 	}
-	for id, ticket := range target.tickets {
-		if !listed[id] && asOf.After(ticket.lastStart.Add(settleMargin)) {
+	for _, ticket := range target.tickets.All() {
+		if !listed[ticket.demand.Generation] && asOf.After(ticket.lastStart.Add(settleMargin)) {
 			p.giveUp(target, ticket, now)
 		}
 	}
@@ -167,7 +167,7 @@
 	if target.lists || !target.known {
 		return
 	}
-	for _, ticket := range target.tickets {
+	for _, ticket := range target.tickets.All() {
 		if ticket.orphaned && !now.Before(ticket.releaseAt) {
 			p.release(target, ticket, 0, now)
 		}
@@ -178,14 +178,14 @@
 // elsewhere.
 func (p *Pool) moveAway(target *targetState, now time.Time) []Effect {
 	var effects []Effect
-	for id, ticket := range target.tickets {
+	for _, ticket := range target.tickets.ordered {
 		stream := p.running(target, ticket, now)
 		remaining := float64(stream.Survival.Remaining(stream.Output, stream.Limit)) * target.gapMS
 		if ticket.revoked || remaining < float64(reclaimNotice.Milliseconds()) {
 			continue
 		}
 		ticket.revoked = true
-		effects = append(effects, Revoke{Generation: id, Target: target.spec.ID, Entry: ticket.demand.Entry})
+		effects = append(effects, Revoke{Generation: ticket.demand.Generation, Target: target.spec.ID, Entry: ticket.demand.Entry})
 	}
 	return effects
 }
--- a/internal/decide/pool/schedule.go
+++ b/internal/decide/pool/schedule.go
@@ -133,7 +133,7 @@
 		charged:   charged,
 	}
 	p.tickets[demand.Generation] = ticket
-	target.tickets[demand.Generation] = ticket
+	target.tickets.Add(ticket)
 	if !target.dirty {
 		target.profile.Add(stream)
 	}
--- a/internal/decide/pool/target_state.go
+++ b/internal/decide/pool/target_state.go
@@ -23,9 +23,9 @@
 	settled     bool // no ticket of a former owner can still start
 	incarnation core.Incarnation
 	limit       warmup.Limit
-	tickets     map[core.GenerationID]*ticketState
-	foreign     map[core.GenerationID]core.Tokens // listed streams without a ticket here, and their context
-	asOf        time.Time                         // age of the newest report's content
+	tickets     ticketSet
+	foreign     []core.StreamLoad // listed streams without a ticket here
+	asOf        time.Time         // age of the newest report's content
 	lists       bool
 	memoryUsed  core.Tokens
 	memoryTotal core.Tokens
@@ -40,8 +40,7 @@
 
 func newTargetState() *targetState {
 	return &targetState{
-		tickets: map[core.GenerationID]*ticketState{},
-		foreign: map[core.GenerationID]core.Tokens{},
+		tickets: ticketSet{byID: map[core.GenerationID]*ticketState{}},
 		gapMS:   defaultGapMS,
 		dirty:   true,
 	}
@@ -53,7 +52,7 @@
 }
 
 // inUse returns the number of streams that run or may run on the target.
-func (t *targetState) inUse() int { return len(t.tickets) + len(t.foreign) }
+func (t *targetState) inUse() int { return t.tickets.Len() + len(t.foreign) }
 
 // free returns the number of tickets that the stream limit allows.
 func (t *targetState) free() int {
@@ -89,6 +88,6 @@
 	t.preemptions = 0
 	t.flushes = 0
 	t.memoryUsed = 0
-	clear(t.foreign)
+	t.foreign = nil
 	t.dirty = true
 }
