Add the clients of engines, plain services and the platform

Cause: the front and the control thread need calls to outside systems whose failures say whether the call can have taken effect. Ruled out: retries inside the clients, because only the caller knows whether a call may be repeated; reading every token with encoding/json, which the fast path avoids. Change: three packages, one type a file. httptrace tells a call that never got a connection from one that may have been sent.

--- /dev/null
+++ b/internal/engine/calls.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Cancel ends a generation. It is idempotent: a generation that the engine does not know
+// counts as cancelled.
+func (c *Client) Cancel(ctx context.Context, address string, generation core.GenerationID) error {
+	request, err := newRequest(ctx, http.MethodDelete, address, "/v1/streams/"+generation.String(), nil)
+	if err != nil {
+		return err
+	}
+	return c.call(request, nil)
+}
+
+// Load reads the engine's own account of its load.
+func (c *Client) Load(ctx context.Context, target core.TargetID, address string) (core.LoadReport, error) {
+	var body loadBody
+	if err := c.get(ctx, address, "/v1/load", &body); err != nil {
+		return core.LoadReport{}, err
+	}
+	return body.report(target), nil
+}
+
+// State reads the engine's role and models.
+func (c *Client) State(ctx context.Context, address string) (State, error) {
+	var state State
+	err := c.get(ctx, address, "/v1/state", &state)
+	return state, err
+}
+
+// Cache reads the cache events that follow the given number.
+func (c *Client) Cache(ctx context.Context, address string, after uint64) (CachePage, error) {
+	var page CachePage
+	err := c.get(ctx, address, "/v1/cache?after="+strconv.FormatUint(after, 10), &page)
+	return page, err
+}
+
+// Order gives an order. An engine that checks fences refuses an old one with a
+// *RejectedError of status 409 and type "stale_fence".
+func (c *Client) Order(ctx context.Context, address string, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	request, err := newRequest(ctx, http.MethodPost, address, "/v1/orders", body)
+	if err != nil {
+		return err
+	}
+	return c.call(request, nil)
+}
+
+// get reads one JSON answer.
+func (c *Client) get(ctx context.Context, address, path string, answer any) error {
+	request, err := newRequest(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return err
+	}
+	return c.call(request, answer)
+}
+
+// call makes one call and reads its JSON answer, unless answer is nil. It returns a
+// *UnsentError, *RejectedError or *CallError.
+func (c *Client) call(request *http.Request, answer any) error {
+	response, sent, err := c.send(request)
+	if err != nil && !sent {
+		return &UnsentError{Address: request.URL.Host, Err: err}
+	}
+	if err != nil {
+		return callError(request, err)
+	}
+	defer closeBody(response)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return rejection(response)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return callError(request, err)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return callError(request, err)
+	}
+	return nil
+}
+
+func callError(request *http.Request, err error) *CallError {
+	return &CallError{Address: request.URL.Host, Call: request.Method + " " + request.URL.Path, Err: err}
+}
--- /dev/null
+++ b/internal/engine/error_detail.go
@@ -0,0 +1,6 @@
+package engine
+
+// errorDetail is the inner object of a refusal.
+type errorDetail struct {
+	Type string `json:"type"`
+}
--- /dev/null
+++ b/internal/engine/order.go
@@ -0,0 +1,14 @@
+package engine
+
+import "siskintide.example/siskintide/internal/core"
+
+// Order asks an engine to load or unload a model version or adapter, or to change its
+// role. An order is idempotent. Engines that check fences refuse an old one.
+type Order struct {
+	Fence   core.Fence        `json:"fence"`
+	Kind    OrderKind         `json:"kind"`
+	Model   core.ModelID      `json:"model,omitempty"`
+	Version core.ModelVersion `json:"version,omitempty"`
+	Adapter string            `json:"adapter,omitempty"`
+	Role    string            `json:"role,omitempty"`
+}
--- /dev/null
+++ b/internal/platform/conflict_error.go
@@ -0,0 +1,16 @@
+package platform
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ConflictError reports that conditions of a transaction did not hold. Nothing was written.
+type ConflictError struct {
+	Keys []string // keys whose versions differ
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("transaction conflict on %s", strings.Join(e.Keys, ", "))
+}
--- /dev/null
+++ b/internal/platform/conflicts_body.go
@@ -0,0 +1,6 @@
+package platform
+
+// conflictsBody is the encoded form of a conflict.
+type conflictsBody struct {
+	Conflicts []string `json:"conflicts"`
+}
--- /dev/null
+++ b/internal/platform/too_large_error.go
@@ -0,0 +1,13 @@
+package platform
+
+import "fmt"
+
+// TooLargeError reports an answer longer than the client accepts.
+type TooLargeError struct {
+	Limit int64 // bytes
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("answer is longer than %d bytes", e.Limit)
+}
--- /dev/null
+++ b/internal/platform/transaction_body.go
@@ -0,0 +1,24 @@
+package platform
+
+import "siskintide.example/siskintide/internal/core"
+
+// transactionBody is the encoded form of a transaction.
+type transactionBody struct {
+	Conditions []conditionBody `json:"conditions"`
+	Writes     []writeBody     `json:"writes"`
+}
+
+// newTransactionBody converts a transaction.
+func newTransactionBody(tx core.Transaction) transactionBody {
+	body := transactionBody{
+		Conditions: make([]conditionBody, len(tx.Conditions)),
+		Writes:     make([]writeBody, len(tx.Writes)),
+	}
+	for i, condition := range tx.Conditions {
+		body.Conditions[i] = conditionBody(condition)
+	}
+	for i, write := range tx.Writes {
+		body.Writes[i] = writeBody(write)
+	}
+	return body
+}
