--- a/internal/core/progress.go
+++ b/internal/core/progress.go
@@ -4,4 +4,6 @@
 type Progress struct {
 	Generation GenerationID
 	Output     Tokens
+	// FirstTokenMS is the time to the first token, given once; zero otherwise.
+	FirstTokenMS int64
 }
--- /dev/null
+++ b/internal/telemetry/traffic_test.go
@@ -0,0 +1,47 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+func exposition(t *testing.T, r *Registry) string {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	r.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	body, err := io.ReadAll(recorder.Result().Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+func TestTrafficIsServedByTeamAndClass(t *testing.T) {
+	registry := NewRegistry()
+	traffic := NewTraffic(registry.Scope)
+	traffic.TokenGap("oslo", "interactive", 30*time.Millisecond)
+	traffic.FirstToken("oslo", "interactive", 200*time.Millisecond)
+	traffic.Refused("oslo", "batch", core.RefusedQueueFull)
+	require.NoError(t, registry.Close())
+	text := exposition(t, registry)
+	require.Contains(t, text, `siskintide_token_gap_seconds_bucket{class="interactive",team="oslo",le="0.04"} 1`)
+	require.Contains(t, text, `siskintide_refusals_total{class="batch",kind="queue_full",team="oslo"} 1`)
+}
+
+func TestTeamTagIsBounded(t *testing.T) {
+	limiter := newTagLimiter(2)
+	values := map[string]bool{}
+	for i := range 10 {
+		values[limiter.value(core.TeamID(fmt.Sprintf("team-%d", i)))] = true
+	}
+	require.Len(t, values, 3)
+	require.True(t, values[otherTeam])
+	require.True(t, strings.HasPrefix(limiter.value("team-0"), "team-"))
+}
