Add links between hosts: WebSocket, CBOR and a mutual handshake

Cause: hosts need demands, grants, heartbeats and configuration news to travel between them; a stalled or false peer must not harm the others.

Ruled out: a lock around the table of links (one goroutine owns it and publishes an immutable map for Send); authentication by one side's nonce (a recorded proof could be replayed); cutting a replaced link at once (queued messages would be lost, so it writes them out and says bye).

Change: internal/peer with Node, a goroutine each for reading and writing a link, HMAC-SHA256 over both nonces, a bounded queue for each peer, write, read and handshake timeouts, redial with backoff, counters.

Seen to fail first: - proof check off: TestHandshakeRefusals/wrong_key "An error is expected", TestUnprovedHostChangesNothing/false_proof "nothing arrived"; - version check off: .../other_version "Should be in error chain"; - identity check off: .../meant_for_another_host, .../own_identity; - newest link always wins: TestBothEndsChooseTheSameLink "Not equal"; - no write timeout: TestStalledPeerIsCutAndBlocksNobody "nothing arrived".

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"siskintide.example/siskintide/internal/message"
+)
+
+// bodyDecoder turns the body of a frame into a message.
+type bodyDecoder func(cbor.RawMessage) (message.Message, error)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+// bodyDecoders lists every message kind of this version.
+var bodyDecoders = map[message.Kind]bodyDecoder{
+	message.KindDemand:        decodeBody[message.Demand],
+	message.KindGrant:         decodeBody[message.Grant],
+	message.KindRefuse:        decodeBody[message.Refuse],
+	message.KindClose:         decodeBody[message.Close],
+	message.KindProgress:      decodeBody[message.Progress],
+	message.KindSummary:       decodeBody[message.Summary],
+	message.KindHeartbeat:     decodeBody[message.Heartbeat],
+	message.KindConfigWanted:  decodeBody[message.ConfigWanted],
+	message.KindConfigBody:    decodeBody[message.ConfigBody],
+	message.KindRelayWanted:   decodeBody[message.RelayWanted],
+	message.KindRelayAnswer:   decodeBody[message.RelayAnswer],
+	message.KindTicketRevoked: decodeBody[message.TicketRevoked],
+	message.KindTicketCheck:   decodeBody[message.TicketCheck],
+}
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxArrayElements,
+		MaxNestedLevels:  maxNestedLevels,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func decodeBody[T message.Message](body cbor.RawMessage) (message.Message, error) {
+	var m T
+	if err := decoder.Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// encodeFrame returns the bytes of one frame.
+func encodeFrame(kind uint64, body any) ([]byte, error) {
+	encoded, err := encoder.Marshal(body)
+	if err != nil {
+		return nil, &FrameError{Kind: kind, Cause: err}
+	}
+	return encoder.Marshal(frame{Kind: kind, Body: encoded})
+}
+
+// decodeFrame splits one frame into kind and body. It returns a FrameError if data is
+// not exactly one frame.
+func decodeFrame(data []byte) (frame, error) {
+	var f frame
+	if err := decoder.Unmarshal(data, &f); err != nil {
+		return frame{}, &FrameError{Bytes: len(data), Cause: err}
+	}
+	return f, nil
+}
+
+// decodeMessage returns the message of a frame. It returns an UnknownKindError for a
+// kind of a later version and a FrameError for a body that does not fit its kind.
+func decodeMessage(f frame) (message.Message, error) {
+	decode := bodyDecoders[message.Kind(f.Kind)]
+	if decode == nil || f.Kind > maxMessageKind {
+		return nil, &UnknownKindError{Kind: f.Kind}
+	}
+	m, err := decode(f.Body)
+	if err != nil {
+		return nil, &FrameError{Kind: f.Kind, Bytes: len(f.Body), Cause: err}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"encoding/hex"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/message"
+)
+
+var generation = core.GenerationID{1, 2, 0xff}
+
+// samples holds one message of every kind with every field set.
+var samples = []message.Message{
+	message.Demand{Demand: core.Demand{Generation: generation, Entry: "oslo-a-1", Team: "producers", Pool: "model/manus",
+		Class: "interactive", Priority: 1, PromptTokens: 20, MaxTokens: 300, PrefixHash: 1 << 63, QueueBudget: time.Second, Avoid: "t9"}},
+	message.Grant{Ticket: core.Ticket{Generation: generation, Owner: "oslo-a-2", Target: "t1", Address: "127.0.0.1:9",
+		Incarnation: "i1", Fence: 7, Priority: 2, ValidFor: 3 * time.Second}},
+	message.Refuse{Generation: generation, Refusal: core.Refusal{Kind: core.RefusedQueueFull, Message: "full", Run: core.NotRun, RetryAfter: time.Second}},
+	message.Close{Outcome: core.Outcome{Generation: generation, Target: "t1", Result: core.Completed, Output: 210, FirstTokenMS: 80, WorstTokenGapMS: 40}},
+	message.Progress{Streams: []core.Progress{{Generation: generation, Output: 12}}},
+	message.Summary{Pool: "model/manus", DataCentre: "oslo-a", Headroom: 9000, FreeStreams: 3, Queued: 1, Targets: 2},
+	message.Heartbeat{Host: "oslo-a-1", Session: "s1", Revision: 8, Leaving: true, PlatformReached: true, Degraded: true},
+	message.ConfigWanted{Above: 7},
+	message.ConfigBody{Revision: 8, Body: []byte(`{"revision":8}`)},
+	message.RelayWanted{ID: 5, Transaction: core.Transaction{Conditions: []core.Condition{{Key: "lease/a/b", Version: 4}},
+		Writes: []core.Write{{Key: "lease/a/b", Value: []byte("{}")}, {Key: "gone", Value: nil}}}},
+	message.RelayAnswer{ID: 5, Committed: true, Conflict: true},
+	message.TicketRevoked{Generation: generation, Target: "t1"},
+	message.TicketCheck{Held: []core.GenerationID{generation}},
+}
+
+func TestRoundTripOfEveryKind(t *testing.T) {
+	seen := map[message.Kind]bool{}
+	for _, want := range samples {
+		seen[want.MessageKind()] = true
+		data, err := encodeFrame(uint64(want.MessageKind()), want)
+		require.NoError(t, err)
+		f, err := decodeFrame(data)
+		require.NoError(t, err)
+		got, err := decodeMessage(f)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	require.Len(t, seen, len(bodyDecoders), "a kind has no sample")
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	cases := []struct {
+		name string
+		hex  string
+		want any
+	}{
+		{"nothing", "", new(*FrameError)},
+		{"a number", "07", new(*FrameError)},
+		{"one element", "8107", new(*FrameError)},
+		{"three elements", "8307a000", new(*FrameError)},
+		{"bytes after the frame", "8207a000", new(*FrameError)},
+		{"indefinite length", "9f07a0ff", new(*FrameError)},
+		{"tagged body", "8207c100", new(*FrameError)},
+		{"duplicate key", "8208a201010102", new(*FrameError)},
+		{"negative kind", "8220a0", new(*FrameError)},
+		{"kind of a later version", "8218c8a0", new(*UnknownKindError)},
+		{"kind above the message range", "82190107a0", new(*UnknownKindError)},
+		{"body of another shape", "820701", new(*FrameError)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			data, err := hex.DecodeString(c.hex)
+			require.NoError(t, err)
+			f, err := decodeFrame(data)
+			if err == nil {
+				_, err = decodeMessage(f)
+			}
+			require.ErrorAs(t, err, c.want)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples {
+		data, err := encodeFrame(uint64(m.MessageKind()), m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		m, err := decodeMessage(decoded)
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(uint64(m.MessageKind()), m)
+		require.NoError(t, err, "a decoded message can be encoded")
+		f, err := decodeFrame(again)
+		require.NoError(t, err)
+		same, err := decodeMessage(f)
+		require.NoError(t, err)
+		require.Equal(t, m, same)
+	})
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,305 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/coder/websocket"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/message"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds the wait for something that must happen; it is no measure.
+const patience = 30 * time.Second
+
+type change struct {
+	host core.HostID
+	up   bool
+}
+
+type delivery struct {
+	from core.HostID
+	m    message.Message
+}
+
+// endpoint is a running node with its listener and what it reported.
+type endpoint struct {
+	*Node
+	host     core.Host
+	changes  chan change
+	received chan delivery
+}
+
+func start(t *testing.T, id core.HostID, adjust func(*Options)) *endpoint {
+	t.Helper()
+	e := &endpoint{changes: make(chan change, 100), received: make(chan delivery, 100)}
+	options := Options{
+		Self: core.Host{ID: id}, Session: "s-" + core.SessionID(id), Key: []byte("key"),
+		Receive: func(from core.HostID, m message.Message) { e.received <- delivery{from, m} },
+		Changed: func(host core.HostID, up bool) { e.changes <- change{host, up} },
+		Log:     &log.Logger{Handler: discard.New()},
+	}
+	if adjust != nil {
+		adjust(&options)
+	}
+	e.Node = New(options)
+	mux := http.NewServeMux()
+	mux.Handle(Path, e.Handler())
+	server := httptest.NewServer(mux)
+	e.host = core.Host{ID: id, PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, take(t, ended))
+		server.Close()
+	})
+	return e
+}
+
+func take[T any](t *testing.T, values <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-values:
+		return v
+	case <-time.After(patience):
+		require.FailNow(t, "nothing arrived")
+		panic("unreachable")
+	}
+}
+
+func TestMessagesTravelBothWays(t *testing.T) {
+	a := start(t, "a", nil)
+	b := start(t, "b", nil)
+	a.SetPeers([]core.Host{a.host, b.host})
+	require.Equal(t, change{"b", true}, take(t, a.changes))
+	require.Equal(t, change{"a", true}, take(t, b.changes))
+	for _, m := range samples {
+		require.True(t, a.Send("b", m))
+		require.Equal(t, delivery{"a", m}, take(t, b.received))
+		require.True(t, b.Send("a", m))
+		require.Equal(t, delivery{"b", m}, take(t, a.received))
+	}
+	require.False(t, a.Send("nobody", samples[0]))
+	require.EqualValues(t, len(samples), a.Counters().MessagesIn)
+	require.EqualValues(t, 1, a.Counters().Dropped)
+}
+
+func TestSimultaneousDialsLeaveOneLink(t *testing.T) {
+	a := start(t, "a", nil)
+	b := start(t, "b", nil)
+	a.SetPeers([]core.Host{b.host})
+	b.SetPeers([]core.Host{a.host})
+	require.Equal(t, change{"b", true}, take(t, a.changes))
+	require.Equal(t, change{"a", true}, take(t, b.changes))
+	require.True(t, a.Send("b", samples[6]))
+	require.Equal(t, delivery{"a", samples[6]}, take(t, b.received))
+	require.True(t, b.Send("a", samples[6]))
+	require.Equal(t, delivery{"b", samples[6]}, take(t, a.received))
+	require.Empty(t, a.changes, "a replaced link is no change")
+	require.Empty(t, b.changes, "a replaced link is no change")
+}
+
+func TestBothEndsChooseTheSameLink(t *testing.T) {
+	cases := []struct {
+		name               string
+		current, candidate link
+		want               bool
+	}{
+		{"the smaller host's link comes second", link{session: "s", dialer: "b"}, link{session: "s", dialer: "a"}, true},
+		{"the smaller host's link came first", link{session: "s", dialer: "a"}, link{session: "s", dialer: "b"}, false},
+		{"the same host dials again", link{session: "s", dialer: "b"}, link{session: "s", dialer: "b"}, true},
+		{"the peer restarted", link{session: "s", dialer: "a"}, link{session: "s2", dialer: "b"}, true},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, replaces(&c.current, &c.candidate), c.name)
+	}
+}
+
+func TestLinkComesBackAfterItsEnd(t *testing.T) {
+	a := start(t, "a", func(o *Options) { o.RedialFirst = time.Millisecond })
+	b := start(t, "b", nil)
+	a.SetPeers([]core.Host{b.host})
+	require.Equal(t, change{"b", true}, take(t, a.changes))
+	require.NoError(t, (*a.links.Load())["b"].conn.CloseNow())
+	require.Equal(t, change{"b", false}, take(t, a.changes))
+	require.Equal(t, change{"b", true}, take(t, a.changes))
+	a.SetPeers(nil)
+	require.Equal(t, change{"b", false}, take(t, a.changes))
+}
+
+func TestHandshakeRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		adjust func(*Options)
+		dialed core.HostID
+		want   any
+	}{
+		{"wrong key", func(o *Options) { o.Key = []byte("other") }, "b", new(*AuthenticationError)},
+		{"address of another host", nil, "c", new(error)},
+		{"own identity", func(o *Options) { o.Self.ID = "b" }, "b", new(error)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := start(t, "b", nil)
+			options := Options{Self: core.Host{ID: "a"}, Session: "s", Key: []byte("key")}
+			if c.adjust != nil {
+				c.adjust(&options)
+			}
+			_, err := New(options).dialLink(t.Context(), core.Host{ID: c.dialed, PeerAddress: b.host.PeerAddress})
+			require.ErrorAs(t, err, c.want)
+			require.Empty(t, b.changes)
+			require.Empty(t, b.received)
+		})
+	}
+}
+
+// dialRaw opens a connection to the endpoint without a handshake.
+func dialRaw(t *testing.T, e *endpoint) *websocket.Conn {
+	t.Helper()
+	conn, _, err := websocket.Dial(t.Context(), "ws://"+e.host.PeerAddress+Path, nil)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	return conn
+}
+
+func TestUnprovedHostChangesNothing(t *testing.T) {
+	nonce := make([]byte, nonceBytes)
+	good := hello{Version: ProtocolVersion, Host: "a", Session: "s", To: "b", Nonce: nonce}
+	version := good
+	version.Version = ProtocolVersion + 1
+	short := good
+	short.Nonce = nonce[1:]
+	astray := good
+	astray.To = "c"
+	mirrored := good
+	mirrored.Host = "b"
+	cases := []struct {
+		name   string
+		frames []any
+		want   any
+	}{
+		{"other version", []any{version}, new(*VersionError)},
+		{"short nonce", []any{short}, new(*FrameError)},
+		{"meant for another host", []any{astray}, new(*IdentityError)},
+		{"own identity", []any{mirrored}, new(*IdentityError)},
+		{"message before the handshake", []any{samples[6]}, new(*FrameError)},
+		{"false proof", []any{good, confirm{Proof: make([]byte, 32)}}, new(*AuthenticationError)},
+		{"message in place of the proof", []any{good, samples[6]}, new(*FrameError)},
+		{"oversized hello", []any{message.ConfigBody{Body: make([]byte, maxHandshakeBytes)}}, new(error)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			refusals := make(chan error, 1)
+			b := start(t, "b", func(o *Options) { o.Refused = func(_ string, cause error) { refusals <- cause } })
+			conn := dialRaw(t, b)
+			for _, body := range c.frames {
+				writeRaw(t, conn, body)
+			}
+			require.ErrorAs(t, take(t, refusals), c.want)
+			require.EqualValues(t, 1, b.Counters().Refused)
+			require.Empty(t, b.changes)
+			require.Empty(t, b.received)
+			require.Zero(t, b.Counters().MessagesIn)
+		})
+	}
+}
+
+func writeRaw(t *testing.T, conn *websocket.Conn, body any) {
+	t.Helper()
+	kind := kindHello
+	switch v := body.(type) {
+	case confirm:
+		kind = kindConfirm
+	case message.Message:
+		kind = uint64(v.MessageKind())
+	}
+	data, err := encodeFrame(kind, body)
+	require.NoError(t, err)
+	require.NoError(t, conn.Write(t.Context(), websocket.MessageBinary, data))
+}
+
+// link opens an authenticated connection that nothing reads from.
+func linkRaw(t *testing.T, e *endpoint) *websocket.Conn {
+	t.Helper()
+	conn := dialRaw(t, e)
+	options := Options{Self: core.Host{ID: "raw"}, Session: "s", Key: []byte("key")}
+	_, err := newHandshake(conn, &options).dial(t.Context(), e.host.ID)
+	require.NoError(t, err)
+	require.Equal(t, change{"raw", true}, take(t, e.changes))
+	return conn
+}
+
+func TestUnknownAndMalformedMessagesAreSkipped(t *testing.T) {
+	b := start(t, "b", nil)
+	conn := linkRaw(t, b)
+	for _, kind := range []uint64{200, 300, uint64(message.KindGrant)} {
+		data, err := encodeFrame(kind, 1)
+		require.NoError(t, err)
+		require.NoError(t, conn.Write(t.Context(), websocket.MessageBinary, data))
+	}
+	writeRaw(t, conn, samples[6])
+	require.Equal(t, delivery{"raw", samples[6]}, take(t, b.received))
+	require.EqualValues(t, 2, b.Counters().UnknownKinds)
+	require.EqualValues(t, 1, b.Counters().Malformed)
+}
+
+func TestOversizedFrameEndsTheLink(t *testing.T) {
+	b := start(t, "b", nil)
+	conn := linkRaw(t, b)
+	data, err := encodeFrame(uint64(message.KindConfigBody), message.ConfigBody{Body: make([]byte, maxFrameBytes)})
+	require.NoError(t, err)
+	_ = conn.Write(t.Context(), websocket.MessageBinary, data)
+	require.Equal(t, change{"raw", false}, take(t, b.changes))
+	require.Empty(t, b.received)
+}
+
+func TestStalledPeerIsCutAndBlocksNobody(t *testing.T) {
+	b := start(t, "b", func(o *Options) {
+		o.QueueMessages = 4
+		o.WriteTimeout = 100 * time.Millisecond
+		o.ReadTimeout = time.Hour
+	})
+	other := start(t, "other", nil)
+	b.SetPeers([]core.Host{other.host})
+	require.Equal(t, change{"other", true}, take(t, b.changes))
+	linkRaw(t, b)
+	large := message.ConfigBody{Body: make([]byte, 1<<20)}
+	refused := false
+	for range 1000 {
+		refused = !b.Send("raw", large) || refused
+	}
+	require.True(t, refused, "the queue of a stalled peer is bounded")
+	require.True(t, b.Send("other", samples[6]))
+	require.Equal(t, delivery{"b", samples[6]}, take(t, other.received))
+	require.Equal(t, change{"raw", false}, take(t, b.changes))
+}
+
+func TestSilentPeerIsCut(t *testing.T) {
+	b := start(t, "b", func(o *Options) { o.ReadTimeout = 50 * time.Millisecond })
+	linkRaw(t, b)
+	require.Equal(t, change{"raw", false}, take(t, b.changes))
+}
+
+func TestOversizedMessageIsDroppedAndTheLinkStays(t *testing.T) {
+	a := start(t, "a", nil)
+	b := start(t, "b", nil)
+	a.SetPeers([]core.Host{b.host})
+	require.Equal(t, change{"b", true}, take(t, a.changes))
+	require.True(t, a.Send("b", message.ConfigBody{Body: make([]byte, maxFrameBytes)}))
+	require.True(t, a.Send("b", samples[6]))
+	require.Equal(t, delivery{"a", samples[6]}, take(t, b.received))
+	require.EqualValues(t, 1, a.Counters().Dropped)
+}
--- /dev/null
+++ b/internal/peer/unknown_kind_error.go
@@ -0,0 +1,12 @@
+package peer
+
+import "fmt"
+
+// UnknownKindError reports a frame of a kind that this version does not know. The frame
+// is skipped.
+type UnknownKindError struct {
+	Kind uint64
+}
+
+// Error implements error.
+func (e *UnknownKindError) Error() string { return fmt.Sprintf("unknown frame kind %d", e.Kind) }
