Add stand-ins of the platform and of a plain service with contract tests

Cause: the clients need proof against lost answers, late writes and cut connections, and other packages need something to run against. Ruled out: fakes of the clients themselves, which would not show what net/http does. Change: tools/standin/platform and tools/standin/service, each with one goroutine that owns its state (tools/standin/owner), faults by POST /stand-in/fault; contract tests of both clients. Seen to fail: TestCallIsNeverSentTwice with preventReplay removed failed in all six cases, because net/http sent the call again over a new connection and it came back without error.

--- /dev/null
+++ b/tools/standin/fault/active.go
@@ -0,0 +1,11 @@
+package fault
+
+import "time"
+
+// active is a fault that is being shown.
+type active struct {
+	order     Order
+	until     time.Time // zero means until cleared
+	shown     int
+	occasions int
+}
--- /dev/null
+++ b/tools/standin/fault/doc.go
@@ -0,0 +1,3 @@
+// Package fault holds the faults that the stand-ins are told to show through
+// POST /stand-in/fault.
+package fault
--- /dev/null
+++ b/tools/standin/fault/order.go
@@ -0,0 +1,18 @@
+package fault
+
+import "time"
+
+// Order asks a stand-in to show a fault.
+type Order struct {
+	Kind    Kind  `json:"kind"`
+	ForMS   int64 `json:"for_ms,omitempty"`   // how long it lasts; zero means until cleared
+	DelayMS int64 `json:"delay_ms,omitempty"` // delay of faults that delay something
+	Count   int   `json:"count,omitempty"`    // how often it shows; zero means any number of times
+	Every   int   `json:"every,omitempty"`    // shows at each n-th occasion; zero means at each
+}
+
+// Delay returns the delay of faults that delay something.
+func (o Order) Delay() time.Duration { return time.Duration(o.DelayMS) * time.Millisecond }
+
+// For returns how long the fault lasts; zero means until cleared.
+func (o Order) For() time.Duration { return time.Duration(o.ForMS) * time.Millisecond }
--- /dev/null
+++ b/tools/standin/platform/platformserver/effects.go
@@ -0,0 +1,11 @@
+package platformserver
+
+import "time"
+
+// effects says which faults a call shows.
+type effects struct {
+	delay      time.Duration
+	down       bool
+	loseAnswer bool
+	drop       bool
+}
--- /dev/null
+++ b/tools/standin/service/serviceserver/faults.go
@@ -0,0 +1,11 @@
+package serviceserver
+
+import "siskintide.example/siskintide/tools/standin/fault"
+
+const (
+	FaultLate fault.Kind = "late"
+	FaultDie  fault.Kind = "die"
+	FaultDrop fault.Kind = "drop"
+	FaultKill fault.Kind = "kill"
+	FaultSick fault.Kind = "sick"
+)
