Decide how a caller's stream goes on after faults, and bound retries

Cause: each token reaches its caller exactly once, in order, from a single generation, while connections break, targets die and reruns may differ; a dead data centre must not multiply the load on what remains. Ruled out: keeping the delivered text for the comparison (state grows with the answer; a chained 64-bit hash and a count do not); splicing a rerun after its n-th token without comparing; retries counted per request (three retries of every request are four times the load). Change: decide/rerun, a state machine over frames, breaks, losses and reclaim notices, whose effects are deliver, resume, rerun, stop and end. decide/retry, a token bucket that earns a tenth of a retry by each success.

--- /dev/null
+++ b/internal/decide/rerun/effect.go
@@ -0,0 +1,18 @@
+package rerun
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Effect is one thing that the executor has to do. Effects are carried out in order.
+type Effect struct {
+	Kind       EffectKind
+	Connection ConnectionID      // EffectResume and EffectRerun: the new one; EffectStop: the old one
+	Generation core.GenerationID // EffectResume, EffectStop
+	After      core.Sequence     // EffectResume: last token already seen
+	Wait       time.Duration     // EffectResume: backoff before connecting
+	Reason     EndReason         // EffectEnd
+	Reached    bool              // EffectEnd: some target may have run the request
+}
--- /dev/null
+++ b/internal/decide/rerun/end_reason.go
@@ -0,0 +1,15 @@
+package rerun
+
+// EndReason tells why a caller's stream ended.
+type EndReason uint8
+
+const (
+	// EndFinished means that the whole answer was delivered.
+	EndFinished EndReason = iota + 1
+	// EndRefused means that the first ticket was refused.
+	EndRefused
+	// EndFailed means that no target could go on with the generation.
+	EndFailed
+	// EndDiverged means that a rerun did not reproduce the delivered tokens.
+	EndDiverged
+)
--- /dev/null
+++ b/internal/decide/retry/budget_test.go
@@ -0,0 +1,45 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A target that refuses everything gets the requests themselves and the initial credit, no more.
+func TestDeadDataCentreDoesNotMultiplyLoad(t *testing.T) {
+	const requests, burst = 10_000, 20
+	budget, sent := NewBudget(burst), 0
+	for range requests {
+		sent++
+		for range 3 { // every request would like to be retried three times
+			next, ok := budget.Spend()
+			budget = next
+			if ok {
+				sent++
+			}
+		}
+	}
+	require.Equal(t, requests+burst, sent)
+}
+
+func TestRetriesStayUnderATenthOfSuccesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		burst := rapid.Int64Range(0, 50).Draw(t, "burst")
+		budget, successes, retries := NewBudget(burst), int64(0), int64(0)
+		for _, success := range rapid.SliceOf(rapid.Bool()).Draw(t, "events") {
+			if success {
+				budget = budget.Succeeded()
+				successes++
+				continue
+			}
+			next, ok := budget.Spend()
+			if ok {
+				retries++
+			}
+			budget = next
+			require.LessOrEqual(t, retries*tenthsPerRetry, burst*tenthsPerRetry+successes)
+		}
+	})
+}
