Serve completions and chat completions to callers through the relay

Cause: callers need streams with event ids, resumption at any host, whole answers, the list of models, and typed refusals that leave nothing behind. Ruled out: cancelling at the engine some seconds after a caller left a stream of which it has an event id, because the caller may have resumed at another host and the cancellation would hit that stream; the engine's own resume window ends it and the ticket is closed as abandoned. A store for event ids: the id itself carries what a resumption needs, under a truncated HMAC that binds the team. Change: internal/relay (session, connections, event ids), internal/front (handlers, server-sent events, refusals, server bounds). Bad requests, a 100 MB body and forged event ids are refused with goleak clean; resumption after each event gives exactly the rest.

--- /dev/null
+++ b/internal/front/answer_message.go
@@ -0,0 +1,7 @@
+package front
+
+// answerMessage is the assistant's message in a chat answer.
+type answerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
--- /dev/null
+++ b/internal/front/chat_message.go
@@ -0,0 +1,7 @@
+package front
+
+// chatMessage is one message of a conversation.
+type chatMessage struct {
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
+}
--- /dev/null
+++ b/internal/front/chat_part.go
@@ -0,0 +1,7 @@
+package front
+
+// chatPart is one part of a message's content.
+type chatPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
--- /dev/null
+++ b/internal/front/error_body.go
@@ -0,0 +1,6 @@
+package front
+
+// errorBody is the body of a refused request.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
--- /dev/null
+++ b/internal/front/error_detail.go
@@ -0,0 +1,12 @@
+package front
+
+import "siskintide.example/siskintide/internal/core"
+
+// errorDetail is the JSON form of a refusal.
+type errorDetail struct {
+	Type         core.RefusalKind `json:"type"`
+	Message      string           `json:"message"`
+	Run          core.RunState    `json:"run"`
+	RetryAfterMS int64            `json:"retry_after_ms"` // zero: a retry makes no sense
+	Delivered    *core.Sequence   `json:"delivered_tokens,omitempty"`
+}
--- /dev/null
+++ b/internal/front/fakes_test.go
@@ -0,0 +1,90 @@
+package front
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/desk"
+	"siskintide.example/siskintide/internal/engine"
+	"siskintide.example/siskintide/internal/relay"
+	"siskintide.example/siskintide/internal/snapshot"
+)
+
+// fakeDesk grants every demand and counts open tickets.
+type fakeDesk struct {
+	view     *snapshot.Snapshot
+	refusal  *core.Refusal
+	granted  atomic.Int64
+	closed   chan core.Outcome
+	acquired chan struct{}
+}
+
+func (d *fakeDesk) Snapshot() *snapshot.Snapshot { return d.view }
+
+func (d *fakeDesk) Acquire(_ context.Context, demand core.Demand) (desk.Grant, error) {
+	if d.refusal != nil {
+		return desk.Grant{}, d.refusal
+	}
+	d.granted.Add(1)
+	d.acquired <- struct{}{}
+	ticket := core.Ticket{Generation: demand.Generation, Target: "t1", Address: "127.0.0.1:1", Incarnation: "i1"}
+	return desk.Grant{Ticket: ticket, StartBefore: time.Now().Add(time.Hour)}, nil
+}
+
+func (d *fakeDesk) Close(outcome core.Outcome)                { d.closed <- outcome }
+func (d *fakeDesk) Track(core.GenerationID, *atomic.Int64)    {}
+func (d *fakeDesk) ReportFirstToken(core.GenerationID, int64) {}
+
+// fakeEngines streams the given tokens, or holds the stream open when hold is set.
+type fakeEngines struct {
+	tokens []string
+	hold   bool
+}
+
+func (e *fakeEngines) Start(ctx context.Context, ticket core.Ticket, _ engine.Request) (relay.FrameReader, error) {
+	return &fakeReader{ctx: ctx, engines: e, generation: ticket.Generation}, nil
+}
+
+func (e *fakeEngines) Resume(ctx context.Context, _ string, g core.GenerationID, after core.Sequence, _ core.Incarnation) (relay.FrameReader, error) {
+	return &fakeReader{ctx: ctx, engines: e, generation: g, at: after}, nil
+}
+
+func (e *fakeEngines) Cancel(context.Context, string, core.GenerationID) error { return nil }
+
+type fakeReader struct {
+	ctx        context.Context
+	engines    *fakeEngines
+	generation core.GenerationID
+	at         core.Sequence
+}
+
+func (r *fakeReader) Next() (engine.Frame, error) {
+	total := core.Sequence(len(r.engines.tokens))
+	if r.at == total {
+		return engine.Frame{}, io.EOF
+	}
+	if r.engines.hold && r.at == total-1 {
+		<-r.ctx.Done()
+		return engine.Frame{}, r.ctx.Err()
+	}
+	frame := engine.Frame{Generation: r.generation, Sequence: r.at + 1, Text: r.engines.tokens[r.at]}
+	r.at++
+	if r.at == total {
+		frame.FinishReason = "stop"
+	}
+	return frame, nil
+}
+
+func (r *fakeReader) Incarnation() core.Incarnation { return "i1" }
+func (r *fakeReader) Close() error                  { return nil }
+
+type noMetrics struct{}
+
+func (noMetrics) QueueTime(core.TeamID, core.Class, time.Duration)  {}
+func (noMetrics) FirstToken(core.TeamID, core.Class, time.Duration) {}
+func (noMetrics) TokenGap(core.TeamID, core.Class, time.Duration)   {}
+func (noMetrics) StallTime(core.TeamID, core.Class, time.Duration)  {}
+func (noMetrics) Refused(core.TeamID, core.Class, core.RefusalKind) {}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,242 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/relay"
+	"siskintide.example/siskintide/internal/snapshot"
+)
+
+const (
+	testKey   = "key-of-a-team"
+	chatURL   = "/v1/chat/completions"
+	plainURL  = "/v1/completions"
+	plainBody = `{"model":"m","prompt":"hello","seed":7,"stream":true}`
+)
+
+var testEventKey = []byte("0123456789abcdef0123456789abcdef")
+
+func testView() *snapshot.Snapshot {
+	digest := sha256.Sum256([]byte(testKey))
+	return &snapshot.Snapshot{
+		Self: core.Host{ID: "h1"},
+		Catalog: core.NewCatalog(&core.Config{
+			Models:  []core.Model{{ID: "m", MaxTokens: 100, QueueMS: 1000}},
+			Classes: []core.ClassSpec{{ID: "interactive", Priority: 1}},
+			Teams:   []core.Team{{ID: "a", KeySHA256: []string{hex.EncodeToString(digest[:])}, Class: "interactive"}},
+			Targets: []core.Target{{ID: "t1", Address: "127.0.0.1:1", Model: "m", State: core.StateIn}},
+		}),
+	}
+}
+
+func newTestServer(t *testing.T, desk *fakeDesk, engines relay.Engines) *httptest.Server {
+	t.Helper()
+	desk.closed = make(chan core.Outcome, 64)
+	desk.acquired = make(chan struct{}, 64)
+	if desk.view == nil {
+		desk.view = testView()
+	}
+	server := httptest.NewServer(New(Options{
+		Desk: desk, Engines: engines, EventKey: testEventKey, Clock: clockwork.NewRealClock(),
+		Log: &log.Logger{Handler: discard.New()}, Metrics: noMetrics{},
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func call(t *testing.T, server *httptest.Server, method, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := server.Client().Do(request)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// readEvents returns the texts and the event ids of a stream.
+func readEvents(t *testing.T, body io.Reader) (text string, ids []string, done bool) {
+	t.Helper()
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		line := lines.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, id)
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			done = done || ok
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		require.NoError(t, json.Unmarshal([]byte(data), &chunk), data)
+		for _, choice := range chunk.Choices {
+			text += choice.Text + choice.Delta.Content
+		}
+	}
+	return text, ids, done
+}
+
+func TestStreamIsWholeAndResumesAfterEachEvent(t *testing.T) {
+	desk := &fakeDesk{}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a ", "\"b\"\n", "ü", "d"}})
+	text, ids, done := readEvents(t, call(t, server, "POST", plainURL, plainBody).Body)
+	require.Equal(t, "a \"b\"\nüd", text)
+	require.True(t, done)
+	require.Len(t, ids, 4)
+	require.Equal(t, core.Completed, (<-desk.closed).Result)
+	for i, rest := range []string{"\"b\"\nüd", "üd", "d", ""} {
+		repeated, _, done := readEvents(t, call(t, server, "POST", plainURL, plainBody, "Last-Event-ID", ids[i]).Body)
+		require.Equal(t, rest, repeated)
+		require.True(t, done)
+		resumed, _, done := readEvents(t, call(t, server, "GET", "/v1/streams", "", "Last-Event-ID", ids[i]).Body)
+		require.Equal(t, rest, resumed)
+		require.True(t, done)
+	}
+}
+
+func TestAnswerInOnePiece(t *testing.T) {
+	desk := &fakeDesk{}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"one ", "two"}})
+	response := call(t, server, "POST", chatURL, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`)
+	var body answerBody
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+	require.Equal(t, "one two", body.Choices[0].Message.Content)
+	require.Equal(t, "stop", body.Choices[0].FinishReason)
+	require.Equal(t, core.Tokens(2), body.Usage.CompletionTokens)
+}
+
+// Refused requests get a typed answer that says they did not run, and leave nothing behind.
+func TestRefusals(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	desk := &fakeDesk{}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a", "b"}})
+	_, ids, _ := readEvents(t, call(t, server, "POST", plainURL, plainBody).Body)
+	<-desk.closed
+	desk.granted.Store(0)
+	forged := ids[0][:len(ids[0])-2] + "AA"
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		kind                     core.RefusalKind
+	}{
+		{"broken JSON", "POST", plainURL, `{"model":`, nil, 400, core.RefusedBadRequest},
+		{"wrong type", "POST", plainURL, `{"model":"m","prompt":3}`, nil, 400, core.RefusedBadRequest},
+		{"empty body", "POST", chatURL, ``, nil, 400, core.RefusedBadRequest},
+		{"100 MB body", "POST", plainURL, `{"model":"m","prompt":"` + strings.Repeat("x", 100<<20) + `"}`, nil, 413, core.RefusedTooLarge},
+		{"unknown model", "POST", plainURL, `{"model":"x","prompt":"p"}`, nil, 404, core.RefusedUnknownModel},
+		{"no key", "POST", plainURL, plainBody, []string{"Authorization", ""}, 401, core.RefusedUnauthorized},
+		{"bad key", "POST", plainURL, plainBody, []string{"Authorization", "Bearer nope"}, 401, core.RefusedUnauthorized},
+		{"huge max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":1000000000}`, nil, 400, core.RefusedBadRequest},
+		{"overflowing max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":1e30}`, nil, 400, core.RefusedBadRequest},
+		{"negative max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":-1}`, nil, 400, core.RefusedBadRequest},
+		{"several choices", "POST", plainURL, `{"model":"m","prompt":"p","n":2}`, nil, 400, core.RefusedBadRequest},
+		{"image part", "POST", chatURL, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, core.RefusedBadRequest},
+		{"unknown class", "POST", plainURL, plainBody, []string{"Request-Class", "x"}, 400, core.RefusedBadRequest},
+		{"malformed event id", "POST", plainURL, plainBody, []string{"Last-Event-ID", "17"}, 400, core.RefusedBadRequest},
+		{"forged event id", "POST", plainURL, plainBody, []string{"Last-Event-ID", forged}, 400, core.RefusedBadRequest},
+		{"event id of another request", "POST", plainURL, `{"model":"m","prompt":"other","stream":true}`, []string{"Last-Event-ID", ids[0]}, 400, core.RefusedBadRequest},
+		{"no event id", "GET", "/v1/streams", "", nil, 400, core.RefusedBadRequest},
+		{"unknown path", "GET", "/v2", "", nil, 400, core.RefusedBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response := call(t, server, c.method, c.path, c.body, c.headers...)
+			requireRefusal(t, response, c.status, c.kind)
+			require.Zero(t, desk.granted.Load())
+		})
+	}
+	server.Client().CloseIdleConnections()
+	server.Close()
+}
+
+func requireRefusal(t *testing.T, response *http.Response, status int, kind core.RefusalKind) {
+	t.Helper()
+	var body errorBody
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+	require.Equal(t, status, response.StatusCode)
+	require.Equal(t, kind, body.Error.Type)
+	require.Equal(t, core.NotRun, body.Error.Run)
+	require.NotEmpty(t, body.Error.Message)
+}
+
+func TestRefusedTicketGetsItsOwnStatus(t *testing.T) {
+	desk := &fakeDesk{refusal: &core.Refusal{Kind: core.RefusedQueueFull, Message: "full", Run: core.NotRun}}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a"}})
+	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 429, core.RefusedQueueFull)
+}
+
+func TestLeavingHostTakesNoCallers(t *testing.T) {
+	view := testView()
+	view.Leaving = true
+	desk := &fakeDesk{view: view}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a"}})
+	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 503, core.RefusedLeaving)
+}
+
+// A caller that leaves a stream leaves no goroutine and no open ticket.
+func TestCallerLeaves(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for name, c := range map[string]struct {
+		body   string
+		result core.Result
+	}{
+		"stream that may be resumed": {plainBody, core.Abandoned},
+		"whole answer":               {`{"model":"m","prompt":"p"}`, core.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			desk := &fakeDesk{}
+			server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a", "b"}, hold: true})
+			ctx, cancel := context.WithCancel(context.Background())
+			request, err := http.NewRequestWithContext(ctx, "POST", server.URL+plainURL, strings.NewReader(c.body))
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+testKey)
+			if strings.Contains(c.body, "stream") {
+				response, err := server.Client().Do(request)
+				require.NoError(t, err)
+				_, err = bufio.NewReader(response.Body).ReadString('\n')
+				require.NoError(t, err)
+				cancel()
+				_ = response.Body.Close()
+			} else {
+				asked := make(chan struct{})
+				go func() {
+					defer close(asked)
+					_, _ = server.Client().Do(request)
+				}()
+				<-desk.acquired
+				cancel()
+				<-asked
+			}
+			require.Equal(t, c.result, (<-desk.closed).Result)
+			server.Client().CloseIdleConnections()
+			server.Close()
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/metrics.go
@@ -0,0 +1,13 @@
+package front
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/relay"
+)
+
+// Metrics takes the measures of callers' requests.
+type Metrics interface {
+	relay.Metrics
+	// Refused counts one refused or failed request.
+	Refused(team core.TeamID, class core.Class, kind core.RefusalKind)
+}
--- /dev/null
+++ b/internal/front/model_entry.go
@@ -0,0 +1,11 @@
+package front
+
+import "siskintide.example/siskintide/internal/core"
+
+// modelEntry is one model in the list of models.
+type modelEntry struct {
+	ID      core.ModelID `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	OwnedBy string       `json:"owned_by"`
+}
--- /dev/null
+++ b/internal/front/model_list.go
@@ -0,0 +1,7 @@
+package front
+
+// modelList is the answer to GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
--- /dev/null
+++ b/internal/front/options.go
@@ -0,0 +1,19 @@
+package front
+
+import (
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/desk"
+	"siskintide.example/siskintide/internal/relay"
+)
+
+// Options is what the callers' handler works with.
+type Options struct {
+	Desk     desk.Desk
+	Engines  relay.Engines
+	EventKey []byte // authenticates event ids; the same on all hosts of a deployment
+	Clock    clockwork.Clock
+	Log      log.Interface
+	Metrics  Metrics
+}
--- /dev/null
+++ b/internal/front/stream_options.go
@@ -0,0 +1,6 @@
+package front
+
+// streamOptions asks for more in a streamed answer.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
--- /dev/null
+++ b/internal/relay/connection.go
@@ -0,0 +1,15 @@
+package relay
+
+import (
+	"context"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/rerun"
+)
+
+// connection is the session's hold on one connection's goroutine.
+type connection struct {
+	id         rerun.ConnectionID
+	generation core.GenerationID // zero until started
+	cancel     context.CancelFunc
+}
--- /dev/null
+++ b/internal/relay/event_encoder.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"hash"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// eventVersion is the first byte of an event id; another layout gets another number.
+	eventVersion = 1
+	// macBytes is the length of the truncated code that authenticates an event id.
+	macBytes = 12
+	// maxEventIDBytes bounds the text of an event id that is looked at.
+	maxEventIDBytes = 1024
+	// fixedBytes is the length of the part before the names: version, generation, seed, request hash.
+	fixedBytes = 1 + 16 + 8 + 8
+	// movingBytes is the length of the part that changes with every token.
+	movingBytes = 8 + 8 + 1
+)
+
+// EventEncoder writes the event ids of one stream. The part that stays the same for a
+// generation is encoded once. It is used by one goroutine.
+type EventEncoder struct {
+	mac        hash.Hash
+	team       core.TeamID
+	generation core.GenerationID
+	steady     []byte // binary form of what stays the same for a generation
+	text       []byte // its text form
+	scratch    []byte
+}
+
+// NewEventEncoder returns an encoder of event ids for one team. The key is the same on
+// all hosts, so that any of them can resume the stream.
+func NewEventEncoder(key []byte, team core.TeamID) *EventEncoder {
+	return &EventEncoder{mac: hmac.New(sha256.New, key), team: team}
+}
+
+// Append writes the event id of a position to dst. The form is two parts of unpadded
+// URL-safe base64 with a full stop between them.
+func (e *EventEncoder) Append(dst []byte, position EventPosition) []byte {
+	if e.steady == nil || e.generation != position.Generation {
+		e.generation = position.Generation
+		e.steady = appendSteady(e.steady[:0], position)
+		e.text = base64.RawURLEncoding.AppendEncode(e.text[:0], e.steady)
+	}
+	moving := appendMoving(e.scratch[:0], position)
+	moving = appendMAC(moving, e.mac, e.team, e.steady, moving)
+	e.scratch = moving
+	dst = append(dst, e.text...)
+	dst = append(dst, '.')
+	return base64.RawURLEncoding.AppendEncode(dst, moving)
+}
+
+func appendSteady(dst []byte, p EventPosition) []byte {
+	dst = append(dst, eventVersion)
+	dst = append(dst, p.Generation[:]...)
+	dst = binary.BigEndian.AppendUint64(dst, p.Seed)
+	dst = binary.BigEndian.AppendUint64(dst, p.RequestHash)
+	dst = appendName(dst, string(p.Target))
+	return appendName(dst, string(p.Incarnation))
+}
+
+func appendName(dst []byte, name string) []byte {
+	dst = binary.AppendUvarint(dst, uint64(len(name)))
+	return append(dst, name...)
+}
+
+func appendMoving(dst []byte, p EventPosition) []byte {
+	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Sequence))
+	dst = binary.BigEndian.AppendUint64(dst, p.Digest)
+	if p.Final {
+		return append(dst, 1)
+	}
+	return append(dst, 0)
+}
+
+// appendMAC writes the code over the team and both parts. The team's length is bound by
+// the position of the version byte being after a separator that no identifier contains.
+func appendMAC(dst []byte, mac hash.Hash, team core.TeamID, steady, moving []byte) []byte {
+	mac.Reset()
+	mac.Write([]byte(team))
+	mac.Write([]byte{0})
+	mac.Write(steady)
+	mac.Write(moving)
+	var sum [sha256.Size]byte
+	return append(dst, mac.Sum(sum[:0])[:macBytes]...)
+}
--- /dev/null
+++ b/internal/relay/options.go
@@ -0,0 +1,15 @@
+package relay
+
+import (
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/desk"
+)
+
+// Options is what a relay works with.
+type Options struct {
+	Desk    desk.Desk
+	Engines Engines
+	Clock   clockwork.Clock
+	Metrics Metrics
+}
