Decide the steps of a call that may run at most once

Cause: a booking, cancellation or payment runs at most once, and "not run" is true, while platform answers are lost, claimants die or freeze, and requests with one key meet at several hosts. Ruled out: claimed, then sent, then answered (three writes a call; the row as sent in the first write takes two); "not run" after a mere read of the row (a request that read it before can still run); "not run" while the platform cannot be read (an earlier call with the key may have run); keys owned by a data centre (a host that dies takes the only copy of the claim with it). Change: decide/claim, a state machine that writes the row by compare-and-swap and says "not run" only after its own void row is in the table.

--- /dev/null
+++ b/internal/decide/claim/effect.go
@@ -0,0 +1,12 @@
+package claim
+
+import "siskintide.example/siskintide/internal/core"
+
+// Effect is one thing that the executor has to do. Effects are carried out in order; the
+// last one that brings an event, if any, decides the next step.
+type Effect struct {
+	Kind    EffectKind
+	Version uint64        // EffectWrite: version that the row must have
+	Record  Record        // EffectWrite; in state answered the executor adds the answer
+	Refusal *core.Refusal // EffectRefuse
+}
