Read settings and declarations, with file, line and key of every problem

Cause: a host needs checked settings before it listens, and operators keep declarations in version control as JSON with comments. Ruled out: relying on encoding/json's errors, which name no key for an unknown field and match keys in any case; requiring states in declarations, because applying them would then undo a confirmed take-out or drain.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"siskintide.example/siskintide/internal/configcheck"
+)
+
+const minKeyBytes = 32 // shorter shared keys can be guessed
+
+var logLevels = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+
+// Load reads and checks a host's settings file. The error is a *ReadError or an
+// *InvalidError. Key files are looked up relative to the settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &ReadError{Path: path, Err: err}
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Parse checks the content of a settings file. The name appears in problems, and key
+// files are looked up in its directory.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := &Settings{Timing: DefaultTiming(), LogLevel: "info"}
+	d := decode(name, data, s)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	d.checkPlace(s)
+	d.checkKeys(s)
+	d.checkTiming(s.Timing)
+	d.checkSeeds(s)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (d *document) want(ok bool, key, got, accepted string) {
+	if !ok {
+		d.at(key, fmt.Sprintf("%.60q", got), accepted)
+	}
+}
+
+func (d *document) checkPlace(s *Settings) {
+	d.want(configcheck.ValidIdentifier(string(s.Host)), "host", string(s.Host), configcheck.IdentifierForm)
+	d.want(configcheck.ValidIdentifier(string(s.DataCentre)), "data_centre", string(s.DataCentre), configcheck.IdentifierForm)
+	d.want(logLevels[s.LogLevel], "log_level", s.LogLevel, `"debug", "info", "warn" or "error"`)
+	d.want(configcheck.ValidAddress(s.Listen.Callers), "listen.callers", s.Listen.Callers, configcheck.AddressForm)
+	d.want(configcheck.ReachableAddress(s.Listen.Peers), "listen.peers", s.Listen.Peers, configcheck.AddressForm)
+	d.want(configcheck.ValidAddress(s.Listen.Admin), "listen.admin", s.Listen.Admin, configcheck.AddressForm)
+	d.want(configcheck.ReachableAddress(s.Platform), "platform", s.Platform, configcheck.AddressForm)
+	seen := map[string]string{s.Listen.Callers: "listen.callers"}
+	d.unique(seen, "listen.peers", s.Listen.Peers)
+	d.unique(seen, "listen.admin", s.Listen.Admin)
+	d.unique(seen, "platform", s.Platform)
+}
+
+// unique reports an address that another key has already.
+func (d *document) unique(seen map[string]string, key, address string) {
+	if other, taken := seen[address]; taken && address != "" {
+		d.at(key, fmt.Sprintf("%q, the address of %s", address, other), "an address that no other key has")
+	}
+	seen[address] = key
+}
+
+func (d *document) checkSeeds(s *Settings) {
+	addresses := map[string]string{s.Listen.Peers: "listen.peers"}
+	ids := map[string]bool{string(s.Host): true}
+	for i, seed := range s.Seeds {
+		key := fmt.Sprintf("seeds[%d]", i)
+		d.want(configcheck.ValidIdentifier(string(seed.ID)), key+".id", string(seed.ID), configcheck.IdentifierForm)
+		d.want(!ids[string(seed.ID)], key+".id", string(seed.ID), "a host other than this one, each once")
+		d.want(configcheck.ValidIdentifier(string(seed.DataCentre)), key+".data_centre", string(seed.DataCentre), configcheck.IdentifierForm)
+		d.want(configcheck.ReachableAddress(seed.PeerAddress), key+".peer_address", seed.PeerAddress, configcheck.AddressForm)
+		d.want(!seed.Leaving, key+".leaving", "true", "no such key in settings")
+		d.unique(addresses, key+".peer_address", seed.PeerAddress)
+		ids[string(seed.ID)] = true
+	}
+}
+
+func (d *document) checkKeys(s *Settings) {
+	d.readKey("peer_key", &s.PeerKey, s.PeerKeyFile)
+	d.readKey("operator_key", &s.OperatorKey, s.OperatorKeyFile)
+	d.readKey("event_key", &s.EventKey, s.EventKeyFile)
+	distinct := s.PeerKey != s.OperatorKey && s.OperatorKey != s.EventKey && s.PeerKey != s.EventKey
+	if !distinct && len(d.problems) == 0 {
+		d.at("operator_key", "two equal keys", "a key of its own for peers, operators and events")
+	}
+}
+
+// readKey takes a shared key from its file if one is named and checks its length. The
+// key itself never appears in a problem.
+func (d *document) readKey(key string, value *string, file string) {
+	if (*value == "") == (file == "") {
+		d.at(key, "neither or both of "+key+" and "+key+"_file", "one of the two")
+		return
+	}
+	if file != "" {
+		text, err := os.ReadFile(filepath.Join(filepath.Dir(d.name), file))
+		if err != nil {
+			d.at(key+"_file", fmt.Sprintf("%q, which cannot be read", file), "a readable file, relative to this one")
+			return
+		}
+		*value = strings.TrimSpace(string(text))
+	}
+	if len(*value) < minKeyBytes {
+		d.at(key, fmt.Sprintf("%d bytes", len(*value)), fmt.Sprintf("at least %d bytes", minKeyBytes))
+	}
+}
+
+func (d *document) checkTiming(t Timing) {
+	d.span("timing.lease", t.Lease, 3*time.Second, time.Minute)
+	d.span("timing.clock_margin", t.ClockMargin, 100*time.Millisecond, 30*time.Second)
+	d.span("timing.heartbeat", t.Heartbeat, 200*time.Millisecond, 5*time.Second)
+	d.span("timing.config_poll", t.ConfigPoll, 500*time.Millisecond, 5*time.Second)
+	d.span("timing.platform_call", t.PlatformCall, 100*time.Millisecond, 10*time.Second)
+	d.span("timing.shutdown_grace", t.ShutdownGrace, time.Second, time.Hour)
+}
+
+func (d *document) span(key string, got Duration, low, high time.Duration) {
+	value := time.Duration(got)
+	d.want(value >= low && value <= high, key, got.String(), fmt.Sprintf("a duration from %v to %v", low, high))
+}
+
+// IsHostFile reports whether a file looks like a host's settings rather than declarations.
+func IsHostFile(data []byte) bool {
+	d := &document{data: data, lines: map[string]int{}}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return false
+	}
+	d.walk(&root, reflect.TypeFor[Settings](), "")
+	return d.lines["listen"] > 0 || d.lines["host"] > 0 || d.lines["platform"] > 0
+}
