--- /dev/null
+++ b/internal/decide/plan/host_load.go
@@ -0,0 +1,11 @@
+package plan
+
+import "siskintide.example/siskintide/internal/core"
+
+// HostLoad is what is known about one entry host.
+type HostLoad struct {
+	Host       core.HostID       `json:"host"`
+	DataCentre core.DataCentreID `json:"data_centre"`
+	Reachable  bool              `json:"reachable"`
+	Leaving    bool              `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/internal/decide/plan/nearest.go
@@ -0,0 +1,69 @@
+package plan
+
+import (
+	"slices"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// nearest returns the planned intent that comes nearest to a refused one, or nil.
+func nearest(current *core.Config, intent Intent, load Load, reason Reason) *Intent {
+	switch {
+	case reason == StillTakingWork:
+		return drainRemoved(current, intent, load)
+	case reason != Overload && reason != LastOfPool:
+		return nil
+	case intent.Kind == TakeOut || intent.Kind == Drain:
+		return largestDrain(current, intent, load)
+	}
+	return nil
+}
+
+// drainRemoved drains the targets that declarations would remove.
+func drainRemoved(current *core.Config, intent Intent, load Load) *Intent {
+	kept := core.NewCatalog(intent.Declarations)
+	before := core.NewCatalog(current)
+	drain := Intent{Kind: Drain}
+	for _, target := range current.Targets {
+		if kept.Target(target.ID) == nil && before.Accepts(target.ID) {
+			drain.Targets = append(drain.Targets, target.ID)
+		}
+	}
+	if _, err := propose(current, drain, load); err != nil {
+		return nil
+	}
+	return &drain
+}
+
+// largestDrain drains as many of the wanted targets as allowed, the least loaded first.
+func largestDrain(current *core.Config, intent Intent, load Load) *Intent {
+	known := load.byTarget()
+	wanted := wantedOut(current, intent)
+	slices.SortStableFunc(wanted, func(a, b core.TargetID) int { return known[a].Streams - known[b].Streams })
+	drain := Intent{Kind: Drain}
+	for _, id := range wanted {
+		trial := Intent{Kind: Drain, Targets: append(slices.Clone(drain.Targets), id)}
+		if _, err := propose(current, trial, load); err == nil {
+			drain = trial
+		}
+	}
+	if len(drain.Targets) == 0 {
+		return nil
+	}
+	slices.Sort(drain.Targets)
+	return &drain
+}
+
+// wantedOut lists the targets that take work and that the intent would take out.
+func wantedOut(current *core.Config, intent Intent) []core.TargetID {
+	catalog := core.NewCatalog(current)
+	wanted := []core.TargetID{}
+	for _, target := range current.Targets {
+		named := slices.Contains(intent.Targets, target.ID)
+		placed := intent.Kind == TakeOut && target.DataCentre == intent.DataCentre
+		if catalog.Accepts(target.ID) && (named || placed) {
+			wanted = append(wanted, target.ID)
+		}
+	}
+	return wanted
+}
--- /dev/null
+++ b/internal/decide/plan/target_load.go
@@ -0,0 +1,13 @@
+package plan
+
+import "siskintide.example/siskintide/internal/core"
+
+// TargetLoad is what is known about the load of one target.
+type TargetLoad struct {
+	Target   core.TargetID `json:"target"`
+	Owner    core.HostID   `json:"owner,omitempty"` // empty means unknown
+	Limit    int           `json:"limit"`           // streams that may run now; grows while the target warms up
+	Streams  int           `json:"streams"`         // running and queued
+	Memory   core.Tokens   `json:"memory"`          // in use
+	Forecast core.Tokens   `json:"forecast"`        // expected need of the running streams
+}
