Serve operators and add the command-line tool

Cause: plan, confirm, status and push need an authenticated interface and a tool. Ruled out: separate error handling for conflicts and lost answers of the store (any failed commit is settled by reading back, so the interface needs no error types of the platform's client); carrying bodies that the platform holds without proof of acceptance (a host seals only what it has in force). Change: internal/operator (HTTP, operator key compared in constant time), operatorapi, operatorclient (tries the next host), operatortext, commandline (flaggy), cmd/siskintide, examples of both users with one settings file a host.

--- /dev/null
+++ b/internal/commandline/intents.go
@@ -0,0 +1,157 @@
+package commandline
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/plan"
+	"siskintide.example/siskintide/internal/operatortext"
+	"siskintide.example/siskintide/internal/settings"
+)
+
+func runTakeOut(s *session) error { return s.dataCentre(plan.TakeOut) }
+func runReturn(s *session) error  { return s.dataCentre(plan.Return) }
+func runDrain(s *session) error   { return s.targets(plan.Drain) }
+func runUndrain(s *session) error { return s.targets(plan.Undrain) }
+
+func (s *session) dataCentre(kind plan.Kind) error {
+	words := s.arguments.given()
+	if len(words) != 1 {
+		return &InputError{Argument: string(kind), Got: fmt.Sprint(words), Accepted: "one data centre"}
+	}
+	return s.carryOut(plan.Intent{Kind: kind, DataCentre: core.DataCentreID(words[0])})
+}
+
+func (s *session) targets(kind plan.Kind) error {
+	intent := plan.Intent{Kind: kind}
+	for _, word := range s.arguments.given() {
+		intent.Targets = append(intent.Targets, core.TargetID(word))
+	}
+	return s.carryOut(intent)
+}
+
+func runBringIn(s *session) error {
+	words := s.arguments.given()
+	if len(words) != 2 {
+		return &InputError{Argument: "bring-in", Got: fmt.Sprint(words), Accepted: "a model and a version"}
+	}
+	return s.carryOut(plan.Intent{
+		Kind:        plan.BringIn,
+		Model:       core.ModelID(words[0]),
+		Version:     core.ModelVersion(words[1]),
+		WeightBytes: s.arguments.weightBytes,
+	})
+}
+
+func runApply(s *session) error {
+	intent, err := s.declarations()
+	if err != nil {
+		return err
+	}
+	return s.carryOut(intent)
+}
+
+// runInit is runApply for a deployment that has no accepted configuration yet.
+func runInit(s *session) error {
+	intent, err := s.declarations()
+	if err != nil {
+		return err
+	}
+	client, err := s.client(s.hosts())
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	if status.Accepted > 0 {
+		got := fmt.Sprintf("a deployment with accepted revision %d", status.Accepted)
+		return &InputError{Argument: "init", Got: got, Accepted: "a deployment without one; use apply"}
+	}
+	return s.carryOut(intent)
+}
+
+func runPlan(s *session) error {
+	intent, err := s.declarations()
+	if err != nil {
+		return err
+	}
+	s.arguments.planOnly = true
+	return s.carryOut(intent)
+}
+
+func (s *session) declarations() (plan.Intent, error) {
+	config, err := settings.LoadDeclarations(s.arguments.given()...)
+	if err != nil {
+		return plan.Intent{}, err
+	}
+	return plan.Intent{Kind: plan.ApplyDeclarations, Declarations: config}, nil
+}
+
+// carryOut plans an intent, shows the plan, asks, and confirms.
+func (s *session) carryOut(intent plan.Intent) error {
+	intent.AcceptOverload = s.arguments.acceptOverload
+	intent.AcceptUnserved = s.arguments.acceptUnserved
+	client, err := s.client(s.hosts())
+	if err != nil {
+		return err
+	}
+	proposed, err := client.Plan(s.ctx, intent)
+	if err != nil {
+		return err
+	}
+	return s.showAndConfirm(proposed)
+}
+
+func (s *session) showAndConfirm(proposed *plan.Plan) error {
+	text := func() error { return operatortext.Plan(s.env.Out, proposed) }
+	if err := s.show(proposed, text); err != nil {
+		return err
+	}
+	if s.arguments.planOnly {
+		return nil
+	}
+	if !s.agreed(fmt.Sprintf("Confirm plan %s on revision %d?", proposed.ID, proposed.Base)) {
+		return &DeclinedError{Plan: proposed.ID}
+	}
+	return s.confirm(proposed)
+}
+
+func (s *session) confirm(proposed *plan.Plan) error {
+	client, err := s.client(s.hosts())
+	if err != nil {
+		return err
+	}
+	confirmed, err := client.Confirm(s.ctx, proposed)
+	if err != nil {
+		return err
+	}
+	return s.show(confirmed, func() error {
+		note := "Accepted"
+		if confirmed.Repeated {
+			note = "Already accepted"
+		}
+		_, err := fmt.Fprintf(s.env.Out, "%s as revision %d. See where it is in force with: siskintide status\n", note, confirmed.Revision)
+		return err
+	})
+}
+
+// runConfirm confirms a plan that an earlier call wrote as JSON.
+func runConfirm(s *session) error {
+	words := s.arguments.given()
+	if len(words) != 1 {
+		return &InputError{Argument: "confirm", Got: fmt.Sprint(words), Accepted: "one file"}
+	}
+	text, err := os.ReadFile(words[0])
+	if err != nil {
+		return &settings.ReadError{Path: words[0], Err: err}
+	}
+	proposed := &plan.Plan{}
+	if err := json.Unmarshal(text, proposed); err != nil || proposed.ID == "" {
+		return &InputError{Argument: words[0], Got: "no plan", Accepted: "the output of a plan with --output json"}
+	}
+	return s.showAndConfirm(proposed)
+}
--- /dev/null
+++ b/internal/operator/confirm.go
@@ -0,0 +1,102 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/confirm"
+	"siskintide.example/siskintide/internal/decide/plan"
+	"siskintide.example/siskintide/internal/operatorapi"
+)
+
+// confirm makes a plan part of the accepted configuration.
+func (s *server) confirm(w http.ResponseWriter, r *http.Request) {
+	confirmation := operatorapi.Confirmation{}
+	if s.decode(w, r, &confirmation) && s.consistent(w, confirmation.Intent) {
+		s.settle(w, r, confirmation)
+	}
+}
+
+// init accepts the first configuration.
+func (s *server) init(w http.ResponseWriter, r *http.Request) {
+	confirmation := operatorapi.Confirmation{}
+	if !s.decode(w, r, &confirmation) || !s.consistent(w, confirmation.Intent) {
+		return
+	}
+	if confirmation.Base != 0 || confirmation.Intent.Kind != plan.ApplyDeclarations {
+		s.fail(w, &operatorapi.Failure{Type: operatorapi.Malformed, Message: "the first configuration is made of declarations on revision 0"})
+		return
+	}
+	s.settle(w, r, confirmation)
+}
+
+// settle runs one confirmation to its end and answers with the outcome.
+func (s *server) settle(w http.ResponseWriter, r *http.Request, confirmation operatorapi.Confirmation) {
+	machine := confirm.New(confirm.Request{
+		Plan:   confirmation.Plan,
+		Base:   confirmation.Base,
+		Intent: confirmation.Intent,
+		Load:   s.options.State.Load(),
+	}, s.options.Clock.Now())
+	finish := newRunner(s.options.Store, s.options.Clock).run(r.Context(), machine)
+	s.options.Log.WithField("plan", confirmation.Plan).WithField("outcome", finish.Outcome).WithField("revision", finish.Revision).Info("confirmation")
+	if finish.Config != nil && finish.Config.Revision > 0 {
+		s.options.InForce(finish.Config)
+	}
+	s.answer(w, r, confirmation, finish)
+}
+
+func (s *server) answer(w http.ResponseWriter, r *http.Request, confirmation operatorapi.Confirmation, finish confirm.Finish) {
+	switch finish.Outcome {
+	case confirm.Accepted, confirm.Repeated:
+		repeated := finish.Outcome == confirm.Repeated
+		s.reply(w, &operatorapi.Confirmed{Plan: confirmation.Plan, Revision: finish.Revision, Repeated: repeated})
+	case confirm.Refused:
+		s.fail(w, failureOf(finish.Refusal))
+	case confirm.Changed:
+		s.fail(w, s.changed(r, confirmation, finish.Config))
+	case confirm.Unavailable:
+		s.fail(w, &operatorapi.Failure{Type: operatorapi.PlatformAway, Message: "the platform did not answer; nothing was changed"})
+	default:
+		s.fail(w, &operatorapi.Failure{Type: operatorapi.OutcomeUnknown, Message: "the platform did not answer in time; the plan may still take effect. Confirm the same plan again: it takes effect at most once"})
+	}
+}
+
+// changed describes what came first and plans the same intent again.
+func (s *server) changed(r *http.Request, confirmation operatorapi.Confirmation, current *core.Config) *operatorapi.Failure {
+	change := &operatorapi.Change{Base: confirmation.Base, Current: current.Revision, Plans: plansSince(current, confirmation.Base)}
+	if base := s.readRevision(r, current, confirmation.Base); base != nil {
+		change.Steps = plan.Difference(base, current)
+	}
+	proposed, err := compute(current, confirmation.Intent, s.options.State.Load())
+	if err != nil {
+		change.Refusal = failureOf(err).Refusal
+	}
+	change.Plan = proposed
+	message := fmt.Sprintf("the plan was based on revision %d, but revision %d is accepted; it changed nothing and has to be read again", confirmation.Base, current.Revision)
+	return &operatorapi.Failure{Type: operatorapi.Changed, Message: message, Change: change}
+}
+
+// plansSince lists the plans that were confirmed after a revision, as far as remembered.
+func plansSince(current *core.Config, base core.Revision) []core.PlanID {
+	if base >= current.Revision {
+		return []core.PlanID{}
+	}
+	count := min(int(current.Revision-base), len(current.Plans))
+	return slices.Clone(current.Plans[len(current.Plans)-count:])
+}
+
+// readRevision returns the body of an earlier revision, or nil if it cannot be had.
+func (s *server) readRevision(r *http.Request, current *core.Config, wanted core.Revision) *core.Config {
+	if wanted == 0 || wanted >= current.Revision || int(current.Revision-wanted) >= len(current.Plans) {
+		return nil
+	}
+	id := current.Plans[len(current.Plans)-1-int(current.Revision-wanted)]
+	config, err := readBody(r.Context(), s.options.Store, confirm.ObjectKey(wanted, id))
+	if err != nil {
+		return nil
+	}
+	return config
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"siskintide.example/siskintide/internal/operatorapi"
+)
+
+// maxRequestBytes bounds a request; declarations at full size stay well below.
+const maxRequestBytes = 16 << 20
+
+// server answers operators. It has no state of its own beyond its options.
+type server struct {
+	options Options
+	key     [sha256.Size]byte // digest of the operator key
+}
+
+// New returns the handler of all paths below /operator/.
+func New(options Options) http.Handler {
+	s := &server{options: options, key: sha256.Sum256([]byte(options.Key))}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+operatorapi.PathPlan, s.plan)
+	mux.HandleFunc("POST "+operatorapi.PathConfirm, s.confirm)
+	mux.HandleFunc("POST "+operatorapi.PathInit, s.init)
+	mux.HandleFunc("GET "+operatorapi.PathStatus, s.status)
+	mux.HandleFunc("GET "+operatorapi.PathAccepted, s.accepted)
+	mux.HandleFunc("POST "+operatorapi.PathPush, s.push)
+	return s.authenticated(mux)
+}
+
+// authenticated passes on only calls that carry the operator key.
+func (s *server) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.authentic(r) {
+			s.options.Log.WithField("path", r.URL.Path).WithField("remote", r.RemoteAddr).Warn("operator call without the key")
+			s.fail(w, &operatorapi.Failure{Type: operatorapi.Unauthorized, Message: "the operator key is missing or wrong"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// authentic compares digests in constant time, so that neither the content nor the length
+// of the key leaks.
+func (s *server) authentic(r *http.Request) bool {
+	given, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(given))
+	return bearer && s.options.Key != "" && subtle.ConstantTimeCompare(digest[:], s.key[:]) == 1
+}
+
+// decode reads a request body and answers with a failure when it does not fit.
+func (s *server) decode(w http.ResponseWriter, r *http.Request, out any) bool {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		s.fail(w, &operatorapi.Failure{Type: operatorapi.Malformed, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+func (s *server) reply(w http.ResponseWriter, body any) { s.write(w, http.StatusOK, body) }
+
+func (s *server) fail(w http.ResponseWriter, failure *operatorapi.Failure) {
+	s.write(w, statusOf(failure.Type), failure)
+}
+
+func (s *server) write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		s.options.Log.WithError(err).Warn("operator answer not sent")
+	}
+}
+
+// statusOf returns the HTTP status of a failure.
+func statusOf(failure operatorapi.FailureType) int {
+	switch failure {
+	case operatorapi.Unauthorized:
+		return http.StatusUnauthorized
+	case operatorapi.Malformed, operatorapi.Inconsistent, operatorapi.SealWrong:
+		return http.StatusBadRequest
+	case operatorapi.Refused:
+		return http.StatusUnprocessableEntity
+	case operatorapi.Changed:
+		return http.StatusConflict
+	case operatorapi.PlatformAway, operatorapi.OutcomeUnknown, operatorapi.NotInitialised:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/plan"
+	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/operatorapi"
+	"siskintide.example/siskintide/internal/snapshot"
+)
+
+const shownPlans = 10 // recent plans that a status lists
+
+// status answers with what this host knows about the deployment.
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	view := s.options.State.Snapshot()
+	_, head, err := readHead(r.Context(), s.options.Store)
+	if err != nil {
+		head = revision.Head{}
+	}
+	status := &operatorapi.Status{
+		Host:            view.Self.ID,
+		AsOf:            s.options.Clock.Now().UTC(),
+		PlatformReached: err == nil,
+		Degraded:        view.Degraded,
+		Accepted:        head.Revision,
+		AcceptedAt:      head.AcceptedAt,
+	}
+	config := s.inForce()
+	if config == nil {
+		config = &core.Config{}
+	}
+	status.InForce = config.Revision
+	if config.Revision > status.Accepted {
+		status.Accepted = config.Revision
+	}
+	status.DataCentres = centres(view, config, status)
+	status.Targets = targets(config, s.options.State.Load())
+	status.Plans = plans(view, config)
+	s.reply(w, status)
+}
+
+// centres groups the hosts by data centre, declared ones first.
+func centres(view *snapshot.Snapshot, config *core.Config, status *operatorapi.Status) []operatorapi.DataCentreStatus {
+	all := []operatorapi.DataCentreStatus{}
+	for _, centre := range config.DataCentres {
+		all = append(all, operatorapi.DataCentreStatus{DataCentre: centre.ID, State: centre.State})
+	}
+	for _, host := range view.Hosts {
+		at := slices.IndexFunc(all, func(d operatorapi.DataCentreStatus) bool { return d.DataCentre == host.Host.DataCentre })
+		if at < 0 {
+			all = append(all, operatorapi.DataCentreStatus{DataCentre: host.Host.DataCentre})
+			at = len(all) - 1
+		}
+		all[at].Hosts = append(all[at].Hosts, hostStatus(host, view.Self.ID, status))
+	}
+	for i := range all {
+		unreachable := func(h operatorapi.HostStatus) bool { return !h.Reachable }
+		slices.SortFunc(all[i].Hosts, func(a, b operatorapi.HostStatus) int { return strings.Compare(string(a.Host), string(b.Host)) })
+		all[i].CutOff = len(all[i].Hosts) > 0 && !slices.ContainsFunc(all[i].Hosts, func(h operatorapi.HostStatus) bool { return !unreachable(h) })
+	}
+	return all
+}
+
+func hostStatus(view snapshot.HostView, self core.HostID, status *operatorapi.Status) operatorapi.HostStatus {
+	host := operatorapi.HostStatus{
+		Host:      view.Host.ID,
+		Reachable: view.Reachable || view.Host.ID == self,
+		Leaving:   view.Host.Leaving,
+		Revision:  view.Revision,
+		HeardAt:   view.HeardAt.UTC(),
+	}
+	if view.Host.ID == self {
+		host.Revision = status.InForce
+		host.HeardAt = status.AsOf
+	}
+	host.Confirmed = host.Revision >= status.Accepted
+	if !host.Confirmed {
+		host.Since = status.AcceptedAt
+	}
+	return host
+}
+
+func targets(config *core.Config, load plan.Load) []operatorapi.TargetStatus {
+	catalog := core.NewCatalog(config)
+	known := map[core.TargetID]plan.TargetLoad{}
+	for _, target := range load.Targets {
+		known[target.Target] = target
+	}
+	all := make([]operatorapi.TargetStatus, 0, len(config.Targets))
+	for _, target := range config.Targets {
+		reported, ok := known[target.ID]
+		all = append(all, operatorapi.TargetStatus{
+			Target: target.ID, DataCentre: target.DataCentre, Pool: target.Pool(), State: target.State,
+			TakesWork: catalog.Accepts(target.ID), Owner: reported.Owner, Known: ok, Limit: reported.Limit,
+			Streams: reported.Streams, Memory: reported.Memory, Forecast: reported.Forecast,
+		})
+	}
+	return all
+}
+
+// plans lists the most recent plans, newest first, with the hosts that have not confirmed.
+func plans(view *snapshot.Snapshot, config *core.Config) []operatorapi.PlanStatus {
+	all := []operatorapi.PlanStatus{}
+	for back := range min(len(config.Plans), shownPlans) {
+		at := config.Revision - core.Revision(back)
+		outcome := operatorapi.PlanStatus{Plan: config.Plans[len(config.Plans)-1-back], Revision: at, Hosts: len(view.Hosts), Missing: []core.HostID{}}
+		for _, host := range view.Hosts {
+			if host.Revision >= at || host.Host.ID == view.Self.ID {
+				outcome.InForce++
+				continue
+			}
+			outcome.Missing = append(outcome.Missing, host.Host.ID)
+		}
+		all = append(all, outcome)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/operator/unavailable_error.go
@@ -0,0 +1,16 @@
+package operator
+
+import "fmt"
+
+// UnavailableError reports that the accepted configuration could not be read.
+type UnavailableError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("the platform did not answer: %v", e.Err)
+}
+
+// Unwrap returns the failure of the platform's client.
+func (e *UnavailableError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/operatortext/doc.go
@@ -0,0 +1,2 @@
+// Package operatortext writes plans, refusals and status as text for a person to read.
+package operatortext
--- /dev/null
+++ b/internal/operatortext/writer.go
@@ -0,0 +1,18 @@
+package operatortext
+
+import (
+	"fmt"
+	"io"
+)
+
+// writer writes lines and keeps the first failure.
+type writer struct {
+	out io.Writer
+	err error
+}
+
+func (w *writer) line(format string, args ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.out, format+"\n", args...)
+	}
+}
