Tell peers about the load of owned targets

Cause: a plan is made at any host, but only a target's owner knows its load; the expected load on what remains would be unknown for all other targets.

The codec's test had no sample of the new kind and failed ('a kind has no sample'); it has one.

Result: go test ./internal/peer passes.

--- a/internal/message/kind.go
+++ b/internal/message/kind.go
@@ -17,4 +17,5 @@
 	KindRelayAnswer   Kind = 11
 	KindTicketRevoked Kind = 12
 	KindTicketCheck   Kind = 13
+	KindTargetLoads   Kind = 14
 )
--- /dev/null
+++ b/internal/message/target_load.go
@@ -0,0 +1,12 @@
+package message
+
+import "siskintide.example/siskintide/internal/core"
+
+// TargetLoad is an owner's account of one target.
+type TargetLoad struct {
+	Target   core.TargetID `cbor:"1,keyasint"`
+	Limit    int           `cbor:"2,keyasint"` // streams that may run now
+	Streams  int           `cbor:"3,keyasint"`
+	Memory   core.Tokens   `cbor:"4,keyasint"`
+	Forecast core.Tokens   `cbor:"5,keyasint"`
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -29,6 +29,7 @@
 	message.KindRelayAnswer:   decodeBody[message.RelayAnswer],
 	message.KindTicketRevoked: decodeBody[message.TicketRevoked],
 	message.KindTicketCheck:   decodeBody[message.TicketCheck],
+	message.KindTargetLoads:   decodeBody[message.TargetLoads],
 }
 
 func mustEncoder() cbor.EncMode {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -31,6 +31,7 @@
 	message.RelayAnswer{ID: 5, Committed: true, Conflict: true},
 	message.TicketRevoked{Generation: generation, Target: "t1"},
 	message.TicketCheck{Held: []core.GenerationID{generation}},
+	message.TargetLoads{Targets: []message.TargetLoad{{Target: "manus-1", Limit: 8, Streams: 3, Memory: 900, Forecast: 1200}}},
 }
 
 func TestRoundTripOfEveryKind(t *testing.T) {
--- a/internal/snapshot/target_view.go
+++ b/internal/snapshot/target_view.go
@@ -5,6 +5,7 @@
 // TargetView is the owner's account of one target.
 type TargetView struct {
 	Target      core.TargetID
+	Owner       core.HostID
 	Incarnation core.Incarnation
 	Fence       core.Fence
 	Limit       int // streams that may run now
