Aim the memory margin at a declared share of preemptions

Change: a preemption raises the margin, a completed stream lowers it while requests wait; a request that does not fit keeps one target for itself after a second, and others pass it on the rest; the forecast is never above what all streams can hold. In the bench teams weigh as much as they ask for, so that all are refused alike, as under least outstanding.

--- a/internal/decide/fairness/entry.go
+++ b/internal/decide/fairness/entry.go
@@ -10,6 +10,8 @@
 type Entry struct {
 	Demand core.Demand
 	Since  time.Time // when the request began to wait
+	// BlockedAt is when the request was first in turn and did not fit anywhere, or zero.
+	BlockedAt time.Time
 }
 
 // Deadline returns the moment at which the request must have been answered.
--- a/internal/decide/forecast/profile.go
+++ b/internal/decide/forecast/profile.go
@@ -15,6 +15,7 @@
 type Profile struct {
 	mean     [len(horizons)]float64
 	variance [len(horizons)]float64
+	full     [len(horizons)]float64 // if no stream ends before its limit
 }
 
 // Add adds one stream to the set.
@@ -25,6 +26,7 @@
 			return
 		}
 		held := float64(stream.Context) + further
+		p.full[i] += held
 		p.mean[i] += alive * held
 		p.variance[i] += alive * (1 - alive) * held * held
 	}
@@ -41,11 +43,13 @@
 	return s.Survival.Beyond(float64(s.Output), further)
 }
 
-// Peak returns the largest forecast over all horizons: the mean plus z standard deviations.
+// Peak returns the largest forecast over all horizons: the mean plus z standard deviations,
+// but no more than all streams can hold together.
 func (p *Profile) Peak(z float64) core.Tokens {
 	peak := 0.0
 	for i := range p.mean {
-		peak = max(peak, p.mean[i]+z*math.Sqrt(p.variance[i]))
+		likely := p.mean[i] + z*math.Sqrt(p.variance[i])
+		peak = max(peak, min(likely, p.full[i]))
 	}
 	return core.Tokens(math.Ceil(peak))
 }
--- a/internal/decide/pool/account.go
+++ b/internal/decide/pool/account.go
@@ -141,6 +141,7 @@
 func (p *Pool) learn(target *targetState, ticket *ticketState, outcome core.Outcome, now time.Time) {
 	if target.memory() > 0 && outcome.Output > 0 {
 		p.book.Observe(keyOf(ticket.demand), outcome.Output)
+		p.learnMargin()
 	}
 	if target.lateFirst(outcome.FirstTokenMS) {
 		target.fallCold(now)
@@ -154,6 +155,13 @@
 	}
 }
 
+// learnMargin counts a completed stream as evidence on the margin if requests wait.
+func (p *Pool) learnMargin() {
+	if p.queue.Len() > 0 {
+		p.safety.Completed()
+	}
+}
+
 // release ends the use of a ticket and settles its team's account.
 func (p *Pool) release(target *targetState, ticket *ticketState, output core.Tokens, now time.Time) {
 	id := ticket.demand.Generation
--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -155,7 +155,6 @@
 	p.answered.Expire(now)
 	p.closed.Expire(now)
 	p.vacated.Expire(now)
-	p.safety.Pass(now)
 	for _, target := range p.order {
 		p.expireOrphans(target, now)
 		target.settleUnlisted(p.settings.ReleaseAfter, now)
--- a/internal/decide/pool/schedule.go
+++ b/internal/decide/pool/schedule.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -33,18 +34,24 @@
 	return effects
 }
 
-// grantNext grants the first waiting request that fits. A request that does not fit may
-// be overtaken by later ones only for a short time, so that large ones are not starved.
+// grantNext grants the first waiting request that fits. Later requests may overtake one
+// that does not fit, but after a short time the target that comes closest to taking it is
+// kept for it, so that large requests are not starved.
 func (p *Pool) grantNext(now time.Time) (Effect, bool) {
 	if !p.anyFree() {
 		return nil, false
 	}
+	var reserved *targetState
 	for _, entry := range p.queue.Heads() {
-		if target := p.choose(entry.Demand, now); target != nil {
+		target, closest := p.choose(entry.Demand, reserved, now)
+		if target != nil {
 			return p.grant(entry, target, now), true
 		}
-		if now.Sub(entry.Since) > bypassWindow && entry.Demand.Avoid == "" {
-			return nil, false
+		if entry.BlockedAt.IsZero() {
+			entry.BlockedAt = now
+		}
+		if reserved == nil && now.Sub(entry.BlockedAt) > bypassWindow {
+			reserved = closest
 		}
 	}
 	return nil, false
@@ -60,28 +67,29 @@
 }
 
 // choose returns the target that should run the request, or nil if none has room: the
-// one that probably holds the prompt's prefix, else the one with the lowest forecast.
-func (p *Pool) choose(demand core.Demand, now time.Time) *targetState {
+// one that probably holds the prompt's prefix, else the one with the lowest forecast. It
+// also returns the target that comes closest. A reserved target is left out.
+func (p *Pool) choose(demand core.Demand, reserved *targetState, now time.Time) (best, closest *targetState) {
 	stream := p.wanted(demand)
 	hinted := p.hints.Get(demand.PrefixHash)
-	var best *targetState
-	bestLoad := 0.0
+	lowest := math.Inf(1)
 	for _, target := range p.order {
-		if target.free() == 0 || (target.spec.ID == demand.Avoid && p.anyOther(target)) {
+		avoided := target.spec.ID == demand.Avoid && p.anyOther(target)
+		if avoided || target == reserved || !target.usable() {
 			continue
 		}
 		load, fits := p.loadWith(target, stream, now)
-		if !fits {
-			continue
+		if fits && target.spec.ID == hinted {
+			return target, target
 		}
-		if target.spec.ID == hinted {
-			return target
-		}
-		if best == nil || load < bestLoad {
-			best, bestLoad = target, load
+		if load < lowest {
+			lowest, closest, best = load, target, nil
+			if fits {
+				best = target
+			}
 		}
 	}
-	return best
+	return best, closest
 }
 
 // anyOther reports whether another target of the pool could serve sooner or later.
@@ -95,17 +103,19 @@
 }
 
 // loadWith returns the share of the target that is in use once the stream runs too, and
-// whether it fits.
+// whether it fits. A target with memory but no free stream counts as full.
 func (p *Pool) loadWith(target *targetState, stream forecast.Stream, now time.Time) (float64, bool) {
 	memory := target.memory()
 	if memory <= 0 {
-		return float64(target.inUse()+1) / float64(target.limit.Streams()), true
+		return float64(target.inUse()+1) / float64(max(target.limit.Streams(), 1)), target.free() > 0
 	}
 	profile := *p.profile(target, now)
 	profile.Add(stream)
-	peak := profile.Peak(p.safety.Z())
-	fits := peak <= memory || (target.inUse() == 0 && stream.Context < memory)
-	return float64(peak) / float64(memory), fits
+	load := float64(profile.Peak(p.safety.Z())) / float64(memory)
+	if target.free() == 0 {
+		return max(load, 1), false
+	}
+	return load, load <= 1 || (target.inUse() == 0 && stream.Context < memory)
 }
 
 // wanted returns the forecast of a request that does not run yet.
--- a/tools/experiment/bench.go
+++ b/tools/experiment/bench.go
@@ -41,7 +41,7 @@
 	policies := map[string]policy{
 		"round robin":       &roundRobin{},
 		"least outstanding": &leastOutstanding{},
-		"siskintide":        newOwner(),
+		"siskintide":        newOwner(m),
 		"clairvoyant":       &clairvoyant{},
 	}
 	for _, limit := range staticLimits {
--- a/tools/experiment/engine_test.go
+++ b/tools/experiment/engine_test.go
@@ -60,7 +60,7 @@
 func TestSameSeedGivesTheSameRun(t *testing.T) {
 	run := func() result {
 		m := mixes()[0]
-		return simulate(newOwner(), m.arrivals(7, 40, 20*time.Second), 0, 20*time.Second).result
+		return simulate(newOwner(&m), m.arrivals(7, 40, 20*time.Second), 0, 20*time.Second).result
 	}
 	require.Equal(t, run(), run())
 }
--- a/tools/experiment/measures.go
+++ b/tools/experiment/measures.go
@@ -17,6 +17,8 @@
 	from, to    time.Duration
 	preemptions int
 	gaps        *hdrhistogram.Histogram // microseconds
+	memory      float64                 // sum of the samples of used memory, in shares of all
+	samples     int
 	result      result
 }
 
@@ -43,6 +45,19 @@
 	_ = m.gaps.RecordValue(min(gap.Microseconds(), longestGapUS))
 }
 
+// sample records how full the engines' memory is.
+func (m *measures) sample(engines []*engine, now time.Duration) {
+	if !m.within(now) {
+		return
+	}
+	used := 0
+	for _, e := range engines {
+		used += e.used
+	}
+	m.memory += float64(used) / float64(engineMemory*len(engines))
+	m.samples++
+}
+
 // take reads the requests at the end of the run. A request that is still waiting for its
 // next token counts the gap so far.
 func (m *measures) take(requests []*request) {
@@ -73,6 +88,7 @@
 			stall += r.stall
 		}
 	}
+	res.MemoryPercent = 100 * m.memory / float64(max(m.samples, 1))
 	res.StallMSPerRequest = milliseconds(stall) / float64(max(len(worst), 1))
 	res.FirstTokenMeanMS = mean(firsts)
 	res.FirstTokenP95MS = quantile(firsts, 0.95)
--- a/tools/experiment/mix.go
+++ b/tools/experiment/mix.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -14,7 +15,10 @@
 	parts []part
 }
 
-const teamCount = 10
+const (
+	teamCount   = 10
+	weightScale = 100 // keeps small weights precise
+)
 
 // mixes returns the populations of the bench: script drafts with quick checks of notes,
 // shift summaries with quick checks of quality, and a few large teams with long tails.
@@ -70,3 +74,15 @@
 	}
 	return &m.parts[len(m.parts)-1]
 }
+
+// weights returns the teams' weights: each is as large as the share of tokens that the
+// team asks for, so that under overload all teams are refused alike, as they are when
+// requests are served in order.
+func (m *mix) weights() map[core.TeamID]int {
+	weights := map[core.TeamID]int{}
+	for _, p := range m.parts {
+		perRequest := p.promptMedian*math.Exp(p.promptSpread*p.promptSpread/2) + p.outputMedian*math.Exp(p.outputSpread*p.outputSpread/2)
+		weights[p.team] += int(p.share * perRequest * weightScale)
+	}
+	return weights
+}
--- a/tools/experiment/owner.go
+++ b/tools/experiment/owner.go
@@ -25,9 +25,12 @@
 	requests   map[core.GenerationID]*request
 }
 
-func newOwner() *owner {
+// newOwner returns the policy with the teams' weights as the mix gives them.
+func newOwner(m *mix) *owner {
 	settings := pool.Settings{QueueEntries: queueEntries, MaxTokens: longestOutput}
-	return &owner{pool: pool.New("model/m", "owner", settings), requests: map[core.GenerationID]*request{}}
+	p := &owner{pool: pool.New("model/m", "owner", settings), requests: map[core.GenerationID]*request{}}
+	p.pool.SetTeams(m.weights())
+	return p
 }
 
 func (p *owner) attach(s *simulation) {
--- a/tools/experiment/result.go
+++ b/tools/experiment/result.go
@@ -11,6 +11,7 @@
 	Refused           int     `json:"refused"`
 	NotStarted        int     `json:"not_started"` // waiting for a first token at the end
 	Preemptions       int     `json:"preemptions"`
+	MemoryPercent     float64 `json:"memory_percent"` // mean use of the engines' memory
 	StallMSPerRequest float64 `json:"stall_ms_per_request"`
 	FirstTokenMeanMS  float64 `json:"first_token_mean_ms"`
 	FirstTokenP95MS   float64 `json:"first_token_p95_ms"`
--- a/tools/experiment/simulation.go
+++ b/tools/experiment/simulation.go
@@ -5,7 +5,10 @@
 	"time"
 )
 
-const engineCount = 12
+const (
+	engineCount    = 12
+	sampleInterval = 100 * time.Millisecond
+)
 
 // simulation runs one policy on one list of arrivals in simulated time.
 type simulation struct {
@@ -26,6 +29,7 @@
 		s.engines = append(s.engines, &engine{simulation: s})
 	}
 	p.attach(s)
+	s.every(sampleInterval, 0, func() { s.measures.sample(s.engines, s.now) })
 	s.arrivals(arrivals)
 	for len(s.pending) > 0 && s.pending[0].at <= end {
 		next := heap.Pop(&s.pending).(event)
