--- a/internal/decide/fairness/queue.go
+++ b/internal/decide/fairness/queue.go
@@ -137,9 +137,9 @@
 	return found
 }
 
-// Ahead estimates how many requests will be served before a new one of the team: all of
-// higher priority, and of its own priority in proportion to the weights.
-func (q *Queue) Ahead(team core.TeamID, priority core.Priority) int {
+// Position estimates as which of the waiting requests a new one of the team would be
+// served: after all of higher priority, and among its own in proportion to the weights.
+func (q *Queue) Position(team core.TeamID, priority core.Priority) int {
 	higher := 0
 	for level, count := range q.levels {
 		if level < priority {
@@ -156,7 +156,7 @@
 		}
 	}
 	fair := int(float64(own+1) * weights / q.weight(team))
-	return higher + min(fair, q.levels[priority])
+	return higher + min(fair, q.levels[priority]+1)
 }
 
 func (q *Queue) account(team core.TeamID) *account {
--- a/internal/decide/forecast/safety.go
+++ b/internal/decide/forecast/safety.go
@@ -1,12 +1,11 @@
 package forecast
 
 const (
-	startZ         = 2.2   // standard deviations kept free before anything has been measured
-	minZ           = -1.0  // bounds how far luck can lower the margin
-	maxZ           = 4.0   // bounds the capacity that errors of the forecast can cost
-	raisePerHit    = 0.05  // standard deviations added by one preemption
-	acceptedHits   = 0.005 // preemptions for each completed stream that the margin aims at
-	maxHitsAtATime = 2     // bounds what one report can raise
+	startZ       = 2.2   // standard deviations kept free before anything has been measured
+	minZ         = 1.5   // bounds how far luck can lower the margin
+	maxZ         = 2.6   // bounds the capacity that errors of the forecast can cost
+	raisePerHit  = 0.02  // standard deviations added by one report of preemptions
+	acceptedHits = 0.007 // reports of preemptions for each completed stream that the margin aims at
 )
 
 // Safety adapts the number of standard deviations that the forecast keeps free, so that
@@ -21,9 +20,10 @@
 // Z returns the number of standard deviations to keep free.
 func (s *Safety) Z() float64 { return s.z }
 
-// Preempted raises the margin after the given number of preemptions.
-func (s *Safety) Preempted(count uint64) {
-	s.z = min(s.z+raisePerHit*float64(min(count, maxHitsAtATime)), maxZ)
+// Preempted raises the margin after a report of preemptions. Their number does not count:
+// an engine that is too full preempts the same stream again and again.
+func (s *Safety) Preempted() {
+	s.z = min(s.z+raisePerHit, maxZ)
 }
 
 // Completed lowers the margin a little after a stream that has completed while requests
--- a/internal/decide/pool/account.go
+++ b/internal/decide/pool/account.go
@@ -127,9 +127,11 @@
 	switch outcome.Result {
 	case core.Completed:
 		p.learn(target, ticket, outcome, now)
-		p.release(target, ticket, outcome.Output, now)
+		p.release(target, ticket, outcome.Output)
+		p.closed.Add(outcome.Generation, now)
 	case core.Cancelled, core.Unused:
-		p.release(target, ticket, outcome.Output, now)
+		p.release(target, ticket, outcome.Output)
+		p.closed.Add(outcome.Generation, now)
 	default:
 		ticket.output = max(ticket.output, outcome.Output)
 		ticket.orphan(p.releaseAt(now))
@@ -163,7 +165,7 @@
 }
 
 // release ends the use of a ticket and settles its team's account.
-func (p *Pool) release(target *targetState, ticket *ticketState, output core.Tokens, now time.Time) {
+func (p *Pool) release(target *targetState, ticket *ticketState, output core.Tokens) {
 	id := ticket.demand.Generation
 	actual := core.Tokens(0)
 	if output = max(output, ticket.output); output > 0 {
@@ -172,6 +174,5 @@
 	p.queue.Charge(ticket.demand.Team, actual-ticket.charged)
 	delete(p.tickets, id)
 	target.tickets.Remove(ticket)
-	p.closed.Add(id, now)
 	target.dirty = true
 }
--- a/internal/decide/pool/demand.go
+++ b/internal/decide/pool/demand.go
@@ -20,6 +20,7 @@
 		return append(effects, p.refuse(demand, *refusal, now))
 	}
 	p.queue.Push(demand, now)
+	effects = append(effects, p.grantFitting(now)...)
 	return append(effects, p.schedule(now)...)
 }
 
@@ -47,8 +48,8 @@
 	if p.queue.Len() == 0 {
 		return nil
 	}
-	ahead := p.queue.Ahead(demand.Team, demand.Priority)
-	wait, measured := p.rate.Wait(ahead, now)
+	position := p.queue.Position(demand.Team, demand.Priority)
+	wait, measured := p.rate.Wait(position, now)
 	if p.queue.Len() >= max(p.settings.QueueEntries, 1) {
 		return notRun(core.RefusedQueueFull, "too many requests wait", retryAfter(wait))
 	}
@@ -98,7 +99,7 @@
 	if stranded {
 		return *notRun(core.RefusedNoCapacity, "no target of "+string(p.id)+" takes new work here any more", minRetryAfter)
 	}
-	wait, _ := p.rate.Wait(p.queue.Ahead(entry.Demand.Team, entry.Demand.Priority), now)
+	wait, _ := p.rate.Wait(p.queue.Position(entry.Demand.Team, entry.Demand.Priority), now)
 	return *notRun(core.RefusedQueueTimeout, "no target had room within the budget", retryAfter(wait-entry.Demand.QueueBudget))
 }
 
--- a/internal/decide/pool/limits.go
+++ b/internal/decide/pool/limits.go
@@ -19,7 +19,7 @@
 	defaultGapMS    = 40               // milliseconds between tokens before any have been measured
 	rateMemory      = 10 * time.Second // time constant of the measured rate of grants
 	rateEvidence    = 3 * time.Second  // time that requests must have waited before the rate means anything
-	bypassWindow    = time.Second      // time for which a request that does not fit yet may be overtaken
+	bypassWindow    = 2 * time.Second  // time for which a request that does not fit yet may be overtaken everywhere
 	reclaimNotice   = 10 * time.Second // streams that need longer than this are moved from a target being reclaimed
 )
 
--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -22,7 +22,7 @@
 	queue    *fairness.Queue
 	answered *answered // demands that were granted, refused or withdrawn
 	closed   *answered // tickets that ended for certain, by the time of their end
-	vacated  *answered // tickets given up because their request was never seen to start
+	vacated  *answered // tickets given up although their request was never seen to start
 	hints    *hints
 	book     *forecast.Book
 	safety   forecast.Safety
--- a/internal/decide/pool/report.go
+++ b/internal/decide/pool/report.go
@@ -74,7 +74,7 @@
 			ticket.orphan(p.releaseAt(now))
 			continue
 		}
-		p.release(target, ticket, 0, now)
+		p.release(target, ticket, 0)
 		p.vacated.Add(ticket.demand.Generation, now)
 	}
 }
@@ -89,7 +89,7 @@
 		p.hints.Flush(target.spec.ID)
 	}
 	if !reset && report.Preemptions > target.preemptions {
-		p.safety.Preempted(report.Preemptions - target.preemptions)
+		p.safety.Preempted()
 	}
 	target.preemptions = report.Preemptions
 	target.flushes = report.CacheFlush
@@ -149,7 +149,7 @@
 	if !ticket.seen && ticket.output == 0 {
 		p.vacated.Add(ticket.demand.Generation, now)
 	}
-	p.release(target, ticket, 0, now)
+	p.release(target, ticket, 0)
 }
 
 func (p *Pool) cancel(target *targetState, id core.GenerationID) Effect {
@@ -169,7 +169,7 @@
 	}
 	for _, ticket := range target.tickets.All() {
 		if ticket.orphaned && !now.Before(ticket.releaseAt) {
-			p.release(target, ticket, 0, now)
+			p.release(target, ticket, 0)
 		}
 	}
 }
--- a/internal/decide/pool/schedule.go
+++ b/internal/decide/pool/schedule.go
@@ -16,22 +16,22 @@
 		p.rate.Waiting(false, now)
 		return nil
 	}
-	effects := p.expire(now)
-	waitedBefore := !p.rate.since.IsZero()
-	granted := 0
+	effects := append(p.expire(now), p.grantFitting(now)...)
+	p.rate.Waiting(p.queue.Len() > 0, now)
+	return effects
+}
+
+// grantFitting grants what fits, and measures how fast the queue moves.
+func (p *Pool) grantFitting(now time.Time) []Effect {
+	var granted []Effect
 	for {
 		grant, ok := p.grantNext(now)
 		if !ok {
-			break
+			p.rate.Served(len(granted), now)
+			return granted
 		}
-		granted++
-		effects = append(effects, grant)
+		granted = append(granted, grant)
 	}
-	if waitedBefore {
-		p.rate.Served(granted, now)
-	}
-	p.rate.Waiting(p.queue.Len() > 0, now)
-	return effects
 }
 
 // grantNext grants the first waiting request that fits. Later requests may overtake one
