--- a/internal/decide/fairness/queue_test.go
+++ b/internal/decide/fairness/queue_test.go
@@ -59,6 +59,8 @@
 
 func TestIdleTeamSavesNoCredit(t *testing.T) {
 	q := NewQueue()
+	q.Push(demand(999, "idle", 0), start)
+	q.Serve(demand(999, "idle", 0).Generation, 1)
 	for n := range uint64(100) {
 		q.Push(demand(n, "busy", 0), start)
 		q.Serve(demand(n, "busy", 0).Generation, 1000)
--- a/internal/decide/pool/settle_test.go
+++ b/internal/decide/pool/settle_test.go
@@ -160,3 +160,34 @@
 	demand.Generation = core.GenerationID{2, 3}
 	require.NotEqual(t, first, f.pool.Demand(demand, f.now)[0].(Grant).Ticket.Target)
 }
+
+func TestEngineTicketStaysUntilItsRequestMustShow(t *testing.T) {
+	f := newFixture(t, fixtureKind, 1)
+	f.report(nil)
+	f.demand()
+	f.pass(startWindow + settleMargin)
+	f.report(nil)
+	require.Equal(t, 1, f.running(), "a request sent at the last moment may not be listed yet")
+	f.pass(time.Millisecond)
+	f.report(nil)
+	require.Zero(t, f.running())
+}
+
+func TestOlderReportChangesNothing(t *testing.T) {
+	f := newFixture(t, fixtureKind, 1)
+	f.report(func(r *core.LoadReport) {
+		r.Streams = []core.StreamLoad{{Generation: core.GenerationID{7}, Context: 100}}
+	})
+	f.report(func(r *core.LoadReport) { r.Age = time.Second })
+	require.Equal(t, 1, f.running())
+}
+
+// TestValidityEndsAStartWindowAfterTheGrant holds because the entry host counts from
+// before it sent the demand.
+func TestValidityEndsAStartWindowAfterTheGrant(t *testing.T) {
+	f := newFixture(t, fixtureKind, 1)
+	f.demand()
+	f.now = f.now.Add(2 * time.Second)
+	ticket := f.report(nil)[0].(Grant).Ticket
+	require.Equal(t, 2*time.Second+startWindow, ticket.ValidFor)
+}
