Run calls that may not be repeated under claims, and pass other calls on

Cause: bookings, cancellations and payments run at most once, with few platform writes; other calls of plain services are passed on. Ruled out: one transaction per claim (the platform takes several hundred a second); failing a whole transaction when one of its claims conflicts; waiting for the outcome's write before the caller is answered (a slow platform would hold the clerk's answer); matching unrepeatable paths only as written (/x/%2e%2e/book is /book to a service).

--- /dev/null
+++ b/internal/claims/job.go
@@ -0,0 +1,20 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Job is one call with a key.
+type Job struct {
+	Demand   core.Demand // Generation is set by the executor
+	Service  core.ServiceID
+	Key      string        // the caller's idempotency key
+	BodyHash [16]byte      // hash of method, path and body
+	Timeout  time.Duration // the service's own
+	// Send sends the call to the service at the address, at most once. Its failures are a
+	// *service.UnsentError and errors after which the call may have run.
+	Send func(ctx context.Context, address string) (Answer, error)
+}
--- /dev/null
+++ b/internal/claims/options.go
@@ -0,0 +1,17 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/desk"
+)
+
+// Options is what the executor works with.
+type Options struct {
+	Table   Table
+	Desk    desk.Desk
+	Clock   clockwork.Clock
+	Backoff time.Duration // wait after a failure of the platform; zero means the usual one
+}
--- /dev/null
+++ b/internal/claims/row_body.go
@@ -0,0 +1,60 @@
+package claims
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/claim"
+)
+
+// rowBody is the encoding of a claim's row.
+type rowBody struct {
+	State    core.ClaimState   `json:"state"`
+	Claimant core.HostID       `json:"claimant"`
+	Attempt  core.GenerationID `json:"attempt"`
+	BodyHash string            `json:"body_hash"`
+	UntilMS  int64             `json:"until_ms"` // milliseconds since 1970
+	Status   int               `json:"status,omitempty"`
+	Header   http.Header       `json:"header,omitempty"`
+	Body     []byte            `json:"body,omitempty"`
+	Object   string            `json:"object,omitempty"`  // key of the object that holds the body
+	Dropped  bool              `json:"dropped,omitempty"` // the body was too large to be kept
+}
+
+func newRowBody(record claim.Record) rowBody {
+	return rowBody{
+		State:    record.State,
+		Claimant: record.Claimant,
+		Attempt:  record.Attempt,
+		BodyHash: hex.EncodeToString(record.BodyHash[:]),
+		UntilMS:  record.Until.UnixMilli(),
+	}
+}
+
+// record returns the part of the row on which decisions are made.
+func (b rowBody) record() (claim.Record, error) {
+	record := claim.Record{State: b.State, Claimant: b.Claimant, Attempt: b.Attempt, Until: time.UnixMilli(b.UntilMS)}
+	hash, err := hex.DecodeString(b.BodyHash)
+	if err != nil || len(hash) != len(record.BodyHash) {
+		return claim.Record{}, &RowError{Reason: "bad body hash"}
+	}
+	copy(record.BodyHash[:], hash)
+	return record, nil
+}
+
+// decodeRow reads a row. A row that does not exist is the zero value.
+func decodeRow(row core.Row) (rowBody, claim.Record, error) {
+	if row.Version == 0 || row.Value == nil {
+		return rowBody{}, claim.Record{}, nil
+	}
+	var body rowBody
+	if err := json.Unmarshal(row.Value, &body); err != nil {
+		return rowBody{}, claim.Record{}, fmt.Errorf("decode claim: %w", err)
+	}
+	record, err := body.record()
+	return body, record, err
+}
--- /dev/null
+++ b/internal/claims/table.go
@@ -0,0 +1,19 @@
+package claims
+
+import (
+	"context"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Table is the platform as claims use it. Failures have the types of package platform.
+type Table interface {
+	// Row reads one row; its version is zero when it does not exist.
+	Row(ctx context.Context, key string) (core.Row, error)
+	// Commit carries out a transaction.
+	Commit(ctx context.Context, tx core.Transaction) error
+	// PutObject stores an object.
+	PutObject(ctx context.Context, key string, body []byte) error
+	// Object reads an object.
+	Object(ctx context.Context, key string) ([]byte, error)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,22 +11,25 @@
 type Front struct {
 	options Options
 	relay   *relay.Relay
+	budget  *relay.RetryBudget
 	mux     *http.ServeMux
 }
 
 // New returns the callers' HTTP handler.
 func New(options Options) http.Handler {
-	f := &Front{options: options, mux: http.NewServeMux()}
+	f := &Front{options: options, mux: http.NewServeMux(), budget: relay.NewRetryBudget()}
 	f.relay = relay.New(relay.Options{
 		Desk:    options.Desk,
 		Engines: options.Engines,
 		Clock:   options.Clock,
 		Metrics: options.Metrics,
+		Budget:  f.budget,
 	})
 	f.mux.HandleFunc("POST /v1/completions", f.handle(f.completions))
 	f.mux.HandleFunc("POST /v1/chat/completions", f.handle(f.chatCompletions))
 	f.mux.HandleFunc("GET /v1/streams", f.handle(f.streams))
 	f.mux.HandleFunc("GET /v1/models", f.handle(f.models))
+	f.mux.HandleFunc("/services/{name}/{path...}", f.handle(f.services))
 	f.mux.HandleFunc("/", f.unknownPath)
 	return f
 }
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -12,6 +12,8 @@
 type Options struct {
 	Desk     desk.Desk
 	Engines  relay.Engines
+	Services Services
+	Claims   Claims
 	EventKey []byte // authenticates event ids; the same on all hosts of a deployment
 	Clock    clockwork.Clock
 	Log      log.Interface
--- /dev/null
+++ b/internal/front/refusals_test.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Refused requests get a typed answer that says they did not run, and leave nothing behind.
+func TestRefusals(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	desk := &fakeDesk{}
+	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a", "b"}})
+	_, ids, _ := readEvents(t, call(t, server, "POST", plainURL, plainBody).Body)
+	<-desk.closed
+	desk.granted.Store(0)
+	forged := ids[0][:len(ids[0])-2] + "AA"
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		kind                     core.RefusalKind
+	}{
+		{"broken JSON", "POST", plainURL, `{"model":`, nil, 400, core.RefusedBadRequest},
+		{"wrong type", "POST", plainURL, `{"model":"m","prompt":3}`, nil, 400, core.RefusedBadRequest},
+		{"empty body", "POST", chatURL, ``, nil, 400, core.RefusedBadRequest},
+		{"100 MB body", "POST", plainURL, `{"model":"m","prompt":"` + strings.Repeat("x", 100<<20) + `"}`, nil, 413, core.RefusedTooLarge},
+		{"unknown model", "POST", plainURL, `{"model":"x","prompt":"p"}`, nil, 404, core.RefusedUnknownModel},
+		{"no key", "POST", plainURL, plainBody, []string{"Authorization", ""}, 401, core.RefusedUnauthorized},
+		{"bad key", "POST", plainURL, plainBody, []string{"Authorization", "Bearer nope"}, 401, core.RefusedUnauthorized},
+		{"huge max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":1000000000}`, nil, 400, core.RefusedBadRequest},
+		{"overflowing max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":1e30}`, nil, 400, core.RefusedBadRequest},
+		{"negative max_tokens", "POST", plainURL, `{"model":"m","prompt":"p","max_tokens":-1}`, nil, 400, core.RefusedBadRequest},
+		{"several choices", "POST", plainURL, `{"model":"m","prompt":"p","n":2}`, nil, 400, core.RefusedBadRequest},
+		{"image part", "POST", chatURL, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, core.RefusedBadRequest},
+		{"unknown class", "POST", plainURL, plainBody, []string{"Request-Class", "x"}, 400, core.RefusedBadRequest},
+		{"malformed event id", "POST", plainURL, plainBody, []string{"Last-Event-ID", "17"}, 400, core.RefusedBadRequest},
+		{"forged event id", "POST", plainURL, plainBody, []string{"Last-Event-ID", forged}, 400, core.RefusedBadRequest},
+		{"event id of another request", "POST", plainURL, `{"model":"m","prompt":"other","stream":true}`, []string{"Last-Event-ID", ids[0]}, 400, core.RefusedBadRequest},
+		{"no event id", "GET", "/v1/streams", "", nil, 400, core.RefusedBadRequest},
+		{"unknown path", "GET", "/v2", "", nil, 400, core.RefusedBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response := call(t, server, c.method, c.path, c.body, c.headers...)
+			requireRefusal(t, response, c.status, c.kind)
+			require.Zero(t, desk.granted.Load())
+		})
+	}
+	server.Client().CloseIdleConnections()
+	server.Close()
+}
+
+func requireRefusal(t *testing.T, response *http.Response, status int, kind core.RefusalKind) {
+	t.Helper()
+	var body errorBody
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+	require.Equal(t, status, response.StatusCode)
+	require.Equal(t, kind, body.Error.Type)
+	require.Equal(t, core.NotRun, body.Error.Run)
+	require.NotEmpty(t, body.Error.Message)
+}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -12,4 +12,5 @@
 	Engines Engines
 	Clock   clockwork.Clock
 	Metrics Metrics
+	Budget  *RetryBudget
 }
--- a/internal/relay/session_open.go
+++ b/internal/relay/session_open.go
@@ -53,7 +53,7 @@
 
 // start takes a ticket, sends the request and reads the stream.
 func (r *Relay) start(ctx context.Context, id rerun.ConnectionID, demand core.Demand, request engine.Request, rerunning bool, inbox chan<- arrival) {
-	if rerunning && !r.spend() {
+	if rerunning && !r.options.Budget.Spend() {
 		inbox <- arrival{kind: arrivalRefused, connection: id, refusal: budgetSpent()}
 		return
 	}
--- a/internal/relay/session_take.go
+++ b/internal/relay/session_take.go
@@ -124,7 +124,7 @@
 		s.gone = true
 	}
 	if frame.FinishReason != "" {
-		s.relay.earn()
+		s.relay.options.Budget.Earn()
 		s.settle(a, core.Completed)
 	}
 	s.measure()
