Test the relay against faulty connections and callers that leave

Cause: the decisions are proved, but tickets, goroutines and cancellations are the executor's. Ruled out: a simulator; fakes at Desk and Engines with one fault for each connection reach every path.

--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/desk"
+	"siskintide.example/siskintide/internal/engine"
+	"siskintide.example/siskintide/internal/snapshot"
+)
+
+// quickClock is the real clock with timers a thousand times as fast.
+type quickClock struct{ clockwork.Clock }
+
+func (c quickClock) NewTimer(d time.Duration) clockwork.Timer { return c.Clock.NewTimer(d / 1000) }
+
+// ticketDesk grants tickets for the targets t1, t2 and so on, and keeps what becomes of them.
+type ticketDesk struct {
+	granted atomic.Int64
+	avoided chan core.TargetID
+	closed  chan core.Outcome
+	revoked chan struct{} // of the first ticket
+	limit   int64         // tickets to grant; zero: any number
+	lapsed  bool          // tickets come too late to be used
+}
+
+func newTicketDesk() *ticketDesk {
+	return &ticketDesk{avoided: make(chan core.TargetID, 100), closed: make(chan core.Outcome, 100), revoked: make(chan struct{})}
+}
+
+func (d *ticketDesk) Snapshot() *snapshot.Snapshot { return nil }
+
+func (d *ticketDesk) Acquire(_ context.Context, demand core.Demand) (desk.Grant, error) {
+	n := d.granted.Add(1)
+	if d.limit > 0 && n > d.limit {
+		d.granted.Add(-1)
+		return desk.Grant{}, &core.Refusal{Kind: core.RefusedNoCapacity, Run: core.NotRun}
+	}
+	d.avoided <- demand.Avoid
+	name := core.TargetID(fmt.Sprintf("t%d", n))
+	grant := desk.Grant{Ticket: core.Ticket{Generation: demand.Generation, Target: name, Address: string(name), Incarnation: "i"}, StartBefore: time.Now().Add(time.Hour)}
+	if d.lapsed {
+		grant.StartBefore = time.Now()
+	}
+	if n == 1 {
+		grant.Revoked = d.revoked
+	}
+	return grant, nil
+}
+
+func (d *ticketDesk) Close(outcome core.Outcome)                { d.closed <- outcome }
+func (d *ticketDesk) Track(core.GenerationID, *atomic.Int64)    {}
+func (d *ticketDesk) ReportFirstToken(core.GenerationID, int64) {}
+
+// results returns how the tickets of each target were closed.
+func (d *ticketDesk) results() map[core.TargetID]core.Result {
+	results := map[core.TargetID]core.Result{}
+	for range len(d.closed) {
+		outcome := <-d.closed
+		results[outcome.Target] = outcome.Result
+	}
+	return results
+}
+
+// fault is how one connection to an engine misbehaves.
+type fault struct {
+	Open    string // unsent, overloaded, restarted, forgotten, lost; empty: none
+	Frames  int    // frames before the connection breaks; zero: all
+	Repeat  bool   // each frame comes twice
+	Gap     int    // number of a frame that is left out; zero: none
+	Crossed bool   // frames of another generation come in between
+	Diverge int    // first token that differs; zero: none
+}
+
+// faultyEngines applies one fault to each connection in turn, then none.
+type faultyEngines struct {
+	length int
+	faults []fault
+	opened atomic.Int64
+	hold   chan struct{} // the first connection waits for it before its last frame
+}
+
+func (e *faultyEngines) open(ctx context.Context, g core.GenerationID, after core.Sequence, start bool) (FrameReader, error) {
+	n := int(e.opened.Add(1))
+	var f fault
+	if n <= len(e.faults) {
+		f = e.faults[n-1]
+	}
+	switch {
+	case f.Open == "unsent":
+		return nil, &engine.UnsentError{Err: io.EOF}
+	case f.Open == "overloaded":
+		return nil, &engine.RejectedError{Status: http.StatusServiceUnavailable}
+	case f.Open == "restarted":
+		return nil, &engine.IncarnationError{}
+	case f.Open == "forgotten" && !start:
+		return nil, &engine.RejectedError{Status: http.StatusNotFound}
+	case f.Open == "lost":
+		return nil, &engine.BrokenStreamError{Err: io.EOF}
+	}
+	r := &faultyReader{ctx: ctx, fault: f, generation: g, at: int(after), length: e.length}
+	if n == 1 {
+		r.hold = e.hold
+	}
+	return r, nil
+}
+
+func (e *faultyEngines) Start(ctx context.Context, ticket core.Ticket, _ engine.Request) (FrameReader, error) {
+	return e.open(ctx, ticket.Generation, 0, true)
+}
+
+func (e *faultyEngines) Resume(ctx context.Context, _ string, g core.GenerationID, after core.Sequence, _ core.Incarnation) (FrameReader, error) {
+	return e.open(ctx, g, after, false)
+}
+
+func (e *faultyEngines) Cancel(context.Context, string, core.GenerationID) error { return nil }
+
+// faultyReader gives the frames of one connection.
+type faultyReader struct {
+	ctx        context.Context
+	fault      fault
+	generation core.GenerationID
+	at, given  int
+	length     int
+	queue      []engine.Frame
+	hold       chan struct{}
+}
+
+func (r *faultyReader) Next() (engine.Frame, error) {
+	if r.ctx.Err() != nil {
+		return engine.Frame{}, r.ctx.Err()
+	}
+	if len(r.queue) == 0 {
+		if err := r.fill(); err != nil {
+			return engine.Frame{}, err
+		}
+	}
+	frame := r.queue[0]
+	r.queue = r.queue[1:]
+	return frame, nil
+}
+
+// fill queues the next token's frames with what the fault adds to them.
+func (r *faultyReader) fill() error {
+	if r.at == r.length {
+		return io.EOF
+	}
+	if r.fault.Frames > 0 && r.given == r.fault.Frames {
+		return &engine.BrokenStreamError{Err: errors.ErrUnsupported}
+	}
+	if r.hold != nil && r.at == r.length-1 {
+		select {
+		case <-r.hold:
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		}
+	}
+	r.at++
+	r.given++
+	if r.fault.Gap == r.at && r.at < r.length {
+		r.at++
+	}
+	frame := engine.Frame{Generation: r.generation, Sequence: core.Sequence(r.at), Text: tokenText(r.at, r.fault.Diverge)}
+	if r.at == r.length {
+		frame.FinishReason = "stop"
+	}
+	r.queue = append(r.queue, frame)
+	if r.fault.Repeat {
+		r.queue = append(r.queue, frame)
+	}
+	if r.fault.Crossed {
+		r.queue = append([]engine.Frame{{Generation: core.GenerationID{0xFF}, Sequence: frame.Sequence, Text: "crossed"}}, r.queue...)
+	}
+	return nil
+}
+
+func tokenText(n, diverge int) string {
+	if diverge > 0 && n >= diverge {
+		return fmt.Sprintf("other%d ", n)
+	}
+	return fmt.Sprintf("token%d ", n)
+}
+
+func (r *faultyReader) Incarnation() core.Incarnation { return "i" }
+func (r *faultyReader) Close() error                  { return nil }
+
+// collector is a caller that takes everything.
+type collector struct {
+	tokens []Token
+	ending *Ending
+	onSome func(n int)
+	leave  int // number of the token that can no longer be written; zero: none
+}
+
+func (c *collector) Token(token Token) error {
+	if c.leave > 0 && len(c.tokens)+1 >= c.leave {
+		return io.ErrClosedPipe
+	}
+	c.tokens = append(c.tokens, token)
+	if c.onSome != nil {
+		c.onSome(len(c.tokens))
+	}
+	return nil
+}
+func (c *collector) KeepAlive() error  { return nil }
+func (c *collector) End(ending Ending) { c.ending = &ending }
+
+// noMetrics drops all measures.
+type noMetrics struct{}
+
+func (noMetrics) QueueTime(core.TeamID, core.Class, time.Duration)  {}
+func (noMetrics) FirstToken(core.TeamID, core.Class, time.Duration) {}
+func (noMetrics) TokenGap(core.TeamID, core.Class, time.Duration)   {}
+func (noMetrics) StallTime(core.TeamID, core.Class, time.Duration)  {}
