--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -29,18 +29,18 @@
 
 // identify finds the team and class of a request. A host that leaves or has no
 // configuration yet takes no callers.
-func (f *Front) identify(r *http.Request) (caller, *core.Refusal) {
+func (f *Front) identify(r *http.Request) (*caller, *core.Refusal) {
 	view := f.options.Desk.Snapshot()
 	if view.Leaving || view.Catalog == nil {
-		return caller{}, &core.Refusal{Kind: core.RefusedLeaving, Message: "this host takes no callers; use another one", Run: core.NotRun, RetryAfter: leavingRetry}
+		return &caller{}, &core.Refusal{Kind: core.RefusedLeaving, Message: "this host takes no callers; use another one", Run: core.NotRun, RetryAfter: leavingRetry}
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || len(key) > maxKeyBytes {
-		return caller{}, unauthorized()
+		return &caller{}, unauthorized()
 	}
 	team := view.Catalog.TeamByKey(key)
 	if team == nil {
-		return caller{}, unauthorized()
+		return &caller{}, unauthorized()
 	}
 	name := core.Class(r.Header.Get(headerClass))
 	if name == "" {
@@ -48,9 +48,9 @@
 	}
 	class := view.Catalog.Class(name)
 	if class == nil {
-		return caller{team: team.ID, view: view}, badRequest("unknown request class %.40q", name)
+		return &caller{team: team.ID, view: view}, badRequest("unknown request class %.40q", name)
 	}
-	return caller{team: team.ID, class: *class, view: view}, nil
+	return &caller{team: team.ID, class: *class, view: view}, nil
 }
 
 func unauthorized() *core.Refusal {
--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -17,7 +17,7 @@
 	prefixBytes = 256
 )
 
-func (f *Front) completions(w http.ResponseWriter, r *http.Request, from caller) *core.Refusal {
+func (f *Front) completions(w http.ResponseWriter, r *http.Request, from *caller) *core.Refusal {
 	asked, refusal := readCompletion(w, r, from)
 	if refusal != nil {
 		return refusal
@@ -25,7 +25,7 @@
 	return f.generate(w, r, from, asked)
 }
 
-func (f *Front) chatCompletions(w http.ResponseWriter, r *http.Request, from caller) *core.Refusal {
+func (f *Front) chatCompletions(w http.ResponseWriter, r *http.Request, from *caller) *core.Refusal {
 	asked, refusal := readChat(w, r, from)
 	if refusal != nil {
 		return refusal
@@ -34,18 +34,10 @@
 }
 
 // generate runs a checked request, from its start or from the event that the caller names.
-func (f *Front) generate(w http.ResponseWriter, r *http.Request, from caller, asked generation) *core.Refusal {
-	job := relay.Job{Demand: demandOf(from, asked), Request: asked.request, Rerunable: true, Resumable: asked.stream}
+func (f *Front) generate(w http.ResponseWriter, r *http.Request, from *caller, asked *generation) *core.Refusal {
+	job := &relay.Job{Demand: demandOf(from, asked), Request: asked.request, Rerunable: true, Resumable: asked.stream}
 	if text := r.Header.Get(headerLastEvent); text != "" {
-		position, err := relay.DecodeEventID(f.options.EventKey, from.team, text)
-		if err != nil {
-			return badRequest("%s", err.Error())
-		}
-		if position.RequestHash != asked.hash || !asked.stream {
-			return badRequest("Last-Event-ID belongs to another request")
-		}
-		asked.request.Seed, job.Request.Seed = position.Seed, position.Seed
-		return f.resume(w, r, from, asked, job, position)
+		return f.repeat(w, r, from, asked, job, text)
 	}
 	if !asked.stream {
 		return f.answerWhole(w, r, from, asked, job)
@@ -53,8 +45,21 @@
 	return f.relayStream(w, r, from, asked, job)
 }
 
+// repeat resumes the stream of a request that the caller has made before.
+func (f *Front) repeat(w http.ResponseWriter, r *http.Request, from *caller, asked *generation, job *relay.Job, text string) *core.Refusal {
+	position, err := relay.DecodeEventID(f.options.EventKey, from.team, text)
+	if err != nil {
+		return badRequest("%s", err.Error())
+	}
+	if position.RequestHash != asked.hash || !asked.stream {
+		return badRequest("Last-Event-ID belongs to another request")
+	}
+	asked.request.Seed, job.Request.Seed = position.Seed, position.Seed
+	return f.resume(w, r, from, asked, job, position)
+}
+
 // demandOf returns the demand for a ticket, without a generation.
-func demandOf(from caller, asked generation) core.Demand {
+func demandOf(from *caller, asked *generation) core.Demand {
 	prompt := asked.request.Prompt
 	return core.Demand{
 		Entry:        from.view.Self.ID,
@@ -70,19 +75,19 @@
 }
 
 // streams resumes a stream by its event id alone. Without the request it cannot be rerun.
-func (f *Front) streams(w http.ResponseWriter, r *http.Request, from caller) *core.Refusal {
+func (f *Front) streams(w http.ResponseWriter, r *http.Request, from *caller) *core.Refusal {
 	position, err := relay.DecodeEventID(f.options.EventKey, from.team, r.Header.Get(headerLastEvent))
 	if err != nil {
 		return badRequest("%s", err.Error())
 	}
-	asked := generation{hash: position.RequestHash, stream: true, chat: r.URL.Query().Get("object") == "chat"}
+	asked := &generation{hash: position.RequestHash, stream: true, chat: r.URL.Query().Get("object") == "chat"}
 	asked.request.Seed = position.Seed
-	job := relay.Job{Demand: core.Demand{Team: from.team, Class: from.class.ID}, Resumable: true}
+	job := &relay.Job{Demand: core.Demand{Team: from.team, Class: from.class.ID}, Resumable: true}
 	return f.resume(w, r, from, asked, job, position)
 }
 
 // resume goes on after the event that the caller has. A finished stream only gets its end marker.
-func (f *Front) resume(w http.ResponseWriter, r *http.Request, from caller, asked generation, job relay.Job, position relay.EventPosition) *core.Refusal {
+func (f *Front) resume(w http.ResponseWriter, r *http.Request, from *caller, asked *generation, job *relay.Job, position relay.EventPosition) *core.Refusal {
 	if position.Final {
 		sink := f.newStreamSink(w, from, asked)
 		sink.End(relay.Ending{Delivered: position.Sequence})
@@ -102,14 +107,14 @@
 }
 
 // relayStream streams the answer as server-sent events.
-func (f *Front) relayStream(w http.ResponseWriter, r *http.Request, from caller, asked generation, job relay.Job) *core.Refusal {
+func (f *Front) relayStream(w http.ResponseWriter, r *http.Request, from *caller, asked *generation, job *relay.Job) *core.Refusal {
 	sink := f.newStreamSink(w, from, asked)
 	f.relay.Run(r.Context(), job, sink)
 	return sink.refusal
 }
 
 // answerWhole gives the answer in one piece.
-func (f *Front) answerWhole(w http.ResponseWriter, r *http.Request, from caller, asked generation, job relay.Job) *core.Refusal {
+func (f *Front) answerWhole(w http.ResponseWriter, r *http.Request, from *caller, asked *generation, job *relay.Job) *core.Refusal {
 	sink := &wholeSink{}
 	f.relay.Run(r.Context(), job, sink)
 	if sink.refusal != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,7 +38,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
 
 // handle finds the caller and renders the refusal that a handler returns.
-func (f *Front) handle(next func(http.ResponseWriter, *http.Request, caller) *core.Refusal) http.HandlerFunc {
+func (f *Front) handle(next func(http.ResponseWriter, *http.Request, *caller) *core.Refusal) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		from, refusal := f.identify(r)
 		if refusal == nil {
@@ -51,5 +51,5 @@
 }
 
 func (f *Front) unknownPath(w http.ResponseWriter, r *http.Request) {
-	f.refuse(w, caller{}, badRequest("unknown path or method: %s %.80s", r.Method, r.URL.Path))
+	f.refuse(w, &caller{}, badRequest("unknown path or method: %s %.80s", r.Method, r.URL.Path))
 }
--- a/internal/front/parse.go
+++ b/internal/front/parse.go
@@ -51,21 +51,21 @@
 	return nil
 }
 
-func readCompletion(w http.ResponseWriter, r *http.Request, from caller) (generation, *core.Refusal) {
+func readCompletion(w http.ResponseWriter, r *http.Request, from *caller) (*generation, *core.Refusal) {
 	var body completionBody
 	if refusal := readJSON(w, r, &body); refusal != nil {
-		return generation{}, refusal
+		return nil, refusal
 	}
 	return newGeneration(from, body, false)
 }
 
-func readChat(w http.ResponseWriter, r *http.Request, from caller) (generation, *core.Refusal) {
+func readChat(w http.ResponseWriter, r *http.Request, from *caller) (*generation, *core.Refusal) {
 	var body chatBody
 	if refusal := readJSON(w, r, &body); refusal != nil {
-		return generation{}, refusal
+		return nil, refusal
 	}
 	if len(body.Messages) == 0 {
-		return generation{}, badRequest("messages must not be empty")
+		return nil, badRequest("messages must not be empty")
 	}
 	limit := body.MaxCompletionTokens
 	if limit == nil {
@@ -97,29 +97,29 @@
 
 // newGeneration checks a request. A request without a seed gets one, so that a rerun can
 // reproduce the answer.
-func newGeneration(from caller, body completionBody, chat bool) (generation, *core.Refusal) {
+func newGeneration(from *caller, body completionBody, chat bool) (*generation, *core.Refusal) {
 	model := from.view.Catalog.Model(body.Model)
 	if model == nil {
-		return generation{}, &core.Refusal{Kind: core.RefusedUnknownModel, Message: "unknown model " + strconv.Quote(clip(string(body.Model))), Run: core.NotRun}
+		return nil, &core.Refusal{Kind: core.RefusedUnknownModel, Message: "unknown model " + strconv.Quote(clip(string(body.Model))), Run: core.NotRun}
 	}
 	if body.Prompt == "" {
-		return generation{}, badRequest("the prompt must not be empty")
+		return nil, badRequest("the prompt must not be empty")
 	}
 	if body.N != nil && *body.N != 1 {
-		return generation{}, badRequest("n must be 1")
+		return nil, badRequest("n must be 1")
 	}
 	limit := model.MaxTokens
 	if body.MaxTokens != nil {
 		limit = *body.MaxTokens
 	}
 	if limit < 1 || limit > model.MaxTokens {
-		return generation{}, badRequest("max_tokens must be from 1 to %d", model.MaxTokens)
+		return nil, badRequest("max_tokens must be from 1 to %d", model.MaxTokens)
 	}
 	seed := rand.Uint64()
 	if body.Seed != nil {
 		seed = *body.Seed
 	}
-	return generation{
+	return &generation{
 		model:        model,
 		request:      engine.Request{Model: body.Model, Prompt: body.Prompt, MaxTokens: limit, Seed: seed},
 		hash:         requestHash(body, limit),
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -37,7 +37,7 @@
 }
 
 // refuse answers a request with a refusal. Nothing has been written before.
-func (f *Front) refuse(w http.ResponseWriter, from caller, refusal *core.Refusal) {
+func (f *Front) refuse(w http.ResponseWriter, from *caller, refusal *core.Refusal) {
 	f.options.Metrics.Refused(from.team, from.class.ID, refusal.Kind)
 	status, ok := statuses[refusal.Kind]
 	if !ok {
--- a/internal/front/service_call.go
+++ b/internal/front/service_call.go
@@ -43,7 +43,7 @@
 }
 
 // newServiceCall checks a call and reads its body.
-func newServiceCall(w http.ResponseWriter, r *http.Request, from caller) (serviceCall, *core.Refusal) {
+func newServiceCall(w http.ResponseWriter, r *http.Request, from *caller) (serviceCall, *core.Refusal) {
 	name := r.PathValue("name")
 	declared := from.view.Catalog.Service(core.ServiceID(name))
 	if declared == nil {
@@ -126,7 +126,7 @@
 	return time.Duration(c.service.TimeoutMS) * time.Millisecond
 }
 
-func (c serviceCall) demand(from caller) core.Demand {
+func (c serviceCall) demand(from *caller) core.Demand {
 	return core.Demand{
 		Entry:       from.view.Self.ID,
 		Team:        from.team,
--- a/internal/front/service_handler.go
+++ b/internal/front/service_handler.go
@@ -26,7 +26,7 @@
 )
 
 // services passes a call on to a plain service.
-func (f *Front) services(w http.ResponseWriter, r *http.Request, from caller) *core.Refusal {
+func (f *Front) services(w http.ResponseWriter, r *http.Request, from *caller) *core.Refusal {
 	call, refusal := newServiceCall(w, r, from)
 	if refusal != nil {
 		return refusal
@@ -44,7 +44,7 @@
 }
 
 // callOnce runs a call under its key. The caller is answered before the outcome is recorded.
-func (f *Front) callOnce(w http.ResponseWriter, r *http.Request, from caller, call serviceCall) {
+func (f *Front) callOnce(w http.ResponseWriter, r *http.Request, from *caller, call serviceCall) {
 	job := claims.Job{
 		Demand:   call.demand(from),
 		Service:  call.service.ID,
@@ -68,7 +68,7 @@
 // callPlain sends a call without a claim. A call that may not be repeated gets one
 // attempt. Others are sent again, under the retry budget, when the service was not
 // reached, and those with a safe method also when the answer was lost.
-func (f *Front) callPlain(ctx context.Context, from caller, call serviceCall) (claims.Answer, *core.Refusal) {
+func (f *Front) callPlain(ctx context.Context, from *caller, call serviceCall) (claims.Answer, *core.Refusal) {
 	demand := call.demand(from)
 	for try := 1; ; try++ {
 		answer, target, err := f.callTarget(ctx, demand, call)
--- a/internal/front/stream_sink.go
+++ b/internal/front/stream_sink.go
@@ -21,8 +21,8 @@
 // kept for the handler, which can still give it an HTTP status.
 type streamSink struct {
 	front    *Front
-	from     caller
-	asked    generation
+	from     *caller
+	asked    *generation
 	writer   http.ResponseWriter
 	control  *http.ResponseController
 	encoder  *relay.EventEncoder
@@ -35,7 +35,7 @@
 	refusal  *core.Refusal
 }
 
-func (f *Front) newStreamSink(w http.ResponseWriter, from caller, asked generation) *streamSink {
+func (f *Front) newStreamSink(w http.ResponseWriter, from *caller, asked *generation) *streamSink {
 	return &streamSink{
 		front:   f,
 		from:    from,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,7 +18,7 @@
 
 func runCaller(ctx context.Context, budget *RetryBudget, desk *ticketDesk, engines Engines, sink Sink) {
 	relay := New(Options{Desk: desk, Engines: engines, Clock: quickClock{clockwork.NewRealClock()}, Metrics: noMetrics{}, Budget: budget})
-	relay.Run(ctx, Job{Rerunable: true, Resumable: true}, sink)
+	relay.Run(ctx, &Job{Rerunable: true, Resumable: true}, sink)
 }
 
 func TestRecovery(t *testing.T) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -11,7 +11,7 @@
 // session is one caller's stream. Its fields belong to the goroutine that calls run.
 type session struct {
 	relay       *Relay
-	job         Job
+	job         *Job
 	sink        Sink
 	inbox       chan arrival
 	state       rerun.State
@@ -28,7 +28,7 @@
 	gone        bool // the caller has left
 }
 
-func newSession(relay *Relay, job Job, sink Sink) *session {
+func newSession(relay *Relay, job *Job, sink Sink) *session {
 	return &session{relay: relay, job: job, sink: sink, inbox: make(chan arrival, inboxFrames)}
 }
 
--- a/internal/relay/session_open.go
+++ b/internal/relay/session_open.go
@@ -18,10 +18,13 @@
 
 // open starts the generation on a target that a new ticket names.
 func (s *session) open(work context.Context, id rerun.ConnectionID, rerunning bool) {
-	demand := s.job.Demand
+	demand := new(s.job.Demand)
 	demand.Generation = core.GenerationID(uuid.New())
 	demand.Avoid = s.avoid
-	s.spawn(work, id, core.GenerationID{}, func(ctx context.Context) { s.relay.start(ctx, id, demand, s.job.Request, rerunning, s.inbox) })
+	relay, request, inbox := s.relay, s.job.Request, s.inbox
+	s.spawn(work, id, core.GenerationID{}, func(ctx context.Context) FrameReader {
+		return relay.start(ctx, id, demand, request, rerunning, inbox)
+	})
 }
 
 // resume opens a new connection to a generation that a target runs already.
@@ -33,13 +36,15 @@
 			break
 		}
 	}
-	s.spawn(work, effect.Connection, effect.Generation, func(ctx context.Context) {
-		s.relay.reconnect(ctx, effect, a.address, a.incarnation, s.inbox)
+	relay, inbox := s.relay, s.inbox
+	s.spawn(work, effect.Connection, effect.Generation, func(ctx context.Context) FrameReader {
+		return relay.reconnect(ctx, effect, a.address, a.incarnation, inbox)
 	})
 }
 
-// spawn runs a connection's goroutine, whose last report is arrivalExited.
-func (s *session) spawn(work context.Context, id rerun.ConnectionID, generation core.GenerationID, body func(context.Context)) {
+// spawn runs a connection's goroutine, which opens a stream and reads it. Its last report
+// is arrivalExited.
+func (s *session) spawn(work context.Context, id rerun.ConnectionID, generation core.GenerationID, open func(context.Context) FrameReader) {
 	ctx, cancel := context.WithCancel(work)
 	s.connections = append(s.connections, connection{id: id, generation: generation, cancel: cancel})
 	s.active++
@@ -47,27 +52,29 @@
 	go func() {
 		defer func() { inbox <- arrival{kind: arrivalExited, connection: id} }()
 		defer cancel()
-		body(ctx)
+		if reader := open(ctx); reader != nil {
+			read(id, reader, inbox)
+		}
 	}()
 }
 
-// start takes a ticket, sends the request and reads the stream.
-func (r *Relay) start(ctx context.Context, id rerun.ConnectionID, demand core.Demand, request engine.Request, rerunning bool, inbox chan<- arrival) {
+// start takes a ticket and sends the request. It returns the stream to be read, if any.
+func (r *Relay) start(ctx context.Context, id rerun.ConnectionID, demand *core.Demand, request engine.Request, rerunning bool, inbox chan<- arrival) FrameReader {
 	if rerunning && !r.options.Budget.Spend() {
 		inbox <- arrival{kind: arrivalRefused, connection: id, refusal: budgetSpent()}
-		return
+		return nil
 	}
-	grant, refusal := r.acquire(ctx, demand)
+	grant, refusal := r.acquire(ctx, *demand)
 	if refusal != nil {
 		inbox <- arrival{kind: arrivalRefused, connection: id, refusal: refusal}
-		return
+		return nil
 	}
 	a := newAttempt(grant, r.options.Clock.Now())
 	reader, err := r.options.Engines.Start(ctx, grant.Ticket, request)
 	if result, refused := refusedStart(err); refused {
 		r.options.Desk.Close(a.outcome(result))
 		inbox <- arrival{kind: arrivalLost, connection: id, target: a.target}
-		return
+		return nil
 	}
 	if err == nil {
 		a.incarnation = reader.Incarnation()
@@ -76,9 +83,9 @@
 	inbox <- arrival{kind: arrivalStarted, connection: id, attempt: a}
 	if err != nil {
 		inbox <- arrival{kind: arrivalBroken, connection: id}
-		return
+		return nil
 	}
-	read(id, reader, inbox)
+	return reader
 }
 
 // acquire takes a ticket that may still be used. A ticket that lapsed on its way is closed unused.
@@ -129,21 +136,21 @@
 	return 0, false
 }
 
-// reconnect waits for the backoff and reads the stream again.
-func (r *Relay) reconnect(ctx context.Context, effect rerun.Effect, address string, incarnation core.Incarnation, inbox chan<- arrival) {
+// reconnect waits for the backoff and opens the stream again.
+func (r *Relay) reconnect(ctx context.Context, effect rerun.Effect, address string, incarnation core.Incarnation, inbox chan<- arrival) FrameReader {
 	if !r.wait(ctx, effect.Wait) {
-		return
+		return nil
 	}
 	reader, err := r.options.Engines.Resume(ctx, address, effect.Generation, effect.After, incarnation)
 	if err == nil {
-		read(effect.Connection, reader, inbox)
-		return
+		return reader
 	}
 	kind := arrivalBroken
 	if forgotten(err) {
 		kind = arrivalLost
 	}
 	inbox <- arrival{kind: kind, connection: effect.Connection, reached: true}
+	return nil
 }
 
 // wait waits for the backoff, lengthened at random by up to a half so that the streams of
--- /dev/null
+++ b/internal/relay/transport.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the connection to an engine that may be dead.
+	dialTimeout = 2 * time.Second
+	// headerTimeout bounds the wait for an engine to accept or refuse a request.
+	headerTimeout = 30 * time.Second
+	// idleConnections bounds the connections to one engine that are kept for reuse.
+	idleConnections = 32
+	// idleConnTimeout closes connections that are no longer needed.
+	idleConnTimeout = 30 * time.Second
+	// bufferBytes is the size of a connection's read and write buffers; there are two for
+	// each stream.
+	bufferBytes = 1 << 10
+)
+
+// NewTransport returns the transport for streams from engines. It bounds connecting and
+// the wait for an answer's header, but not the length of a stream.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout: headerTimeout,
+		MaxIdleConnsPerHost:   idleConnections,
+		IdleConnTimeout:       idleConnTimeout,
+		ReadBufferSize:        bufferBytes,
+		WriteBufferSize:       bufferBytes,
+		DisableCompression:    true,
+	}
+}
