Leave connections that go silent without an error

Cause: links stall; a stream whose connection stays open without a frame waited for ever. Ruled out: a deadline on each read (one timer call a token); a rerun at once (a crowded engine may let a request wait, and the rerun adds to the crowd). Change: a stream without a new token for 5 s (20 s before the first) reconnects; a target that stays silent also gets a rerun beside it, under the retry budget. Without the check TestSilentConnections times out; without the rerun, with a second rerun beside the first, or when duplicates or crossed frames count as progress, the tests fail.

--- a/internal/decide/rerun/event.go
+++ b/internal/decide/rerun/event.go
@@ -5,7 +5,7 @@
 // Event is something that happened to a stream.
 type Event struct {
 	Kind       EventKind
-	Connection ConnectionID      // all kinds except EventReclaim
+	Connection ConnectionID      // all kinds except EventReclaim and EventStalled
 	Generation core.GenerationID // EventStarted, EventFrame, EventReclaim
 	Sequence   core.Sequence     // EventFrame
 	Digest     uint64            // EventFrame: hash of the token's text and finish reason
--- a/internal/decide/rerun/event_kind.go
+++ b/internal/decide/rerun/event_kind.go
@@ -17,4 +17,6 @@
 	EventRefused
 	// EventReclaim means that the target of a generation will stop soon.
 	EventReclaim
+	// EventStalled means that no new token has come for too long.
+	EventStalled
 )
--- a/internal/decide/rerun/state.go
+++ b/internal/decide/rerun/state.go
@@ -63,6 +63,8 @@
 		return s.refused(event, effects)
 	case EventReclaim:
 		return s.reclaim(event, effects)
+	case EventStalled:
+		return s.stalled(effects)
 	}
 	return s, effects
 }
--- a/internal/decide/rerun/state_recover.go
+++ b/internal/decide/rerun/state_recover.go
@@ -1,6 +1,10 @@
 package rerun
 
-import "time"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // resumeCurrent reconnects to the target of the generation that is delivered, or gives
 // the generation up when the reconnections are spent.
@@ -31,6 +35,27 @@
 	return t, append(effects, effect)
 }
 
+// stalled reconnects to a target that has been silent for too long, because the link may
+// be dead without an error. A target that stays silent also gets a rerun beside it; the
+// one that goes on first wins. A generation that waits for its ticket is left alone.
+func (s State) stalled(effects []Effect) (State, []Effect) {
+	if !s.current.live() {
+		if s.candidate.generation == (core.GenerationID{}) {
+			return s, effects
+		}
+		return s.resumeCandidate(effects)
+	}
+	if s.current.generation == (core.GenerationID{}) {
+		return s, effects
+	}
+	again := s.current.resumes > 0
+	s, effects = s.resumeCurrent(effects)
+	if !again || s.ended || s.candidate.live() || s.reruns >= s.limits.Reruns {
+		return s, effects
+	}
+	return s.rerun(effects)
+}
+
 // backoff returns nothing for the first reconnection, then a doubling wait.
 func (s State) backoff(resumes int) time.Duration {
 	if resumes == 0 {
--- a/internal/decide/rerun/state_test.go
+++ b/internal/decide/rerun/state_test.go
@@ -10,7 +10,7 @@
 	"siskintide.example/siskintide/internal/core"
 )
 
-var allActions = []string{"start", "next", "next", "next", "any", "crossed", "late", "broken", "lost", "reclaim", "refused"}
+var allActions = []string{"start", "next", "next", "next", "any", "crossed", "late", "broken", "lost", "reclaim", "refused", "stalled"}
 
 func TestEachTokenOnceInOrderFromOneText(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -27,7 +27,7 @@
 // While targets are deterministic and tickets are granted, faults within the limits never
 // cost the caller the rest of the answer.
 func TestBearableFaultsStillGiveTheWholeAnswer(t *testing.T) {
-	actions := []string{"start", "next", "next", "next", "crossed", "late", "broken", "reclaim"}
+	actions := []string{"start", "next", "next", "next", "crossed", "late", "broken", "reclaim", "stalled"}
 	limits := Limits{Resumes: 100, Reruns: 3}
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, limits, false)
@@ -80,3 +80,21 @@
 	_, effects = s.Step(Event{Kind: EventLost, Connection: s.opened, Reached: true}, time.Time{}, nil)
 	require.Equal(t, []Effect{{Kind: EffectEnd, Reason: EndFailed, Reached: true}}, effects)
 }
+
+func TestSilentTargetIsResumedThenRerun(t *testing.T) {
+	g := core.GenerationID{1}
+	stalled := Event{Kind: EventStalled}
+	s, effects := New(DefaultLimits()).Step(stalled, time.Time{}, nil)
+	require.Empty(t, effects, "it still waits for its ticket")
+	s, _ = s.Step(Event{Kind: EventStarted, Connection: 1, Generation: g}, time.Time{}, nil)
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Equal(t, []Effect{{Kind: EffectResume, Connection: 2, Generation: g}}, effects)
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Equal(t, []EffectKind{EffectResume, EffectRerun}, []EffectKind{effects[0].Kind, effects[1].Kind})
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Len(t, effects, 1, "one rerun at a time is enough")
+	s, effects = s.Step(Event{Kind: EventFrame, Connection: effects[0].Connection, Generation: g, Sequence: 1}, time.Time{}, nil)
+	require.Equal(t, []Effect{{Kind: EffectDeliver}}, effects, "the silent target goes on after all")
+	_, effects = s.Step(stalled, time.Time{}, nil)
+	require.Len(t, effects, 1)
+}
--- a/internal/decide/rerun/world_test.go
+++ b/internal/decide/rerun/world_test.go
@@ -179,6 +179,8 @@
 		w.step(Event{Kind: EventLost, Connection: l.id, Reached: true})
 	case "reclaim":
 		w.step(Event{Kind: EventReclaim, Generation: l.generation})
+	case "stalled":
+		w.step(Event{Kind: EventStalled})
 	case "refused":
 		if len(w.rerunning) > 0 {
 			id := w.rerunning[0]
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,11 +50,8 @@
 	return a
 }
 
-// took counts a frame and reports whether it was the generation's first.
+// took counts a new token and reports whether it was the first under this ticket.
 func (a *attempt) took(sequence core.Sequence, now time.Time) bool {
-	if int64(sequence) <= a.output.Load() {
-		return false
-	}
 	a.output.Store(int64(sequence))
 	first := a.lastAt.IsZero()
 	if first {
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -22,6 +22,11 @@
 
 func (c quickClock) NewTimer(d time.Duration) clockwork.Timer { return c.Clock.NewTimer(d / 1000) }
 
+// hastyClock also has quick tickers, so that a silent connection is noticed soon.
+type hastyClock struct{ quickClock }
+
+func (c hastyClock) NewTicker(d time.Duration) clockwork.Ticker { return c.Clock.NewTicker(d / 100) }
+
 // ticketDesk grants tickets for the targets t1, t2 and so on, and keeps what becomes of them.
 type ticketDesk struct {
 	granted atomic.Int64
@@ -78,6 +83,7 @@
 	Gap     int    // number of a frame that is left out; zero: none
 	Crossed bool   // frames of another generation come in between
 	Diverge int    // first token that differs; zero: none
+	Hang    bool   // the connection stays silent instead of breaking
 }
 
 // faultyEngines applies one fault to each connection in turn, then none.
@@ -153,6 +159,10 @@
 	if r.at == r.length {
 		return io.EOF
 	}
+	if r.fault.Hang && r.given == r.fault.Frames {
+		<-r.ctx.Done()
+		return r.ctx.Err()
+	}
 	if r.fault.Frames > 0 && r.given == r.fault.Frames {
 		return &engine.BrokenStreamError{Err: errors.ErrUnsupported}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,8 +6,17 @@
 )
 
 const (
-	// keepAliveInterval keeps intermediaries from closing a stream that waits.
-	keepAliveInterval = 10 * time.Second
+	// checkInterval is how often a stream is checked for silence.
+	checkInterval = 2500 * time.Millisecond
+	// keepAliveChecks is the number of silent checks after which the caller is shown that
+	// the stream lives: 10 s, which keeps intermediaries from closing it.
+	keepAliveChecks = 4
+	// stallChecks is the number of silent checks after which a running stream counts as
+	// stalled: 5 s, many times the longest token gap of a target in order.
+	stallChecks = 2
+	// firstTokenChecks is the same before the first token: 20 s, because a crowded engine
+	// may let a request wait.
+	firstTokenChecks = 8
 	// cancelTimeout bounds a cancellation at an engine that may be dead.
 	cancelTimeout = 2 * time.Second
 	// endMarkerWait is how long a finished connection may take to end by itself, so that
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/engine"
 )
 
 func runJob(desk *ticketDesk, engines Engines, sink Sink) {
@@ -17,7 +18,11 @@
 }
 
 func runCaller(ctx context.Context, budget *RetryBudget, desk *ticketDesk, engines Engines, sink Sink) {
-	relay := New(Options{Desk: desk, Engines: engines, Clock: quickClock{clockwork.NewRealClock()}, Metrics: noMetrics{}, Budget: budget})
+	runClock(ctx, quickClock{clockwork.NewRealClock()}, budget, desk, engines, sink)
+}
+
+func runClock(ctx context.Context, clock clockwork.Clock, budget *RetryBudget, desk *ticketDesk, engines Engines, sink Sink) {
+	relay := New(Options{Desk: desk, Engines: engines, Clock: clock, Metrics: noMetrics{}, Budget: budget})
 	relay.Run(ctx, &Job{Rerunable: true, Resumable: true}, sink)
 }
 
@@ -94,6 +99,46 @@
 	require.Equal(t, map[core.TargetID]core.Result{"t1": core.Cancelled, "t2": core.Completed}, desk.results())
 }
 
+// A link that goes silent without an error is left, and a target that stays silent is
+// replaced by a rerun.
+func TestSilentConnections(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for name, faults := range map[string][]fault{
+		"link":              {{Hang: true, Frames: 2}},
+		"before any token":  {{Hang: true}},
+		"target":            {{Hang: true, Frames: 2}, {Hang: true}, {Hang: true}},
+		"rerun goes silent": {{Frames: 2}, {Open: "restarted"}, {Hang: true, Frames: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			desk, sink := newTicketDesk(), &collector{}
+			runClock(context.Background(), hastyClock{quickClock{clockwork.NewRealClock()}}, NewRetryBudget(), desk, &faultyEngines{length: 5, faults: faults}, sink)
+			requirePrefix(t, sink, 0)
+			require.Len(t, sink.tokens, 5)
+			require.Nil(t, sink.ending.Refusal)
+			require.Equal(t, int(desk.granted.Load()), len(desk.closed))
+		})
+	}
+}
+
+func TestOnlyNewTokensEndSilence(t *testing.T) {
+	g := core.GenerationID{1}
+	s := newSession(New(Options{Desk: newTicketDesk(), Clock: clockwork.NewFakeClock()}), &Job{}, &collector{})
+	s.attempts = []*attempt{{generation: g}}
+	for _, c := range []struct {
+		frame  engine.Frame
+		silent int
+	}{
+		{engine.Frame{Generation: g, Sequence: 1}, 0},
+		{engine.Frame{Generation: g, Sequence: 1}, 1},
+		{engine.Frame{Generation: core.GenerationID{2}, Sequence: 2}, 1},
+		{engine.Frame{Generation: g, Sequence: 2}, 0},
+	} {
+		s.silent = 1
+		s.account(&c.frame)
+		require.Equal(t, c.silent, s.silent)
+	}
+}
+
 // Whatever connections do, the caller has a prefix of one text and a typed end, and
 // every ticket is closed once.
 func TestAnyFaults(t *testing.T) {
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -24,7 +24,7 @@
 	startedAt   time.Time
 	lastToken   time.Time
 	stalled     time.Duration
-	idle        bool // no token since the last keep-alive check
+	silent      int  // checks since the last new token from any target
 	gone        bool // the caller has left
 }
 
@@ -66,7 +66,7 @@
 }
 
 func (s *session) loop(caller, work context.Context) {
-	ticker := s.relay.options.Clock.NewTicker(keepAliveInterval)
+	ticker := s.relay.options.Clock.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for !s.state.Ended() && !s.gone {
 		select {
@@ -75,18 +75,27 @@
 		case <-s.revoked():
 			s.reclaim(work)
 		case <-ticker.Chan():
-			s.keepAlive()
+			s.check(work)
 		case <-caller.Done():
 			s.gone = true
 		}
 	}
 }
 
-func (s *session) keepAlive() {
-	if s.idle && s.sink.KeepAlive() != nil {
+// check looks after a stream that gets no tokens.
+func (s *session) check(work context.Context) {
+	s.silent++
+	if s.silent%keepAliveChecks == 0 && s.sink.KeepAlive() != nil {
 		s.gone = true
+		return
+	}
+	limit := stallChecks
+	if s.state.Delivered() == 0 {
+		limit = firstTokenChecks
+	}
+	if s.silent%limit == 0 {
+		s.step(work, rerun.Event{Kind: rerun.EventStalled}, nil)
 	}
-	s.idle = true
 }
 
 // revoked returns the channel on which the owner asks to move the newest attempt.
--- a/internal/relay/session_take.go
+++ b/internal/relay/session_take.go
@@ -60,7 +60,7 @@
 
 func (s *session) takeFrame(work context.Context, got arrival) {
 	frame := &got.frame
-	s.account(got.connection, frame)
+	s.account(frame)
 	event := rerun.Event{
 		Kind:       rerun.EventFrame,
 		Connection: got.connection,
@@ -73,9 +73,13 @@
 }
 
 // account counts a frame for the owner's forecast, whether or not it is delivered.
-func (s *session) account(id rerun.ConnectionID, frame *engine.Frame) {
+func (s *session) account(frame *engine.Frame) {
 	a := s.attemptOf(frame.Generation)
-	if a == nil || a.settled || !a.took(frame.Sequence, s.now()) {
+	if a == nil || a.settled || int64(frame.Sequence) <= a.output.Load() {
+		return
+	}
+	s.silent = 0
+	if !a.took(frame.Sequence, s.now()) {
 		return
 	}
 	s.relay.options.Desk.ReportFirstToken(a.generation, a.firstMS)
@@ -133,7 +137,6 @@
 // measure records the token's delay as the caller sees it.
 func (s *session) measure() {
 	now, demand, metrics := s.now(), &s.job.Demand, s.relay.options.Metrics
-	s.idle = false
 	if s.lastToken.IsZero() {
 		metrics.FirstToken(demand.Team, demand.Class, now.Sub(s.startedAt))
 	} else {
