--- a/internal/decide/confirm/machine.go
+++ b/internal/decide/confirm/machine.go
@@ -39,7 +39,9 @@
 	if m.sent && read.Version == m.version {
 		return m.commit()
 	}
-	m.version = read.Version
+	if !m.sent {
+		m.version = read.Version // never moved once a commit was sent, or it could be repeated on a later head
+	}
 	m.head = read.Head
 	if read.Version == 0 {
 		return m.decide(&core.Config{})
