--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"reflect"
+	"slices"
 
 	"github.com/tailscale/hujson"
 )
@@ -11,15 +12,25 @@
 // document is one parsed file together with the lines of its keys.
 type document struct {
 	name     string
-	data     []byte
+	starts   []int          // byte offsets at which lines start
 	lines    map[string]int // line of each key, by its path such as targets[3].address
 	problems []Problem
 }
 
+func newDocument(name string, data []byte) *document {
+	d := &document{name: name, starts: []int{0}, lines: map[string]int{}}
+	for offset, character := range data {
+		if character == '\n' {
+			d.starts = append(d.starts, offset+1)
+		}
+	}
+	return d
+}
+
 // decode parses JSON with comments into out, a pointer to a structure. Every key and
 // value that does not fit the structure becomes a problem.
 func decode(name string, data []byte, out any) *document {
-	d := &document{name: name, data: data, lines: map[string]int{}}
+	d := newDocument(name, data)
 	root, err := hujson.Parse(data)
 	if err != nil {
 		d.problem(0, "", err.Error(), "JSON with comments")
@@ -53,7 +64,11 @@
 
 // lineAt returns the line, from 1, of a byte offset.
 func (d *document) lineAt(offset int) int {
-	return 1 + bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n"))
+	line, found := slices.BinarySearch(d.starts, offset)
+	if found {
+		return line + 1
+	}
+	return line
 }
 
 // err returns the problems as an error, or nil.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -138,7 +138,7 @@
 
 // IsHostFile reports whether a file looks like a host's settings rather than declarations.
 func IsHostFile(data []byte) bool {
-	d := &document{data: data, lines: map[string]int{}}
+	d := newDocument("", data)
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return false
