Join the parts into a daemon: control loop, wiring and a demo of the whole path

Found on the way: with a lease of 3 s the ownership machine owned nothing. Ruled out: the table (rows were written) and the list of live hosts. The delay before the next read of the own lease row (1 s) was as long as the renewal period (1 s), so the row's version was never known in between. Timing now derives all delays from the lease.

--- /dev/null
+++ b/internal/control/announced.go
@@ -0,0 +1,13 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/message"
+)
+
+// announced is the last summary that this host sent to its peers for one pool.
+type announced struct {
+	message message.Summary
+	sentAt  time.Time
+}
--- /dev/null
+++ b/internal/control/commit_event.go
@@ -0,0 +1,16 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/decide/ownership"
+)
+
+// commitEvent answers a commit of ownership rows.
+type commitEvent struct {
+	answer ownership.CommitAnswer
+}
+
+func (e commitEvent) apply(s *state, now time.Time) {
+	s.executeOwnership(s.ownership.HandleCommit(e.answer, now), now)
+}
--- /dev/null
+++ b/internal/control/first_token_event.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// firstTokenEvent reports that a generation has produced its first token.
+type firstTokenEvent struct {
+	generation   core.GenerationID
+	firstTokenMS int64
+}
+
+func (e firstTokenEvent) apply(s *state, now time.Time) {
+	h := s.held[e.generation]
+	if h == nil {
+		return
+	}
+	h.reported = 1
+	progress := core.Progress{Generation: e.generation, Output: 1, FirstTokenMS: max(e.firstTokenMS, 1)}
+	s.sendProgress(h.ticket.Owner, []core.Progress{progress}, now)
+}
--- /dev/null
+++ b/internal/control/handlers.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/ownership"
+	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// HandleMessage takes a message from an authenticated peer.
+func (l *Loop) HandleMessage(from core.HostID, m message.Message) {
+	l.Post(peerEvent{from: from, message: m})
+}
+
+// HandleLink takes the news that the link to a peer came up or was lost.
+func (l *Loop) HandleLink(host core.HostID, up bool) { l.Post(linkEvent{host: host, up: up}) }
+
+// HandleHosts takes the platform's list of hosts.
+func (l *Loop) HandleHosts(hosts []core.Host) { l.Post(hostListEvent{hosts: hosts}) }
+
+// HandleLoad takes a target's answer to a poll.
+func (l *Loop) HandleLoad(report core.LoadReport) {
+	l.Post(loadEvent{target: report.Target, report: &report})
+}
+
+// HandleLoadFailed takes the news that a target did not answer a poll.
+func (l *Loop) HandleLoadFailed(target core.TargetID) { l.Post(loadEvent{target: target}) }
+
+// HandleRows takes the answer to a read of ownership rows.
+func (l *Loop) HandleRows(answer ownership.ReadAnswer) { l.Post(rowsEvent{answer: answer}) }
+
+// HandleCommit takes the answer to a commit of ownership rows.
+func (l *Loop) HandleCommit(answer ownership.CommitAnswer) { l.Post(commitEvent{answer: answer}) }
+
+// HandleUnavailable takes the news that the platform was not reached for a commit of
+// ownership rows, which certainly did not take effect.
+func (l *Loop) HandleUnavailable(id uint64, transaction core.Transaction) {
+	l.Post(unavailableEvent{id: id, transaction: transaction})
+}
+
+// HandleHead takes the answer to a read of the configuration's head.
+func (l *Loop) HandleHead(read revision.HeadRead) { l.Post(headEvent{read: read}) }
+
+// HandleBody takes the answer to a fetch of a configuration.
+func (l *Loop) HandleBody(fetched revision.BodyFetched) { l.Post(bodyEvent{fetched: fetched}) }
+
+// Offer takes an authentic accepted configuration from a peer or an operator.
+func (l *Loop) Offer(config *core.Config) { l.Post(offerEvent{config: config}) }
+
+// HandlePlatform takes the news whether the last call to the platform reached it.
+func (l *Loop) HandlePlatform(reached bool) { l.Post(platformEvent{reached: reached}) }
+
+// Leave starts a graceful shutdown: no new callers are taken and owned targets are handed
+// over, while running requests go on.
+func (l *Loop) Leave() { l.Post(leaveEvent{}) }
--- /dev/null
+++ b/internal/control/host_list_event.go
@@ -0,0 +1,17 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// hostListEvent is the platform's list of hosts.
+type hostListEvent struct {
+	hosts []core.Host
+}
+
+func (e hostListEvent) apply(s *state, now time.Time) {
+	s.members.SetList(e.hosts, now)
+	s.refreshMembers(now)
+}
--- /dev/null
+++ b/internal/control/link_event.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// linkEvent reports that the link to a peer came up or was lost.
+type linkEvent struct {
+	host core.HostID
+	up   bool
+}
+
+func (e linkEvent) apply(s *state, now time.Time) {
+	s.members.LinkChanged(e.host, e.up, now)
+	s.dirty = true
+	if e.up {
+		s.sendHeartbeat(e.host, now)
+		s.sendSummaries(e.host)
+		return
+	}
+	s.follower.DropPeer(e.host)
+	delete(s.loads, e.host)
+	for _, p := range s.pools {
+		s.execute(p.HostLost(e.host, now), now)
+	}
+	for key := range s.summaries {
+		if key.owner == e.host {
+			delete(s.summaries, key)
+		}
+	}
+	for _, p := range s.pending {
+		if p.owner == e.host {
+			s.tryElsewhere(p, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,21 @@
+package control
+
+import (
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/ownership"
+)
+
+// Options configures a Loop.
+type Options struct {
+	Self     core.Host
+	Session  core.SessionID
+	Settings Settings
+	Timing   ownership.Timing
+	Clock    clockwork.Clock
+	Log      log.Interface
+	Seed     uint64      // spreads this host's periodic calls away from other hosts'
+	Seeds    []core.Host // hosts to try while the platform is away
+}
--- /dev/null
+++ b/internal/control/peer_event.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// peerEvent is a message from an authenticated peer.
+type peerEvent struct {
+	from    core.HostID
+	message message.Message
+}
+
+func (e peerEvent) apply(s *state, now time.Time) {
+	switch m := e.message.(type) {
+	case message.Demand:
+		m.Demand.Entry = e.from
+		s.demandOwned(m.Demand, now)
+	case message.Grant:
+		s.granted(e.from, m.Ticket, now)
+	case message.Refuse:
+		s.refused(e.from, m.Generation, m.Refusal, now)
+	case message.Close:
+		s.handleOutcome(m.Outcome, now)
+	case message.Progress:
+		s.handleProgress(m.Streams, now)
+	case message.TicketCheck:
+		s.handleHeld(e.from, m.Held, now)
+	case message.TicketRevoked:
+		s.revoke(m.Generation)
+	case message.Summary:
+		s.summaries[summaryKey{owner: e.from, pool: m.Pool}] = &summary{message: m, heardAt: now}
+	case message.TargetLoads:
+		s.loads[e.from] = m
+	case message.Heartbeat:
+		s.handleHeartbeat(e.from, m, now)
+	case message.RelayWanted:
+		s.ports.RelayCommit(e.from, m.ID, m.Transaction)
+	case message.RelayAnswer:
+		s.handleRelayAnswer(m, now)
+	case message.ConfigWanted:
+		s.handleConfigWanted(e.from, m)
+	}
+}
--- /dev/null
+++ b/internal/control/platform_event.go
@@ -0,0 +1,15 @@
+package control
+
+import "time"
+
+// platformEvent says whether the last call to the platform reached it.
+type platformEvent struct {
+	reached bool
+}
+
+func (e platformEvent) apply(s *state, _ time.Time) {
+	if s.platformReached != e.reached {
+		s.platformReached = e.reached
+		s.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/control/ports.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/ownership"
+	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// Ports carries out the effects that decisions ask for. No method waits: work that takes
+// time runs on other goroutines, and its answer comes back as an Event.
+type Ports interface {
+	// Send queues a message for a peer and reports whether there was a link with room.
+	Send(to core.HostID, m message.Message) bool
+	// SetPeers sets the hosts to stay linked with.
+	SetPeers(hosts []core.Host)
+	// ReadRows answers with HandleRows.
+	ReadRows(effect ownership.ReadRows)
+	// CommitRows answers with HandleCommit, or with HandleUnavailable.
+	CommitRows(effect ownership.CommitRows)
+	// ReadHead answers with HandleHead.
+	ReadHead()
+	// FetchBody answers with HandleBody.
+	FetchBody(head revision.Head)
+	// SendConfig encodes a whole configuration and sends it to a peer.
+	SendConfig(to core.HostID, config *core.Config)
+	// Poll asks a target for its load and answers with HandleLoad or HandleLoadFailed.
+	Poll(target core.Target, last core.LoadReport)
+	// Cancel asks an engine to stop a generation; a failure is left to the next load report.
+	Cancel(address string, generation core.GenerationID)
+	// RelayCommit carries out another host's transaction and sends the answer to it.
+	RelayCommit(from core.HostID, id uint64, transaction core.Transaction)
+}
--- /dev/null
+++ b/internal/control/relay_answer.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/decide/ownership"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// handleRelayAnswer takes the outcome of a commit that a peer carried out.
+func (s *state) handleRelayAnswer(m message.RelayAnswer, now time.Time) {
+	answer := ownership.CommitAnswer{ID: m.ID, Outcome: ownership.Ambiguous}
+	switch {
+	case m.Committed:
+		answer.Outcome = ownership.Committed
+	case m.Conflict:
+		answer.Outcome = ownership.Conflict
+	}
+	s.executeOwnership(s.ownership.HandleCommit(answer, now), now)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/claims"
+	"siskintide.example/siskintide/internal/control"
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/front"
+	"siskintide.example/siskintide/internal/ledger"
+	"siskintide.example/siskintide/internal/operator"
+	"siskintide.example/siskintide/internal/peer"
+	"siskintide.example/siskintide/internal/platform"
+	"siskintide.example/siskintide/internal/relay"
+	"siskintide.example/siskintide/internal/service"
+	"siskintide.example/siskintide/internal/settings"
+	"siskintide.example/siskintide/internal/telemetry"
+)
+
+// Daemon is one running entry host.
+type Daemon struct {
+	settings *settings.Settings
+	sockets  *listeners
+	log      log.Interface
+	metrics  *telemetry.Registry
+	loop     *control.Loop
+	effects  *effects
+	claims   *claims.Executor
+	callers  *http.Server
+	peers    *http.Server
+	admin    *http.Server
+	running  sync.WaitGroup
+}
+
+// Run serves until the context ends, then shuts down gracefully. It returns an error when
+// the host could not start, or when requests were still running at the end of the grace.
+func Run(ctx context.Context, s *settings.Settings) error {
+	sockets, err := listen(ctx, s.Listen)
+	if err != nil {
+		return fmt.Errorf("start host %s: %w", s.Host, err)
+	}
+	d := newDaemon(s, sockets)
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	d.start(life)
+	<-ctx.Done()
+	err = d.shutDown()
+	end()
+	d.finish()
+	return err
+}
+
+// newDaemon builds all parts; nothing runs yet.
+func newDaemon(s *settings.Settings, sockets *listeners) *Daemon {
+	d := &Daemon{settings: s, sockets: sockets, metrics: telemetry.NewRegistry()}
+	d.log = newLogger(s)
+	session := core.SessionID(uuid.NewString())
+	d.loop = control.NewLoop(control.Options{
+		Self:     s.Self(),
+		Session:  session,
+		Settings: controlSettings(s),
+		Timing:   ownershipTiming(s),
+		Clock:    clockwork.NewRealClock(),
+		Log:      d.log,
+		Seed:     seedOf(session),
+		Seeds:    s.Seeds,
+	})
+	d.effects = d.newEffects(session)
+	d.claims = claims.New(claims.Options{Table: d.effects.platform, Desk: d.loop, Clock: clockwork.NewRealClock()})
+	d.callers = front.NewServer(d.callersHandler())
+	d.peers = internalServer(d.effects.node.Handler())
+	d.admin = internalServer(d.adminHandler())
+	return d
+}
+
+func (d *Daemon) newEffects(session core.SessionID) *effects {
+	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
+	e := &effects{
+		self:     d.settings.Host,
+		loop:     d.loop,
+		platform: client,
+		ledger:   ledger.New(client, d.settings.DataCentre),
+		engines:  newEngineClient(),
+		services: service.NewClient(newTransportClient()),
+		log:      d.log,
+	}
+	e.node = peer.New(peer.Options{
+		Self:    d.settings.Self(),
+		Session: session,
+		Key:     []byte(d.settings.PeerKey),
+		Receive: e.receive,
+		Changed: d.loop.HandleLink,
+		Log:     d.log,
+	})
+	return e
+}
+
+func (d *Daemon) callersHandler() http.Handler {
+	return front.New(front.Options{
+		Desk:     d.loop,
+		Engines:  relay.EngineClient{Client: d.effects.engines},
+		Services: d.effects.services,
+		Claims:   d.claims,
+		EventKey: []byte(d.settings.EventKey),
+		Clock:    clockwork.NewRealClock(),
+		Log:      d.log,
+		Metrics:  telemetry.NewTraffic(d.metrics.Scope),
+	})
+}
+
+func (d *Daemon) adminHandler() http.Handler {
+	checks := health{desk: d.loop}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", checks.live)
+	mux.HandleFunc("GET /readyz", checks.ready)
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.Handle("/operator/", operator.New(operator.Options{
+		Key:     d.settings.OperatorKey,
+		State:   operatorState{desk: d.loop},
+		Store:   d.effects.platform,
+		InForce: d.loop.Offer,
+		Log:     d.log,
+		Clock:   clockwork.NewRealClock(),
+	}))
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/effects.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskintide.example/siskintide/internal/control"
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/engine"
+	"siskintide.example/siskintide/internal/ledger"
+	"siskintide.example/siskintide/internal/message"
+	"siskintide.example/siskintide/internal/peer"
+	"siskintide.example/siskintide/internal/platform"
+	"siskintide.example/siskintide/internal/service"
+)
+
+// callTimeout bounds a poll, a cancellation and a relayed commit.
+const callTimeout = 2 * time.Second
+
+var _ control.Ports = (*effects)(nil)
+
+// effects carries out what the control loop asks for. Each effect that takes time runs on
+// its own goroutine; the loop bounds how many of each kind are open.
+type effects struct {
+	ctx      context.Context
+	self     core.HostID
+	loop     *control.Loop
+	node     *peer.Node
+	platform *platform.Client
+	ledger   *ledger.Ledger
+	engines  *engine.Client
+	services *service.Client
+	log      log.Interface
+	running  sync.WaitGroup
+}
+
+// start runs one effect on its own goroutine.
+func (e *effects) start(work func(ctx context.Context)) {
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
+		defer cancel()
+		work(ctx)
+	}()
+}
+
+// Send implements control.Ports.
+func (e *effects) Send(to core.HostID, m message.Message) bool { return e.node.Send(to, m) }
+
+// SetPeers implements control.Ports.
+func (e *effects) SetPeers(hosts []core.Host) { e.node.SetPeers(hosts) }
+
+// Poll implements control.Ports.
+func (e *effects) Poll(target core.Target, last core.LoadReport) {
+	e.start(func(ctx context.Context) {
+		report, err := e.load(ctx, target, last)
+		if err != nil {
+			e.log.WithError(err).WithField("target", target.ID).Debug("load poll failed")
+			e.loop.HandleLoadFailed(target.ID)
+			return
+		}
+		e.loop.HandleLoad(report)
+	})
+}
+
+func (e *effects) load(ctx context.Context, target core.Target, last core.LoadReport) (core.LoadReport, error) {
+	if target.Service != "" {
+		return e.services.Probe(ctx, target.ID, target.Address, last)
+	}
+	return e.engines.Load(ctx, target.ID, target.Address)
+}
+
+// Cancel implements control.Ports.
+func (e *effects) Cancel(address string, generation core.GenerationID) {
+	e.start(func(ctx context.Context) {
+		if err := e.engines.Cancel(ctx, address, generation); err != nil {
+			e.log.WithError(err).WithField("generation", generation).Debug("cancellation failed")
+		}
+	})
+}
--- /dev/null
+++ b/internal/daemon/grace_error.go
@@ -0,0 +1,16 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+)
+
+// GraceError reports that requests were still running when the grace of a shutdown ended.
+type GraceError struct {
+	Grace time.Duration
+}
+
+// Error implements error.
+func (e *GraceError) Error() string {
+	return fmt.Sprintf("requests were still running after a grace of %s", e.Grace)
+}
--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"siskintide.example/siskintide/internal/settings"
+)
+
+// listeners are the sockets of one host. All are open before anything is served.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+// listen opens every socket, or none.
+func listen(ctx context.Context, addresses settings.Listen) (*listeners, error) {
+	opened := &listeners{}
+	var config net.ListenConfig
+	for _, socket := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"callers", addresses.Callers, &opened.callers},
+		{"peers", addresses.Peers, &opened.peers},
+		{"admin", addresses.Admin, &opened.admin},
+	} {
+		listener, err := config.Listen(ctx, "tcp", socket.address)
+		if err != nil {
+			opened.close()
+			return nil, fmt.Errorf("listen for %s: %w", socket.name, err)
+		}
+		*socket.into = listener
+	}
+	return opened, nil
+}
+
+// close closes the sockets that are open.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.admin} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+	"github.com/cespare/xxhash/v2"
+
+	"siskintide.example/siskintide/internal/control"
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/ownership"
+	"siskintide.example/siskintide/internal/engine"
+	"siskintide.example/siskintide/internal/settings"
+)
+
+const (
+	// dialTimeout bounds the connection to a target, so that a dead one is noticed early.
+	dialTimeout = time.Second
+	// maxIdlePerTarget keeps connections for the streams that a host usually has open at
+	// one target.
+	maxIdlePerTarget = 64
+	// idleConnection closes connections that are no longer needed.
+	idleConnection = 60 * time.Second
+	// readHeaderTimeout bounds slow senders on the peers' and the admin listener.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// newLogger writes JSON lines to standard error, each with the host's name.
+func newLogger(s *settings.Settings) log.Interface {
+	logger := &log.Logger{Handler: jsonlog.New(os.Stderr), Level: log.InfoLevel}
+	if level, err := log.ParseLevel(s.LogLevel); err == nil {
+		logger.Level = level
+	}
+	return logger.WithFields(log.Fields{"host": s.Host, "data_centre": s.DataCentre})
+}
+
+// newTransportClient returns an HTTP client for targets. It has no overall timeout, since
+// streams last as long as their generations.
+func newTransportClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		IdleConnTimeout:     idleConnection,
+		DisableCompression:  true,
+	}}
+}
+
+func newEngineClient() *engine.Client { return engine.NewClient(newTransportClient()) }
+
+// internalServer serves peers or operators.
+func internalServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+func controlSettings(s *settings.Settings) control.Settings {
+	chosen := control.DefaultSettings()
+	chosen.Heartbeat = time.Duration(s.Timing.Heartbeat)
+	return chosen
+}
+
+func ownershipTiming(s *settings.Settings) ownership.Timing {
+	timing := ownership.DefaultTiming()
+	timing.LeaseTTL = time.Duration(s.Timing.Lease)
+	timing.RenewEvery = timing.LeaseTTL / 3
+	timing.RetryAfter = timing.LeaseTTL / 10
+	timing.WatchEvery = timing.LeaseTTL / 5
+	timing.ClockMargin = time.Duration(s.Timing.ClockMargin)
+	return timing
+}
+
+// seedOf spreads the periodic calls of hosts.
+func seedOf(session core.SessionID) uint64 { return xxhash.Sum64String(string(session)) }
--- /dev/null
+++ b/tools/demo/main.go
@@ -0,0 +1,54 @@
+// Command demo starts three entry hosts in two data centres with stand-ins of the platform,
+// of engines and of a plain service on loopback, does the main job, prints what happened and
+// stops everything. It exits non-zero if a step failed.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+func main() {
+	programs := "bin"
+	keep := false
+	flaggy.SetName("demo")
+	flaggy.SetDescription("the whole path on this machine")
+	flaggy.String(&programs, "b", "bin", "directory of the built programs")
+	flaggy.Bool(&keep, "k", "keep", "keep the directory with logs and settings")
+	flaggy.Parse()
+	if err := run(programs, keep); err != nil {
+		fmt.Println("FAILED:", err)
+		os.Exit(1)
+	}
+	fmt.Println("all steps passed")
+}
+
+// run does every step in a directory of its own and stops what it started.
+func run(programs string, keep bool) (err error) {
+	dir, err := os.MkdirTemp("", "siskintide-demo-")
+	if err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	d, err := newDeployment(programs, dir)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if stopErr := d.stopAll(); err == nil {
+			err = stopErr
+		}
+		if keep || err != nil {
+			fmt.Println("logs and settings are in", dir)
+			return
+		}
+		os.RemoveAll(dir)
+	}()
+	for _, step := range d.steps() {
+		if err := step.work(); err != nil {
+			return fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/demo/steps.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// steps lists the parts of the demo in order.
+func (d *deployment) steps() []step {
+	return []step{
+		{"start", d.start},
+		{"stream a script draft", d.streamDraft},
+		{"book once", d.bookOnce},
+		{"take a data centre out", d.takeOut},
+		{"resume after a host was killed", d.killAndResume},
+		{"return the data centre", d.bringBack},
+	}
+}
+
+// streamDraft streams one answer through one host.
+func (d *deployment) streamDraft() error {
+	c := caller{prompt: "Draft a script for a 30 second radio spot. [[length=120]]", seed: 7, maxTokens: 400}
+	var got answer
+	if err := c.stream(d.host("oslo-a-1").callers, "", &got); err != nil {
+		return err
+	}
+	if !got.done || len(got.tokens) != 120 {
+		return &stepError{step: "stream", reason: fmt.Sprintf("%d tokens, done %t, error %s", len(got.tokens), got.done, got.failed)}
+	}
+	fmt.Printf("draft of %d tokens through oslo-a-1: first token %.1f ms, token gap p50 %.1f ms, p99 %.1f ms, largest %.1f ms\n",
+		len(got.tokens), milliseconds(got.firstToken()), milliseconds(got.gap(0.5)), milliseconds(got.gap(0.99)), milliseconds(got.gap(1)))
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// bookOnce sends the same booking twice through different hosts.
+func (d *deployment) bookOnce() error {
+	var bodies []string
+	for _, name := range []string{"oslo-b-1", "oslo-a-2"} {
+		body, err := d.bookUntilAnswered(d.host(name).callers)
+		if err != nil {
+			return err
+		}
+		bodies = append(bodies, body)
+	}
+	runs := 0
+	for _, t := range d.targets {
+		if !t.engine {
+			count, err := runsAt(t.address)
+			if err != nil {
+				return err
+			}
+			runs += count
+		}
+	}
+	if runs != 1 || bodies[0] != bodies[1] {
+		return &stepError{step: "book", reason: fmt.Sprintf("ran %d times, answers %q", runs, bodies)}
+	}
+	fmt.Println("booking sent through oslo-b-1 and repeated through oslo-a-2: ran once, same answer twice")
+	return nil
+}
+
+// bookUntilAnswered sends the booking, and again with its key while the first call is
+// still being recorded.
+func (d *deployment) bookUntilAnswered(address string) (string, error) {
+	var body string
+	var failure error
+	err := waitFor("booking", func() bool {
+		var status int
+		status, body, failure = d.book(address)
+		if failure == nil && status != http.StatusOK && status != http.StatusConflict {
+			failure = &stepError{step: "book", reason: fmt.Sprintf("%d %s", status, body)}
+		}
+		return failure != nil || status == http.StatusOK
+	})
+	if failure != nil {
+		return "", failure
+	}
+	return body, err
+}
+
+func (d *deployment) book(address string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/services/"+service+"/bookings", strings.NewReader(`{"slot":"2026-12-05T10:00"}`))
+	if err != nil {
+		return 0, "", fmt.Errorf("build booking: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	request.Header.Set("Idempotency-Key", "demo-booking-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", fmt.Errorf("send booking: %w", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", fmt.Errorf("read booking: %w", err)
+	}
+	return response.StatusCode, string(body), nil
+}
+
+// runsAt asks a service's stand-in how often the booking ran there.
+func runsAt(address string) (int, error) {
+	response, err := http.Get("http://" + address + "/stand-in/runs")
+	if err != nil {
+		return 0, fmt.Errorf("count runs: %w", err)
+	}
+	defer response.Body.Close()
+	var runs struct {
+		ByKey map[string]int `json:"by_key"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&runs); err != nil {
+		return 0, fmt.Errorf("count runs: %w", err)
+	}
+	total := 0
+	for _, count := range runs.ByKey {
+		total += count
+	}
+	return total, nil
+}
--- /dev/null
+++ b/tools/demo/token.go
@@ -0,0 +1,10 @@
+package main
+
+import "time"
+
+// token is one token event of an answer.
+type token struct {
+	id   string // event id, which resumes the stream after this token
+	text string
+	at   time.Time
+}
