Delete the rows of claims that need not be kept any longer

Cause: every call that may not be repeated leaves a row; the table grew for ever. Ruled out: one host that lists all rows (no host is set aside, and the list grows with the load); rows named by time (a repeat knows only its key). Waiting for a ticket is bounded by the queue budget and 5 s. Calls of services report their queue time. Left open: objects of long answers are not deleted, because the platform's interface has no call for it.

--- a/internal/claims/execution.go
+++ b/internal/claims/execution.go
@@ -97,7 +97,9 @@
 func (x *execution) acquire(ctx context.Context) claim.Event {
 	demand := x.job.Demand
 	demand.Generation = x.attempt
-	grant, err := x.executor.options.Desk.Acquire(ctx, demand)
+	waiting, cancel := context.WithTimeout(ctx, demand.QueueBudget+queueSlack)
+	defer cancel()
+	grant, err := x.executor.options.Desk.Acquire(waiting, demand)
 	if err == nil {
 		x.grant, x.granted = grant, true
 		return claim.Event{Kind: claim.EventGranted}
@@ -111,7 +113,7 @@
 
 // write writes the row. The body of a long answer goes to the object store first.
 func (x *execution) write(effect claim.Effect) claim.Event {
-	body := newRowBody(effect.Record)
+	body := newRowBody(effect.Record, x.job.Keep)
 	if effect.Record.State == core.ClaimAnswered {
 		x.keepAnswer(x.budget, &body)
 	}
--- a/internal/claims/executor.go
+++ b/internal/claims/executor.go
@@ -22,6 +22,9 @@
 	// platformBudget bounds the time that one call may spend on the platform before its
 	// caller is answered, and again on recording the outcome.
 	platformBudget = 8 * time.Second
+	// queueSlack is how much longer than the queue budget a ticket is waited for, so that
+	// the owner's own refusal comes first.
+	queueSlack = 5 * time.Second
 	// clockMargin covers clocks of hosts that differ, when a claimant is given up.
 	clockMargin = 30 * time.Second
 )
@@ -40,8 +43,17 @@
 	return &Executor{options: options, batcher: newBatcher(options.Table, options.Clock)}
 }
 
-// Run packs writes into transactions until the context ends. It is to end after the last call.
-func (e *Executor) Run(ctx context.Context) { e.batcher.run(ctx) }
+// Run packs writes into transactions and deletes old rows until the context ends. It is to
+// end after the last call.
+func (e *Executor) Run(ctx context.Context) {
+	swept := make(chan struct{})
+	go func() {
+		defer close(swept)
+		sweeper{table: e.options.Table, clock: e.options.Clock}.run(ctx)
+	}()
+	e.batcher.run(ctx)
+	<-swept
+}
 
 // Do runs one call and hands its result to reply, exactly once and as soon as it is
 // known. It returns when the outcome has been recorded as well. A caller that leaves does
@@ -58,7 +70,7 @@
 	for _, part := range []string{string(job.Demand.Team), string(job.Service), job.Key} {
 		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part) // a hash takes every write
 	}
-	return "claims/" + hex.EncodeToString(digest.Sum(nil)[:16])
+	return rowPrefix + hex.EncodeToString(digest.Sum(nil)[:16])
 }
 
 // readRow reads a claim's row as an event.
--- a/internal/claims/job.go
+++ b/internal/claims/job.go
@@ -14,6 +14,7 @@
 	Key      string        // the caller's idempotency key
 	BodyHash [16]byte      // hash of method, path and body
 	Timeout  time.Duration // the service's own
+	Keep     time.Duration // how long the key and its answer are kept
 	// Send sends the call to the service at the address, at most once. Its failures are a
 	// *service.UnsentError and errors after which the call may have run.
 	Send func(ctx context.Context, address string) (Answer, error)
--- a/internal/claims/memory_table_test.go
+++ b/internal/claims/memory_table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"siskintide.example/siskintide/internal/core"
@@ -54,6 +55,17 @@
 	return row, err
 }
 
+func (m *memoryTable) Rows(_ context.Context, prefix string) (rows []core.Row, err error) {
+	m.do(func() {
+		for key, row := range m.rows {
+			if strings.HasPrefix(key, prefix) {
+				rows = append(rows, row)
+			}
+		}
+	})
+	return rows, nil
+}
+
 func (m *memoryTable) Commit(_ context.Context, tx core.Transaction) (err error) {
 	m.do(func() { err = m.commit(tx) })
 	return err
@@ -78,6 +90,10 @@
 	}
 	for _, w := range tx.Writes {
 		m.writes++
+		if w.Value == nil {
+			delete(m.rows, w.Key)
+			continue
+		}
 		m.rows[w.Key] = core.Row{Key: w.Key, Version: m.rows[w.Key].Version + 3, Value: w.Value}
 	}
 	if m.fail != nil {
--- a/internal/claims/row_body.go
+++ b/internal/claims/row_body.go
@@ -11,13 +11,19 @@
 	"siskintide.example/siskintide/internal/decide/claim"
 )
 
+// minKeep is the shortest time for which a key is kept after its call has been given up.
+// A host that is frozen for longer between reading a key's row and claiming it could run
+// the call again, because a deleted row looks like one that never existed.
+const minKeep = time.Hour
+
 // rowBody is the encoding of a claim's row.
 type rowBody struct {
 	State    core.ClaimState   `json:"state"`
 	Claimant core.HostID       `json:"claimant"`
 	Attempt  core.GenerationID `json:"attempt"`
 	BodyHash string            `json:"body_hash"`
-	UntilMS  int64             `json:"until_ms"` // milliseconds since 1970
+	UntilMS  int64             `json:"until_ms"`  // milliseconds since 1970
+	DeleteMS int64             `json:"delete_ms"` // milliseconds since 1970; the row may be deleted from then on
 	Status   int               `json:"status,omitempty"`
 	Header   http.Header       `json:"header,omitempty"`
 	Body     []byte            `json:"body,omitempty"`
@@ -25,13 +31,14 @@
 	Dropped  bool              `json:"dropped,omitempty"` // the body was too large to be kept
 }
 
-func newRowBody(record claim.Record) rowBody {
+func newRowBody(record claim.Record, keep time.Duration) rowBody {
 	return rowBody{
 		State:    record.State,
 		Claimant: record.Claimant,
 		Attempt:  record.Attempt,
 		BodyHash: hex.EncodeToString(record.BodyHash[:]),
 		UntilMS:  record.Until.UnixMilli(),
+		DeleteMS: record.Until.Add(max(keep, minKeep)).UnixMilli(),
 	}
 }
 
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -10,6 +10,8 @@
 type Table interface {
 	// Row reads one row; its version is zero when it does not exist.
 	Row(ctx context.Context, key string) (core.Row, error)
+	// Rows reads all rows whose keys begin with the prefix.
+	Rows(ctx context.Context, prefix string) ([]core.Row, error)
 	// Commit carries out a transaction.
 	Commit(ctx context.Context, tx core.Transaction) error
 	// PutObject stores an object.
--- a/internal/front/service_handler.go
+++ b/internal/front/service_handler.go
@@ -51,6 +51,7 @@
 		Key:      call.key,
 		BodyHash: call.bodyHash(),
 		Timeout:  call.timeout(),
+		Keep:     time.Duration(call.service.KeepAnswerS) * time.Second,
 		Send: func(ctx context.Context, address string) (claims.Answer, error) {
 			return f.send(ctx, address, call)
 		},
@@ -104,10 +105,12 @@
 // been sent is a *core.Refusal or a *service.UnsentError.
 func (f *Front) callTarget(ctx context.Context, demand core.Demand, call serviceCall) (claims.Answer, core.TargetID, error) {
 	demand.Generation = core.GenerationID(uuid.New())
+	asked := f.options.Clock.Now()
 	grant, err := f.options.Desk.Acquire(ctx, demand)
 	if err != nil {
 		return claims.Answer{}, "", asRefusal(err)
 	}
+	f.options.Metrics.QueueTime(demand.Team, demand.Class, f.options.Clock.Since(asked))
 	outcome := core.Outcome{Generation: grant.Ticket.Generation, Target: grant.Ticket.Target, Result: core.Unused}
 	defer func() { f.options.Desk.Close(outcome) }()
 	answer, err := f.sendInTime(ctx, grant, call, &outcome)
