Log failures of the system and prove that a leaving host ends its streams

Cause: operators should see failed targets, diverged reruns and unknown outcomes one by one; a graceful shutdown cuts off no request. Change: front logs these refusals with type, run, team and class. A test holds a stream while its host begins to leave.

--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -16,13 +16,18 @@
 // fakeDesk grants every demand and counts open tickets.
 type fakeDesk struct {
 	view     *snapshot.Snapshot
+	leaving  atomic.Bool
 	refusal  *core.Refusal
 	granted  atomic.Int64
 	closed   chan core.Outcome
 	acquired chan struct{}
 }
 
-func (d *fakeDesk) Snapshot() *snapshot.Snapshot { return d.view }
+func (d *fakeDesk) Snapshot() *snapshot.Snapshot {
+	view := *d.view
+	view.Leaving = d.leaving.Load()
+	return &view
+}
 
 func (d *fakeDesk) Acquire(_ context.Context, demand core.Demand) (desk.Grant, error) {
 	if d.refusal != nil {
@@ -42,6 +47,7 @@
 type fakeEngines struct {
 	tokens []string
 	hold   bool
+	let    chan struct{} // ends the hold
 }
 
 func (e *fakeEngines) Start(ctx context.Context, ticket core.Ticket, _ engine.Request) (relay.FrameReader, error) {
@@ -67,8 +73,11 @@
 		return engine.Frame{}, io.EOF
 	}
 	if r.engines.hold && r.at == total-1 {
-		<-r.ctx.Done()
-		return engine.Frame{}, r.ctx.Err()
+		select {
+		case <-r.engines.let:
+		case <-r.ctx.Done():
+			return engine.Frame{}, r.ctx.Err()
+		}
 	}
 	frame := engine.Frame{Generation: r.generation, Sequence: r.at + 1, Text: r.engines.tokens[r.at]}
 	r.at++
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -147,12 +147,19 @@
 	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 429, core.RefusedQueueFull)
 }
 
-func TestLeavingHostTakesNoCallers(t *testing.T) {
-	view := testView()
-	view.Leaving = true
-	desk := &fakeDesk{view: view}
-	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a"}})
+// A leaving host refuses new callers while the streams that run end whole.
+func TestLeavingHost(t *testing.T) {
+	desk, engines := &fakeDesk{}, &fakeEngines{tokens: []string{"a", "b"}, hold: true, let: make(chan struct{})}
+	server := newTestServer(t, desk, engines)
+	running := call(t, server, "POST", plainURL, plainBody)
+	desk.leaving.Store(true)
 	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 503, core.RefusedLeaving)
+	requireRefusal(t, call(t, server, "POST", "/services/booking/book", ""), 503, core.RefusedLeaving)
+	close(engines.let)
+	text, _, done := readEvents(t, running.Body)
+	require.Equal(t, "ab", text)
+	require.True(t, done)
+	require.Equal(t, core.Completed, (<-desk.closed).Result)
 }
 
 // A caller that leaves a stream leaves no goroutine and no open ticket.
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"siskintide.example/siskintide/internal/core"
 )
 
@@ -38,7 +40,7 @@
 
 // refuse answers a request with a refusal. Nothing has been written before.
 func (f *Front) refuse(w http.ResponseWriter, from *caller, refusal *core.Refusal) {
-	f.options.Metrics.Refused(from.team, from.class.ID, refusal.Kind)
+	f.note(from, refusal)
 	status, ok := statuses[refusal.Kind]
 	if !ok {
 		status = http.StatusInternalServerError
@@ -50,6 +52,25 @@
 	writeJSON(w, status, errorBody{Error: detailOf(refusal)})
 }
 
+// systemFailures are the refusals that operators should see one by one.
+var systemFailures = map[core.RefusalKind]bool{
+	core.RefusedTargetFailed:   true,
+	core.RefusedDiverged:       true,
+	core.RefusedStreamGone:     true,
+	core.RefusedOutcomeUnknown: true,
+	core.RefusedPlatformAway:   true,
+}
+
+// note counts a refusal and logs it if it is a failure of the system.
+func (f *Front) note(from *caller, refusal *core.Refusal) {
+	f.options.Metrics.Refused(from.team, from.class.ID, refusal.Kind)
+	if !systemFailures[refusal.Kind] {
+		return
+	}
+	fields := log.Fields{"type": refusal.Kind, "run": refusal.Run, "team": from.team, "class": from.class.ID}
+	f.options.Log.WithFields(fields).Warn(refusal.Message)
+}
+
 func detailOf(refusal *core.Refusal) errorDetail {
 	return errorDetail{
 		Type:         refusal.Kind,
--- a/internal/front/stream_sink.go
+++ b/internal/front/stream_sink.go
@@ -124,7 +124,7 @@
 }
 
 func (s *streamSink) appendFailure(ending relay.Ending) {
-	s.front.options.Metrics.Refused(s.from.team, s.from.class.ID, ending.Refusal.Kind)
+	s.front.note(s.from, ending.Refusal)
 	detail := detailOf(ending.Refusal)
 	detail.Delivered = &ending.Delivered
 	data, err := json.Marshal(errorBody{Error: detail})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,9 @@
 	endMarkerWait = 250 * time.Millisecond
 	// stallThreshold is the token gap above which a stream counts as stalled.
 	stallThreshold = time.Second
+	// queueSlack is how much longer than the queue budget a ticket is waited for, so that
+	// the owner's own refusal comes first.
+	queueSlack = 5 * time.Second
 	// inboxFrames bounds the frames that wait for a slow caller.
 	inboxFrames = 4
 	// acquireTries bounds the tickets taken for one attempt when they lapse unused.
--- a/internal/relay/session_open.go
+++ b/internal/relay/session_open.go
@@ -91,8 +91,10 @@
 // acquire takes a ticket that may still be used. A ticket that lapsed on its way is closed unused.
 func (r *Relay) acquire(ctx context.Context, demand core.Demand) (desk.Grant, *core.Refusal) {
 	asked := r.options.Clock.Now()
+	waiting, cancel := context.WithTimeout(ctx, demand.QueueBudget+queueSlack)
+	defer cancel()
 	for range acquireTries {
-		grant, err := r.options.Desk.Acquire(ctx, demand)
+		grant, err := r.options.Desk.Acquire(waiting, demand)
 		if err != nil {
 			return desk.Grant{}, asRefusal(err)
 		}
