--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -80,8 +80,11 @@
 	if err != nil {
 		return badRequest("%s", err.Error())
 	}
-	asked := &generation{hash: position.RequestHash, stream: true, chat: r.URL.Query().Get("object") == "chat"}
+	asked := &generation{hash: position.RequestHash, stream: true, chat: position.Chat}
 	asked.request.Seed = position.Seed
+	if target := from.view.Catalog.Target(position.Target); target != nil {
+		asked.request.Model = target.Model
+	}
 	job := &relay.Job{Demand: core.Demand{Team: from.team, Class: from.class.ID}, Resumable: true}
 	return f.resume(w, r, from, asked, job, position)
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -130,6 +131,19 @@
 	}
 }
 
+func TestChatStreamResumesAsChat(t *testing.T) {
+	server := newTestServer(t, &fakeDesk{}, &fakeEngines{tokens: []string{"a", "b"}})
+	body := `{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true,"stream_options":{"include_usage":true}}`
+	whole, err := io.ReadAll(call(t, server, "POST", chatURL, body).Body)
+	require.NoError(t, err)
+	require.Contains(t, string(whole), `"delta":{"role":"assistant","content":"a"}`)
+	require.Contains(t, string(whole), `"completion_tokens":2`)
+	_, ids, _ := readEvents(t, bytes.NewReader(whole))
+	rest, err := io.ReadAll(call(t, server, "GET", "/v1/streams", "", "Last-Event-ID", ids[0]).Body)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), `"model":"m","choices":[{"index":0,"delta":{"content":"b"},"finish_reason":"stop"}]`)
+}
+
 func TestAnswerInOnePiece(t *testing.T) {
 	desk := &fakeDesk{}
 	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"one ", "two"}})
--- a/internal/front/stream_sink.go
+++ b/internal/front/stream_sink.go
@@ -62,6 +62,7 @@
 		RequestHash: s.asked.hash,
 		Sequence:    token.Sequence,
 		Digest:      token.Digest,
+		Chat:        s.asked.chat,
 		Final:       token.FinishReason != "",
 	})
 	s.buffer = append(s.buffer, "\ndata: "...)
--- a/internal/relay/event_decode.go
+++ b/internal/relay/event_decode.go
@@ -47,7 +47,8 @@
 		RequestHash: binary.BigEndian.Uint64(steady[25:33]),
 		Sequence:    core.Sequence(binary.BigEndian.Uint64(moving[0:8])),
 		Digest:      binary.BigEndian.Uint64(moving[8:16]),
-		Final:       moving[16] == 1,
+		Chat:        moving[16]&flagChat != 0,
+		Final:       moving[16]&flagFinal != 0,
 	}
 	target, rest, ok := cutName(steady[fixedBytes:])
 	if !ok {
--- a/internal/relay/event_encoder.go
+++ b/internal/relay/event_encoder.go
@@ -19,6 +19,10 @@
 	maxEventIDBytes = 1024
 	// fixedBytes is the length of the part before the names: version, generation, seed, request hash.
 	fixedBytes = 1 + 16 + 8 + 8
+	// flagFinal marks the event id of an answer's last token.
+	flagFinal = 1 << 0
+	// flagChat marks the event id of a chat completion.
+	flagChat = 1 << 1
 	// movingBytes is the length of the part that changes with every token.
 	movingBytes = 8 + 8 + 1
 )
@@ -73,10 +77,14 @@
 func appendMoving(dst []byte, p EventPosition) []byte {
 	dst = binary.BigEndian.AppendUint64(dst, uint64(p.Sequence))
 	dst = binary.BigEndian.AppendUint64(dst, p.Digest)
+	var flags byte
 	if p.Final {
-		return append(dst, 1)
+		flags |= flagFinal
 	}
-	return append(dst, 0)
+	if p.Chat {
+		flags |= flagChat
+	}
+	return append(dst, flags)
 }
 
 // appendMAC writes the code over the team and both parts. The team's length is bound by
--- a/internal/relay/event_id_test.go
+++ b/internal/relay/event_id_test.go
@@ -11,7 +11,7 @@
 
 func TestEventIDs(t *testing.T) {
 	key := []byte("0123456789abcdef")
-	position := EventPosition{Generation: core.GenerationID{1, 2}, Target: "t1", Incarnation: "i-1", Seed: 9, RequestHash: 8, Sequence: 7, Digest: 6, Final: true}
+	position := EventPosition{Generation: core.GenerationID{1, 2}, Target: "t1", Incarnation: "i-1", Seed: 9, RequestHash: 8, Sequence: 7, Digest: 6, Final: true, Chat: true}
 	encoder := NewEventEncoder(key, "team")
 	text := string(encoder.Append(nil, position))
 	got, err := DecodeEventID(key, "team", text)
--- a/internal/relay/event_position.go
+++ b/internal/relay/event_position.go
@@ -12,5 +12,6 @@
 	RequestHash uint64 // hash of the request's parameters; a repeated request must match it
 	Sequence    core.Sequence
 	Digest      uint64 // chained hash of all tokens up to Sequence
+	Chat        bool   // the events are chunks of a chat completion
 	Final       bool   // the caller has the whole answer
 }
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,6 +92,7 @@
 	length int
 	faults []fault
 	opened atomic.Int64
+	texts  sync.Map      // first token that differs, by generation
 	hold   chan struct{} // the first connection waits for it before its last frame
 }
 
@@ -112,6 +114,14 @@
 	case f.Open == "lost":
 		return nil, &engine.BrokenStreamError{Err: io.EOF}
 	}
+	diverge := f.Diverge
+	if !start {
+		diverge = 0
+	}
+	if known, ok := e.texts.LoadOrStore(g, diverge); ok {
+		diverge = known.(int)
+	}
+	f.Diverge = diverge
 	r := &faultyReader{ctx: ctx, fault: f, generation: g, at: int(after), length: e.length}
 	if n == 1 {
 		r.hold = e.hold
--- a/internal/relay/session_end.go
+++ b/internal/relay/session_end.go
@@ -8,8 +8,12 @@
 	"siskintide.example/siskintide/internal/decide/rerun"
 )
 
-// end tells the caller how the stream ended.
+// end tells the caller how the stream ended. A caller that could not take the last token
+// has left and may resume.
 func (s *session) end(effect rerun.Effect) {
+	if s.gone {
+		return
+	}
 	s.sink.End(Ending{Refusal: s.refusalFor(effect), Delivered: s.state.Delivered()})
 }
 
