Start deployments for the demo and for measurements from one package

Cause: the capacity run needs the demo's processes in other numbers.

Change: tools/cluster takes the demo's process handling with a Layout; the demo keeps its steps.

--- a/tools/demo/caller.go
+++ b/tools/demo/caller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"siskintide.example/siskintide/tools/cluster"
 )
 
 // caller streams one answer. Its hook is called after each token.
@@ -20,12 +22,12 @@
 // stream sends the request to a host, or resumes it after an event id, and reads on into
 // the answer until the stream ends in any way.
 func (c caller) stream(address, after string, into *answer) error {
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"seed":%d,"stream":true}`, model, c.prompt, c.maxTokens, c.seed)
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"seed":%d,"stream":true}`, cluster.Model, c.prompt, c.maxTokens, c.seed)
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
-	request.Header.Set("Authorization", "Bearer "+teamKey)
+	request.Header.Set("Authorization", "Bearer "+cluster.TeamKey)
 	request.Header.Set("Content-Type", "application/json")
 	if after != "" {
 		request.Header.Set("Last-Event-ID", after)
@@ -39,7 +41,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return &stepError{step: "stream", reason: response.Status}
+		return &cluster.StepError{Step: "stream", Reason: response.Status}
 	}
 	c.read(bufio.NewScanner(response.Body), into)
 	return nil
--- a/tools/demo/change.go
+++ b/tools/demo/change.go
@@ -4,43 +4,36 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"siskintide.example/siskintide/tools/cluster"
 )
 
 // outTimeout is the bound on new work after a confirmed take-out.
 const outTimeout = 3 * time.Second
 
 // takeOut takes oslo-b out by plan and confirm, and shows that its engines get no new work.
-func (d *deployment) takeOut() error {
+func (d *demo) takeOut() error {
 	output, err := d.operate("take-out", "oslo-b", "--yes")
 	if err != nil {
 		return err
 	}
 	show(output)
 	confirmed := time.Now()
-	if err := d.waitConfirmed(); err != nil {
+	if err := d.WaitConfirmed(); err != nil {
 		return err
 	}
 	inForce := time.Since(confirmed)
 	if inForce > outTimeout {
-		return &stepError{step: "take-out", reason: fmt.Sprintf("in force everywhere only after %s", inForce)}
+		return &cluster.StepError{Step: "take-out", Reason: fmt.Sprintf("in force everywhere only after %s", inForce)}
 	}
 	fmt.Printf("take-out in force everywhere %d ms after the confirmation\n", inForce.Milliseconds())
 	return d.checkNoWorkAt("oslo-b")
 }
 
-// waitConfirmed waits until every host has reported the accepted revision.
-func (d *deployment) waitConfirmed() error {
-	return waitFor("configuration in force", func() bool {
-		output, err := d.operate("status", "--output", "json")
-		return err == nil && strings.Count(output, `"confirmed":true`) == len(d.hosts)
-	})
-}
-
 // checkNoWorkAt sends streams through a host of the data centre and looks at its engines.
-func (d *deployment) checkNoWorkAt(dataCentre string) error {
+func (d *demo) checkNoWorkAt(dataCentre string) error {
 	const streams = 6
 	var wait sync.WaitGroup
 	answers := make([]answer, streams)
@@ -49,7 +42,7 @@
 		go func() {
 			defer wait.Done()
 			c := caller{prompt: fmt.Sprintf("Line %d of the warm-up. [[length=40]]", i), seed: i, maxTokens: 80}
-			if err := c.stream(d.host("oslo-b-1").callers, "", &answers[i]); err != nil {
+			if err := c.stream(d.Host("oslo-b-1").Callers, "", &answers[i]); err != nil {
 				answers[i].failed = err.Error()
 			}
 		}()
@@ -58,23 +51,23 @@
 	wait.Wait()
 	for i := range answers {
 		if !answers[i].done {
-			return &stepError{step: "stream while a data centre is out", reason: answers[i].failed}
+			return &cluster.StepError{Step: "stream while a data centre is out", Reason: answers[i].failed}
 		}
 	}
 	if busy > 0 {
-		return &stepError{step: "take-out", reason: fmt.Sprintf("%d streams ran in %s", busy, dataCentre)}
+		return &cluster.StepError{Step: "take-out", Reason: fmt.Sprintf("%d streams ran in %s", busy, dataCentre)}
 	}
 	fmt.Printf("%d streams through oslo-b-1 ran whole in oslo-a; none in %s\n", streams, dataCentre)
 	return nil
 }
 
 // busyAt returns how many streams the data centre's engines list after a while.
-func (d *deployment) busyAt(dataCentre string, after time.Duration) int {
+func (d *demo) busyAt(dataCentre string, after time.Duration) int {
 	<-time.After(after)
 	count := 0
-	for _, t := range d.targets {
-		if t.engine && t.dataCentre == dataCentre {
-			count += streamsAt(t.address)
+	for _, t := range d.Targets {
+		if t.Engine && t.DataCentre == dataCentre {
+			count += streamsAt(t.Address)
 		}
 	}
 	return count
@@ -97,7 +90,7 @@
 }
 
 // bringBack returns the data centre by plan and confirm.
-func (d *deployment) bringBack() error {
+func (d *demo) bringBack() error {
 	output, err := d.operate("return", "oslo-b", "--yes")
 	if err != nil {
 		return err
--- /dev/null
+++ b/tools/demo/demo.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"siskintide.example/siskintide/tools/cluster"
+)
+
+// demo is the deployment that the steps work on.
+type demo struct {
+	*cluster.Deployment
+}
+
+// newDemo lays out three hosts, four engines and two processes of a service over two data
+// centres.
+func newDemo(programs, dir string) (*demo, error) {
+	deployment, err := cluster.New(dir, cluster.Layout{
+		Programs:    programs,
+		DataCentres: []string{"oslo-a", "oslo-b"},
+		Hosts:       2,
+		Engines:     2,
+		Services:    1,
+		Kind:        cluster.DefaultEngineKind(),
+		Timing:      cluster.FastTiming(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	deployment.RemoveHost("oslo-b-2")
+	return &demo{Deployment: deployment}, nil
+}
+
+// start starts everything.
+func (d *demo) start() error {
+	began := time.Now()
+	if err := d.Start(); err != nil {
+		return err
+	}
+	fmt.Printf("%d hosts in 2 data centres ready, configuration in force everywhere, %.1f s after the first process\n",
+		len(d.Hosts), time.Since(began).Seconds())
+	return nil
+}
+
+// operate runs the operators' command line and shows the call.
+func (d *demo) operate(args ...string) (string, error) {
+	fmt.Println("$ siskintide", strings.Join(args, " "))
+	return d.Operate(args...)
+}
+
+// show prints output with an indent.
+func show(output string) {
+	for line := range strings.Lines(strings.TrimSpace(output)) {
+		fmt.Println("    " + strings.TrimRight(line, "\n"))
+	}
+}
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -31,12 +31,12 @@
 	if err != nil {
 		return fmt.Errorf("make directory: %w", err)
 	}
-	d, err := newDeployment(programs, dir)
+	d, err := newDemo(programs, dir)
 	if err != nil {
 		return err
 	}
 	defer func() {
-		if stopErr := d.stopAll(); err == nil {
+		if stopErr := d.StopAll(); err == nil {
 			err = stopErr
 		}
 		if keep || err != nil {
--- a/tools/demo/steps.go
+++ b/tools/demo/steps.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"siskintide.example/siskintide/tools/cluster"
 )
 
 // steps lists the parts of the demo in order.
-func (d *deployment) steps() []step {
+func (d *demo) steps() []step {
 	return []step{
 		{"start", d.start},
 		{"stream a script draft", d.streamDraft},
@@ -22,14 +24,14 @@
 }
 
 // streamDraft streams one answer through one host.
-func (d *deployment) streamDraft() error {
+func (d *demo) streamDraft() error {
 	c := caller{prompt: "Draft a script for a 30 second radio spot. [[length=120]]", seed: 7, maxTokens: 400}
 	var got answer
-	if err := c.stream(d.host("oslo-a-1").callers, "", &got); err != nil {
+	if err := c.stream(d.Host("oslo-a-1").Callers, "", &got); err != nil {
 		return err
 	}
 	if !got.done || len(got.tokens) != 120 {
-		return &stepError{step: "stream", reason: fmt.Sprintf("%d tokens, done %t, error %s", len(got.tokens), got.done, got.failed)}
+		return &cluster.StepError{Step: "stream", Reason: fmt.Sprintf("%d tokens, done %t, error %s", len(got.tokens), got.done, got.failed)}
 	}
 	fmt.Printf("draft of %d tokens through oslo-a-1: first token %.1f ms, token gap p50 %.1f ms, p99 %.1f ms, largest %.1f ms\n",
 		len(got.tokens), milliseconds(got.firstToken()), milliseconds(got.gap(0.5)), milliseconds(got.gap(0.99)), milliseconds(got.gap(1)))
@@ -39,19 +41,19 @@
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // bookOnce sends the same booking twice through different hosts.
-func (d *deployment) bookOnce() error {
+func (d *demo) bookOnce() error {
 	var bodies []string
 	for _, name := range []string{"oslo-b-1", "oslo-a-2"} {
-		body, err := d.bookUntilAnswered(d.host(name).callers)
+		body, err := d.bookUntilAnswered(d.Host(name).Callers)
 		if err != nil {
 			return err
 		}
 		bodies = append(bodies, body)
 	}
 	runs := 0
-	for _, t := range d.targets {
-		if !t.engine {
-			count, err := runsAt(t.address)
+	for _, t := range d.Targets {
+		if !t.Engine {
+			count, err := runsAt(t.Address)
 			if err != nil {
 				return err
 			}
@@ -59,7 +61,7 @@
 		}
 	}
 	if runs != 1 || bodies[0] != bodies[1] {
-		return &stepError{step: "book", reason: fmt.Sprintf("ran %d times, answers %q", runs, bodies)}
+		return &cluster.StepError{Step: "book", Reason: fmt.Sprintf("ran %d times, answers %q", runs, bodies)}
 	}
 	fmt.Println("booking sent through oslo-b-1 and repeated through oslo-a-2: ran once, same answer twice")
 	return nil
@@ -67,14 +69,14 @@
 
 // bookUntilAnswered sends the booking, and again with its key while the first call is
 // still being recorded.
-func (d *deployment) bookUntilAnswered(address string) (string, error) {
+func (d *demo) bookUntilAnswered(address string) (string, error) {
 	var body string
 	var failure error
-	err := waitFor("booking", func() bool {
+	err := cluster.WaitFor("booking", func() bool {
 		var status int
 		status, body, failure = d.book(address)
 		if failure == nil && status != http.StatusOK && status != http.StatusConflict {
-			failure = &stepError{step: "book", reason: fmt.Sprintf("%d %s", status, body)}
+			failure = &cluster.StepError{Step: "book", Reason: fmt.Sprintf("%d %s", status, body)}
 		}
 		return failure != nil || status == http.StatusOK
 	})
@@ -84,12 +86,12 @@
 	return body, err
 }
 
-func (d *deployment) book(address string) (int, string, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/services/"+service+"/bookings", strings.NewReader(`{"slot":"2026-12-05T10:00"}`))
+func (d *demo) book(address string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/services/"+cluster.Service+"/bookings", strings.NewReader(`{"slot":"2026-12-05T10:00"}`))
 	if err != nil {
 		return 0, "", fmt.Errorf("build booking: %w", err)
 	}
-	request.Header.Set("Authorization", "Bearer "+teamKey)
+	request.Header.Set("Authorization", "Bearer "+cluster.TeamKey)
 	request.Header.Set("Idempotency-Key", "demo-booking-1")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
