Add the stand-in of a model engine with contract tests of its client

Cause: engines are where lengths are unknown, memory fills and warm targets turn cold; the clients, the relay and the policy need one that does all of that on demand. Ruled out: stored token text (a stream keeps only its count; the text follows from version, prompt and seed) and a queue of frames for each reader (a reader gets only the newest count, so a slow one costs no memory). Change: tools/standin/engine: batching with preemption, prefix cache, warmth, lagging reports, orders with or without fence checks, faults of delivery and of the process. TestRedirectIsNotFollowed did not fail without its guard, because a call without GetBody is not redirected with 307; it now uses 303 and a GET and fails without the guard.

--- a/internal/engine/decode.go
+++ b/internal/engine/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"strconv"
 	"unicode/utf8"
@@ -40,8 +41,8 @@
 	if !ok || len(rest) < generationDigits {
 		return frame, false
 	}
-	generation, err := core.ParseGenerationID(string(rest[:generationDigits]))
-	if err != nil {
+	var generation core.GenerationID
+	if _, err := hex.Decode(generation[:], rest[:generationDigits]); err != nil {
 		return frame, false
 	}
 	text, rest, ok := cutText(rest[generationDigits:])
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -145,6 +145,7 @@
 	clock := clockwork.NewFakeClock()
 	standIn := startStandIn(t, platformserver.Options{Clock: clock})
 	slow, client := connect(t, standIn)
+	defer clock.Advance(time.Hour) // lets the delayed call end if the test fails
 	standIn.Fault(fault.Order{Kind: platformserver.FaultSlow, DelayMS: 60_000, Count: 1})
 	ctx, cancel := context.WithCancel(t.Context())
 	failure := make(chan error, 1)
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -143,13 +143,15 @@
 }
 
 func TestRedirectIsNotFollowed(t *testing.T) {
-	server := httptest.NewServer(http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect))
-	defer server.Close()
 	client := NewClient(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
-	response, err := client.Do(t.Context(), server.Listener.Addr().String(), newCall(t, http.MethodPost, "x"))
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-	require.Equal(t, http.StatusTemporaryRedirect, response.StatusCode)
+	for status, method := range map[int]string{http.StatusSeeOther: http.MethodPost, http.StatusTemporaryRedirect: http.MethodGet} {
+		server := httptest.NewServer(http.RedirectHandler("/elsewhere", status))
+		response, err := client.Do(t.Context(), server.Listener.Addr().String(), newCall(t, method, ""))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, status, response.StatusCode)
+		server.Close()
+	}
 }
 
 // serveOnce answers the first request of each connection and closes the connection when
--- /dev/null
+++ b/tools/standin/engine/engineserver/engine_reports.go
@@ -0,0 +1,106 @@
+package engineserver
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// noTime is the zero time, which stands for no time at all.
+var noTime time.Time
+
+// collect describes the engine's load as it is now.
+func (e *engine) collect(now time.Time) loadReport {
+	report := loadReport{
+		Incarnation: e.incarnation,
+		Streams:     []loadStream{},
+		MemoryUsed:  e.batch.used,
+		MemoryTotal: e.batch.memory,
+		Preemptions: e.batch.preemptions,
+		CacheFlush:  e.cache.flushes,
+		Leaving:     e.leaving,
+		at:          now,
+	}
+	for _, s := range slices.Concat(e.batch.running, e.batch.waiting) {
+		report.Streams = append(report.Streams, loadStream{ID: s.id, Context: s.context()})
+	}
+	slices.SortFunc(report.Streams, func(a, b loadStream) int { return cmp.Compare(a.ID, b.ID) })
+	return report
+}
+
+// load returns the newest published load report.
+func (e *engine) load() loadReport {
+	now := e.clock.Now()
+	report := e.published
+	if e.options.LoadLag == 0 {
+		report = e.collect(now)
+	}
+	report.AgeMS = now.Sub(report.at).Milliseconds()
+	return report
+}
+
+// cacheEvents returns the published cache events after a number.
+func (e *engine) cacheEvents(after uint64) cachePage {
+	return e.cache.page(after, e.clock.Now().Add(-e.options.CacheLag))
+}
+
+// state describes the engine's role and models.
+func (e *engine) state() stateReport {
+	report := stateReport{Incarnation: e.incarnation, Role: e.role, Fence: e.fence, Models: []modelEntry{}}
+	for _, entry := range e.models {
+		entry.State = "ready"
+		if e.clock.Now().Before(entry.readyAt) {
+			entry.State = "loading"
+		}
+		report.Models = append(report.Models, entry)
+	}
+	return report
+}
+
+// ready returns the version of a model that was loaded last and is ready.
+func (e *engine) ready(model string) (version string, ok bool) {
+	for _, entry := range slices.Backward(e.models) {
+		if entry.Model == model && !e.clock.Now().Before(entry.readyAt) {
+			return entry.Version, true
+		}
+	}
+	return "", false
+}
+
+// order carries out an order. It reports whether the answer is to be lost.
+func (e *engine) order(o order) (lose bool, err error) {
+	if e.options.ChecksFences && o.Fence < e.fence {
+		return false, &refusal{http.StatusConflict, "stale_fence"}
+	}
+	switch o.Kind {
+	case "load":
+		e.loadModel(o)
+	case "unload":
+		e.models = slices.DeleteFunc(e.models, func(m modelEntry) bool {
+			return m.Model == o.Model && m.Version == o.Version
+		})
+	case "role":
+		e.role = o.Role
+	default:
+		return false, &refusal{http.StatusBadRequest, "unknown_order"}
+	}
+	e.fence = max(e.fence, o.Fence)
+	_, lose = e.faults.Take(FaultLoseOrder, e.clock.Now())
+	return lose, nil
+}
+
+// loadModel begins to load a model version, or an adapter of one, unless it is there.
+func (e *engine) loadModel(o order) {
+	at := slices.IndexFunc(e.models, func(m modelEntry) bool {
+		return m.Model == o.Model && m.Version == o.Version
+	})
+	readyAt := e.clock.Now().Add(e.options.LoadTime)
+	if at < 0 {
+		e.models = append(e.models, modelEntry{Model: o.Model, Version: o.Version, readyAt: readyAt})
+		at = len(e.models) - 1
+	}
+	if o.Adapter != "" && !slices.Contains(e.models[at].Adapters, o.Adapter) {
+		e.models[at].Adapters = append(slices.Clone(e.models[at].Adapters), o.Adapter)
+	}
+}
--- /dev/null
+++ b/tools/standin/engine/engineserver/model_entry.go
@@ -0,0 +1,12 @@
+package engineserver
+
+import "time"
+
+// modelEntry is one model version that the engine holds or loads.
+type modelEntry struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+	State    string   `json:"state"`
+	readyAt  time.Time
+}
--- a/tools/standin/platform/main.go
+++ b/tools/standin/platform/main.go
@@ -20,7 +20,7 @@
 	flaggy.Duration(&options.HostLag, "", "host-lag", "age of the list of hosts")
 	flaggy.Parse()
 	server := platformserver.New(options)
-	err := process.Serve(listen, server)
+	err := process.Serve(listen, server, nil)
 	server.Close()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "platform:", err)
--- a/tools/standin/process/serve.go
+++ b/tools/standin/process/serve.go
@@ -12,9 +12,10 @@
 	"syscall"
 )
 
-// Serve listens at a loopback address and serves the handler until SIGTERM or SIGINT.
-// It then closes all connections at once: a stand-in stands for a machine that goes away.
-func Serve(address string, handler http.Handler) error {
+// Serve listens at a loopback address and serves the handler until SIGTERM or SIGINT,
+// or until gone, which may be nil, is closed. It then closes all connections at once: a
+// stand-in stands for a machine that goes away.
+func Serve(address string, handler http.Handler, gone <-chan struct{}) error {
 	listener, err := listen(address)
 	if err != nil {
 		return err
@@ -28,6 +29,7 @@
 	case err = <-served:
 		return fmt.Errorf("serve at %s: %w", address, err)
 	case <-ctx.Done():
+	case <-gone:
 	}
 	err = server.Close()
 	if ended := <-served; !errors.Is(ended, http.ErrServerClosed) {
--- a/tools/standin/service/main.go
+++ b/tools/standin/service/main.go
@@ -23,7 +23,7 @@
 	flaggy.Duration(&options.ColdFor, "", "cold-for", "how long a process stays cold after its start")
 	flaggy.Parse()
 	server := serviceserver.New(options)
-	err := process.Serve(listen, server)
+	err := process.Serve(listen, server, nil)
 	server.Close()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "service:", err)
