--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// keepAliveInterval keeps intermediaries from closing a stream that waits.
+	keepAliveInterval = 10 * time.Second
+	// cancelTimeout bounds a cancellation at an engine that may be dead.
+	cancelTimeout = 2 * time.Second
+	// endMarkerWait is how long a finished connection may take to end by itself, so that
+	// it can be used again.
+	endMarkerWait = 250 * time.Millisecond
+	// stallThreshold is the token gap above which a stream counts as stalled.
+	stallThreshold = time.Second
+	// inboxFrames bounds the frames that wait for a slow caller.
+	inboxFrames = 4
+	// acquireTries bounds the tickets taken for one attempt when they lapse unused.
+	acquireTries = 3
+)
+
+// Relay carries generations to callers. It is safe for concurrent use.
+type Relay struct {
+	options Options
+}
+
+// New returns a relay.
+func New(options Options) *Relay { return &Relay{options: options} }
+
+// Run carries one job to its end, or until the context ends because the caller has left.
+// It returns when every ticket is closed and every goroutine of the job has ended.
+func (r *Relay) Run(ctx context.Context, job *Job, sink Sink) {
+	newSession(r, job, sink).run(ctx)
+}
