--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -52,7 +52,7 @@
 }
 
 func newState(options Options) *state {
-	return &state{
+	s := &state{
 		self:       options.Self,
 		session:    options.Session,
 		settings:   options.Settings,
@@ -71,4 +71,8 @@
 		heartbeats: map[core.HostID]message.Heartbeat{},
 		loads:      map[core.HostID]message.TargetLoads{},
 	}
+	if len(options.Seeds) > 0 {
+		s.members.SetList(options.Seeds, options.Clock.Now())
+	}
+	return s
 }
--- a/tools/cluster/files.go
+++ b/tools/cluster/files.go
@@ -49,14 +49,20 @@
 		},
 		"models": []map[string]any{{"id": Model, "version": "v1", "weight_bytes": 28_000_000_000,
 			"max_tokens": 4096, "queue_ms": kind.QueueMS, "queue_entries": kind.QueueEntries}},
-		"services": []map[string]any{{"id": Service, "unrepeatable_paths": []string{"/bookings"},
-			"timeout_ms": 10000, "keep_answer_s": 3600}},
-		"classes": []map[string]any{{"id": "interactive", "priority": 0}, {"id": "batch", "priority": 10}},
-		"teams":   d.teams(),
-		"targets": d.declaredTargets(),
+		"services": d.services(),
+		"classes":  []map[string]any{{"id": "interactive", "priority": 0}, {"id": "batch", "priority": 10}},
+		"teams":    d.teams(),
+		"targets":  d.declaredTargets(),
 	}
 }
 
+func (d *Deployment) services() []map[string]any {
+	if d.layout.Services == 0 {
+		return []map[string]any{}
+	}
+	return []map[string]any{{"id": Service, "unrepeatable_paths": []string{"/bookings"}, "timeout_ms": 10000, "keep_answer_s": 3600}}
+}
+
 func (d *Deployment) dataCentres() []map[string]any {
 	var centres []map[string]any
 	for _, name := range d.layout.DataCentres {
