--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"siskintide.example/siskintide/internal/claims"
 	"siskintide.example/siskintide/internal/control"
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/engine"
 	"siskintide.example/siskintide/internal/front"
 	"siskintide.example/siskintide/internal/ledger"
 	"siskintide.example/siskintide/internal/operator"
@@ -83,13 +84,15 @@
 
 func (d *Daemon) newEffects(session core.SessionID) *effects {
 	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
+	targets := newTargetClient()
 	e := &effects{
 		self:     d.settings.Host,
 		loop:     d.loop,
 		platform: client,
 		ledger:   ledger.New(client, d.settings.DataCentre),
-		engines:  newEngineClient(),
-		services: service.NewClient(newTransportClient()),
+		targets:  targets,
+		engines:  engine.NewClient(targets),
+		services: service.NewClient(targets),
 		log:      d.log,
 	}
 	e.node = peer.New(peer.Options{
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	node     *peer.Node
 	platform *platform.Client
 	ledger   *ledger.Ledger
+	targets  *http.Client // connections to engines and services
 	engines  *engine.Client
 	services *service.Client
 	log      log.Interface
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -13,7 +13,6 @@
 	"siskintide.example/siskintide/internal/control"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/ownership"
-	"siskintide.example/siskintide/internal/engine"
 	"siskintide.example/siskintide/internal/settings"
 )
 
@@ -38,9 +37,9 @@
 	return logger.WithFields(log.Fields{"host": s.Host, "data_centre": s.DataCentre})
 }
 
-// newTransportClient returns an HTTP client for targets. It has no overall timeout, since
+// newTargetClient returns an HTTP client for targets. It has no overall timeout, since
 // streams last as long as their generations.
-func newTransportClient() *http.Client {
+func newTargetClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -50,8 +49,6 @@
 	}}
 }
 
-func newEngineClient() *engine.Client { return engine.NewClient(newTransportClient()) }
-
 // internalServer serves peers or operators.
 func internalServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
--- /dev/null
+++ b/internal/daemon/world_test.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/plan"
+	"siskintide.example/siskintide/internal/operatorclient"
+	"siskintide.example/siskintide/internal/settings"
+	"siskintide.example/siskintide/tools/standin/engine/engineserver"
+	"siskintide.example/siskintide/tools/standin/platform/platformserver"
+	"siskintide.example/siskintide/tools/standin/service/serviceserver"
+)
+
+const (
+	teamKey     = "team-key"
+	operatorKey = "operator-key-0123456789abcdef-0123456789"
+	// stepTimeout bounds each wait of a test; it is no assertion on speed.
+	stepTimeout = 60 * time.Second
+)
+
+// world is a deployment in the test's process: real hosts and stand-ins on loopback.
+type world struct {
+	t        *testing.T
+	platform *httptest.Server
+	engines  []*httptest.Server
+	services []*httptest.Server
+	hosts    []*runningHost
+}
+
+// runningHost is a daemon that the test started.
+type runningHost struct {
+	settings *settings.Settings
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// newWorld starts stand-ins and hosts, and accepts the declarations.
+func newWorld(t *testing.T, hosts int) *world {
+	t.Helper()
+	w := &world{t: t}
+	store := platformserver.New(platformserver.Options{})
+	w.platform = httptest.NewServer(store)
+	t.Cleanup(func() { w.platform.Close(); store.Close() })
+	for range 2 {
+		w.addEngine()
+	}
+	w.addService()
+	for i := range hosts {
+		w.startHost(fmt.Sprintf("a%d", i+1))
+	}
+	w.initialise()
+	for _, h := range w.hosts {
+		w.eventually("host ready", func() bool { return w.status("http://"+h.settings.Listen.Admin+"/readyz") == http.StatusOK })
+	}
+	return w
+}
+
+func (w *world) addEngine() {
+	options := engineserver.Defaults()
+	options.StepBase = 2 * time.Millisecond
+	options.ChecksFences = true
+	server := engineserver.New(options)
+	front := httptest.NewServer(server)
+	w.engines = append(w.engines, front)
+	w.t.Cleanup(func() { front.CloseClientConnections(); front.Close(); server.Close() })
+}
+
+func (w *world) addService() {
+	server := serviceserver.New(serviceserver.Options{})
+	front := httptest.NewServer(server)
+	w.services = append(w.services, front)
+	w.t.Cleanup(func() { front.CloseClientConnections(); front.Close(); server.Close() })
+}
+
+func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+// freeAddress returns a loopback address that is free now.
+func (w *world) freeAddress() string {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (w *world) startHost(name string) {
+	w.t.Helper()
+	s := &settings.Settings{
+		Host:        core.HostID(name),
+		DataCentre:  "oslo-a",
+		Listen:      settings.Listen{Callers: w.freeAddress(), Peers: w.freeAddress(), Admin: w.freeAddress()},
+		Platform:    address(w.platform),
+		PeerKey:     "peer-key-0123456789abcdef-0123456789",
+		OperatorKey: operatorKey,
+		EventKey:    "event-key-0123456789abcdef-0123456789",
+		Timing:      settings.DefaultTiming(),
+		LogLevel:    "error",
+	}
+	s.Timing.Lease = settings.Duration(3 * time.Second)
+	s.Timing.ClockMargin = settings.Duration(300 * time.Millisecond)
+	s.Timing.ShutdownGrace = settings.Duration(time.Minute)
+	ctx, stop := context.WithCancel(context.Background())
+	h := &runningHost{settings: s, stop: stop, ended: make(chan error, 1)}
+	go func() { h.ended <- Run(ctx, s) }()
+	w.hosts = append(w.hosts, h)
+	w.eventually("host answers", func() bool { return w.status("http://"+s.Listen.Admin+"/healthz") == http.StatusOK })
+}
+
+// end stops a host gracefully and returns how it ended.
+func (h *runningHost) end() error {
+	h.stop()
+	return <-h.ended
+}
+
+func (w *world) endAll() {
+	w.t.Helper()
+	for _, h := range w.hosts {
+		h.stop()
+	}
+	for _, h := range w.hosts {
+		require.NoError(w.t, <-h.ended)
+	}
+}
+
+func (w *world) declarations() string {
+	digest := sha256.Sum256([]byte(teamKey))
+	return fmt.Sprintf(`{
+	"data_centres": [{"id": "oslo-a", "region": "oslo"}],
+	"target_kinds": [
+		{"id": "runner", "role": "engine", "cold_streams": 4, "warm_streams": 32, "memory_tokens": 16384, "first_token_ms": 770, "token_gap_ms": 77, "checks_fences": true, "weight_bytes": 2000, "max_context_tokens": 8192},
+		{"id": "app", "role": "service", "cold_streams": 4, "warm_streams": 32, "checks_fences": false}],
+	"models": [{"id": "manus-llm", "version": "v1", "weight_bytes": 1000, "max_tokens": 4096, "queue_ms": 20000, "queue_entries": 100}],
+	"services": [{"id": "booking-app", "unrepeatable_paths": ["/bookings"], "timeout_ms": 10000, "keep_answer_s": 3600}],
+	"classes": [{"id": "interactive", "priority": 0}],
+	"teams": [{"id": "radio", "key_sha256": ["%s"], "weight": 1, "class": "interactive"}],
+	"targets": [
+		{"id": "e1", "data_centre": "oslo-a", "address": %q, "kind": "runner", "model": "manus-llm"},
+		{"id": "e2", "data_centre": "oslo-a", "address": %q, "kind": "runner", "model": "manus-llm"},
+		{"id": "s1", "data_centre": "oslo-a", "address": %q, "kind": "app", "service": "booking-app"}]}`,
+		hex.EncodeToString(digest[:]), address(w.engines[0]), address(w.engines[1]), address(w.services[0]))
+}
+
+func (w *world) operators() *operatorclient.Client {
+	var admins []string
+	for _, h := range w.hosts {
+		admins = append(admins, h.settings.Listen.Admin)
+	}
+	return operatorclient.New(admins, operatorKey, &http.Client{Timeout: stepTimeout, Transport: &http.Transport{DisableKeepAlives: true}})
+}
+
+// initialise accepts the declarations as the first configuration.
+func (w *world) initialise() {
+	w.t.Helper()
+	declared, err := settings.ParseDeclarations("declarations.jsonc", []byte(w.declarations()))
+	require.NoError(w.t, err)
+	w.confirm(plan.Intent{Kind: plan.ApplyDeclarations, Declarations: declared})
+}
+
+// confirm plans an intent and confirms the plan.
+func (w *world) confirm(intent plan.Intent) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	client := w.operators()
+	p, err := client.Plan(ctx, intent)
+	require.NoError(w.t, err)
+	_, err = client.Confirm(ctx, p)
+	require.NoError(w.t, err)
+}
+
+// status returns the status of a GET, or 0.
+func (w *world) status(url string) int {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// eventually waits until the condition holds.
+func (w *world) eventually(what string, condition func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, condition, stepTimeout, 20*time.Millisecond, what)
+}
