Add a load generator that measures what callers see

Cause: stall time, token gaps, first tokens, refusals and preemptions are the measures that decide between policies, and each answer has to be shown whole and in order. Ruled out: judging order by the entry host's event ids, which are opaque to callers; the tokens of the stand-ins follow from version, prompt and seed, so every token is compared. Change: tools/load with open and closed loop, a mix of teams and classes, resuming at another host, a direct mode that checks sequence numbers, and reports as text, JSON and SVG. The cut and stall faults of the engine's stand-in now act in the newest frame: under the race detector a cut with every 2 came before the first frame when updates were merged.

--- /dev/null
+++ b/tools/load/loadgen/option_error.go
@@ -0,0 +1,12 @@
+package loadgen
+
+import "fmt"
+
+// OptionError reports an option that cannot work.
+type OptionError struct {
+	Option string
+	Reason string
+}
+
+// Error implements error.
+func (e *OptionError) Error() string { return fmt.Sprintf("option %s: %s", e.Option, e.Reason) }
--- /dev/null
+++ b/tools/load/loadgen/second.go
@@ -0,0 +1,9 @@
+package loadgen
+
+// Second is what callers saw in one second of a run.
+type Second struct {
+	Tokens     int     `json:"tokens"`
+	Completed  int     `json:"completed"`
+	Failed     int     `json:"failed"` // requests that ended in any other way
+	WorstGapMS float64 `json:"worst_gap_ms"`
+}
--- /dev/null
+++ b/tools/load/loadgen/token.go
@@ -0,0 +1,7 @@
+package loadgen
+
+// token is one token as a caller gets it.
+type token struct {
+	text   string
+	reason string // finish reason; empty except in the last token
+}
--- /dev/null
+++ b/tools/load/main.go
@@ -0,0 +1,119 @@
+// Command load drives callers against entry hosts, or straight against engines, and
+// writes what the callers saw as text, JSON and a plot.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/tools/load/loadgen"
+)
+
+func main() {
+	out := ""
+	options, err := parse(&out)
+	if err == nil {
+		err = run(options, out)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "load:", err)
+		os.Exit(1)
+	}
+}
+
+// parse reads the command line.
+func parse(out *string) (loadgen.Options, error) {
+	options := loadgen.Options{Drain: time.Minute, MaxTokens: 2048, PromptBytes: 600, Seed: 1}
+	model := "manus-llm"
+	maxTokens := int64(options.MaxTokens)
+	var callers []string
+	flaggy.SetName("load")
+	flaggy.SetDescription("drives callers and measures stall time, token gaps, first tokens and refusals")
+	flaggy.StringSlice(&options.Addresses, "u", "url", "IP and port of an entry host, or of an engine with --direct; repeatable")
+	flaggy.Bool(&options.Direct, "", "direct", "talk to engines and check sequence numbers")
+	flaggy.StringSlice(&options.Engines, "", "engine", "engine whose preemptions are counted; repeatable")
+	flaggy.StringSlice(&callers, "", "caller", "team:key:class:weight; repeatable")
+	flaggy.String(&model, "m", "model", "model that is asked for")
+	flaggy.String(&options.Version, "", "check-version", "check every token against this version of the stand-ins' model")
+	flaggy.Float64(&options.Rate, "r", "rate", "open loop: requests a second")
+	flaggy.Int(&options.Concurrency, "", "concurrency", "closed loop: requests at once")
+	flaggy.Duration(&options.Duration, "d", "duration", "no request begins later")
+	flaggy.Int(&options.Count, "n", "count", "requests in all")
+	flaggy.Duration(&options.Drain, "", "drain", "time for running requests to end")
+	flaggy.Int64(&maxTokens, "", "max-tokens", "bound of each answer")
+	flaggy.Int(&options.Length, "", "length", "length of each answer, instead of long-tailed lengths")
+	flaggy.Int(&options.PromptBytes, "", "prompt-bytes", "median length of prompts")
+	flaggy.Int(&options.Resumes, "", "resumes", "how often a broken stream is resumed at another address")
+	flaggy.UInt64(&options.Seed, "", "seed", "seed of the load")
+	flaggy.String(out, "o", "out", "directory for report.txt, report.json and report.svg")
+	flaggy.Parse()
+	options.Model = core.ModelID(model)
+	options.MaxTokens = core.Tokens(maxTokens)
+	if options.Direct && len(callers) == 0 {
+		callers = []string{"direct::interactive:1"}
+	}
+	for _, text := range callers {
+		caller, err := loadgen.ParseCaller(text)
+		if err != nil {
+			return options, err
+		}
+		options.Callers = append(options.Callers, caller)
+	}
+	return options, nil
+}
+
+// run sends the load and writes the reports.
+func run(options loadgen.Options, out string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := loadgen.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if out == "" {
+		return nil
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	writers := map[string]func(io.Writer) error{
+		"report.txt":  report.WriteText,
+		"report.svg":  report.WriteSVG,
+		"report.json": func(w io.Writer) error { return json.NewEncoder(w).Encode(report) },
+	}
+	for name, write := range writers {
+		if err := writeFile(filepath.Join(out, name), write); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeFile writes one file as a whole.
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("create: %w", err)
+	}
+	if err := write(file); err != nil {
+		_ = file.Close() // the failed write is reported
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("close: %w", err)
+	}
+	return nil
+}
--- a/tools/standin/engine/engineserver/frame_writer.go
+++ b/tools/standin/engine/engineserver/frame_writer.go
@@ -52,8 +52,10 @@
 	return ""
 }
 
-// half writes the first half of the next frame and keeps the other one.
+// half writes the frames up to the last one, and the first half of that. It keeps the
+// other half.
 func (f *frameWriter) half(u update) {
+	f.write(update{produced: u.produced - 1})
 	if f.sent >= u.produced {
 		return
 	}
