--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -130,6 +131,19 @@
 	}
 }
 
+func TestChatStreamResumesAsChat(t *testing.T) {
+	server := newTestServer(t, &fakeDesk{}, &fakeEngines{tokens: []string{"a", "b"}})
+	body := `{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true,"stream_options":{"include_usage":true}}`
+	whole, err := io.ReadAll(call(t, server, "POST", chatURL, body).Body)
+	require.NoError(t, err)
+	require.Contains(t, string(whole), `"delta":{"role":"assistant","content":"a"}`)
+	require.Contains(t, string(whole), `"completion_tokens":2`)
+	_, ids, _ := readEvents(t, bytes.NewReader(whole))
+	rest, err := io.ReadAll(call(t, server, "GET", "/v1/streams", "", "Last-Event-ID", ids[0]).Body)
+	require.NoError(t, err)
+	require.Contains(t, string(rest), `"model":"m","choices":[{"index":0,"delta":{"content":"b"},"finish_reason":"stop"}]`)
+}
+
 func TestAnswerInOnePiece(t *testing.T) {
 	desk := &fakeDesk{}
 	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"one ", "two"}})
@@ -147,12 +161,19 @@
 	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 429, core.RefusedQueueFull)
 }
 
-func TestLeavingHostTakesNoCallers(t *testing.T) {
-	view := testView()
-	view.Leaving = true
-	desk := &fakeDesk{view: view}
-	server := newTestServer(t, desk, &fakeEngines{tokens: []string{"a"}})
+// A leaving host refuses new callers while the streams that run end whole.
+func TestLeavingHost(t *testing.T) {
+	desk, engines := &fakeDesk{}, &fakeEngines{tokens: []string{"a", "b"}, hold: true, let: make(chan struct{})}
+	server := newTestServer(t, desk, engines)
+	running := call(t, server, "POST", plainURL, plainBody)
+	desk.leaving.Store(true)
 	requireRefusal(t, call(t, server, "POST", plainURL, plainBody), 503, core.RefusedLeaving)
+	requireRefusal(t, call(t, server, "POST", "/services/booking/book", ""), 503, core.RefusedLeaving)
+	close(engines.let)
+	text, _, done := readEvents(t, running.Body)
+	require.Equal(t, "ab", text)
+	require.True(t, done)
+	require.Equal(t, core.Completed, (<-desk.closed).Result)
 }
 
 // A caller that leaves a stream leaves no goroutine and no open ticket.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,11 @@
 
 func (c quickClock) NewTimer(d time.Duration) clockwork.Timer { return c.Clock.NewTimer(d / 1000) }
 
+// hastyClock also has quick tickers, so that a silent connection is noticed soon.
+type hastyClock struct{ quickClock }
+
+func (c hastyClock) NewTicker(d time.Duration) clockwork.Ticker { return c.Clock.NewTicker(d / 100) }
+
 // ticketDesk grants tickets for the targets t1, t2 and so on, and keeps what becomes of them.
 type ticketDesk struct {
 	granted atomic.Int64
@@ -78,6 +84,7 @@
 	Gap     int    // number of a frame that is left out; zero: none
 	Crossed bool   // frames of another generation come in between
 	Diverge int    // first token that differs; zero: none
+	Hang    bool   // the connection stays silent instead of breaking
 }
 
 // faultyEngines applies one fault to each connection in turn, then none.
@@ -85,6 +92,7 @@
 	length int
 	faults []fault
 	opened atomic.Int64
+	texts  sync.Map      // first token that differs, by generation
 	hold   chan struct{} // the first connection waits for it before its last frame
 }
 
@@ -106,6 +114,14 @@
 	case f.Open == "lost":
 		return nil, &engine.BrokenStreamError{Err: io.EOF}
 	}
+	diverge := f.Diverge
+	if !start {
+		diverge = 0
+	}
+	if known, ok := e.texts.LoadOrStore(g, diverge); ok {
+		diverge = known.(int)
+	}
+	f.Diverge = diverge
 	r := &faultyReader{ctx: ctx, fault: f, generation: g, at: int(after), length: e.length}
 	if n == 1 {
 		r.hold = e.hold
@@ -153,6 +169,10 @@
 	if r.at == r.length {
 		return io.EOF
 	}
+	if r.fault.Hang && r.given == r.fault.Frames {
+		<-r.ctx.Done()
+		return r.ctx.Err()
+	}
 	if r.fault.Frames > 0 && r.given == r.fault.Frames {
 		return &engine.BrokenStreamError{Err: errors.ErrUnsupported}
 	}
