--- a/tools/load/loadgen/driver.go
+++ b/tools/load/loadgen/driver.go
@@ -110,6 +110,9 @@
 	defer d.running.Done()
 	s := &sample{caller: r.caller, started: time.Now()}
 	s.err = d.read(ctx, r, s)
+	if s.err != nil && ctx.Err() != nil {
+		s.err = &unfinishedError{err: s.err}
+	}
 	d.samples <- s
 	if d.slots != nil {
 		<-d.slots
--- a/tools/load/loadgen/loadgen_test.go
+++ b/tools/load/loadgen/loadgen_test.go
@@ -92,6 +92,14 @@
 	}
 }
 
+func TestAnswerThatTheRunEndsIsUnfinished(t *testing.T) {
+	_, options := startEngine(t)
+	options.Count, options.Length, options.Drain, options.Version = 1, 999_999, time.Nanosecond, ""
+	report, err := Run(t.Context(), options)
+	require.NoError(t, err)
+	require.Equal(t, map[string]int{"unfinished": 1}, report.Total.Outcomes, "%v", report.Failures)
+}
+
 // everySecondDelivery lets faults of delivery spare the first token.
 func everySecondDelivery(kind fault.Kind) int {
 	if kind == engineserver.FaultCut {
--- a/tools/load/loadgen/sample.go
+++ b/tools/load/loadgen/sample.go
@@ -46,6 +46,7 @@
 	var refused *refusedError
 	var wrong *wrongError
 	var sequence *sequenceError
+	var unfinished *unfinishedError
 	switch {
 	case s.err == nil:
 		return "completed"
@@ -55,6 +56,8 @@
 		return "ended early " + refused.kind + " " + refused.run
 	case errors.As(s.err, &wrong), errors.As(s.err, &sequence):
 		return "wrong"
+	case errors.As(s.err, &unfinished):
+		return "unfinished"
 	case s.tokens() == 0:
 		return "unanswered"
 	default:
--- /dev/null
+++ b/tools/load/loadgen/unfinished_error.go
@@ -0,0 +1,14 @@
+package loadgen
+
+import "fmt"
+
+// unfinishedError reports an answer that the run itself ended.
+type unfinishedError struct {
+	err error
+}
+
+// Error implements error.
+func (e *unfinishedError) Error() string { return fmt.Sprintf("unfinished: %v", e.err) }
+
+// Unwrap returns the cause.
+func (e *unfinishedError) Unwrap() error { return e.err }
--- a/tools/standin/engine/engineserver/source.go
+++ b/tools/standin/engine/engineserver/source.go
@@ -42,8 +42,11 @@
 }
 
 // token returns the JSON string of the token with the number, counted from 1.
-func (s source) token(number int) string {
-	return words[mix(s.base, uint64(number), 0)%uint64(len(words))]
+func (s source) token(number int) string { return words[s.word(number)] }
+
+// word returns the place in words of the token with the number.
+func (s source) word(number int) int {
+	return int(mix(s.base, uint64(number), 0) % uint64(len(words)))
 }
 
 // outputLength returns how many tokens the answer to a prompt has when nothing bounds it.
--- a/tools/standin/engine/main.go
+++ b/tools/standin/engine/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
 
 	"siskintide.example/siskintide/tools/standin/engine/engineserver"
@@ -17,7 +18,7 @@
 	flaggy.SetName("engine")
 	flaggy.SetDescription("stand-in for a model engine that batches continuously")
 	flaggy.String(&listen, "l", "listen", "loopback IP and port to listen at")
-	flaggy.String(&options.Name, "n", "name", "beginning of each incarnation")
+	flaggy.String(&options.Name, "n", "name", "beginning of each incarnation; an identifier of the process follows")
 	flaggy.String(&options.Model, "m", "model", "model that is loaded at the start")
 	flaggy.String(&options.Version, "v", "model-version", "version of that model")
 	flaggy.Duration(&options.StepBase, "", "step-base", "one decoding step without streams")
@@ -36,6 +37,7 @@
 	flaggy.Int(&options.CacheGapEvery, "", "cache-gap-every", "each n-th cache event is lost")
 	flaggy.Bool(&options.ChecksFences, "", "checks-fences", "refuse orders with an old fence")
 	flaggy.Parse()
+	options.Name += "-" + uuid.NewString()
 	server := engineserver.New(options)
 	err := process.Serve(listen, server, server.Gone())
 	server.Close()
--- a/tools/standin/service/main.go
+++ b/tools/standin/service/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
 
 	"siskintide.example/siskintide/tools/standin/process"
@@ -17,11 +18,12 @@
 	flaggy.SetName("service")
 	flaggy.SetDescription("stand-in for a plain service whose calls may not be repeated")
 	flaggy.String(&listen, "l", "listen", "loopback IP and port to listen at")
-	flaggy.String(&options.Name, "n", "name", "beginning of each incarnation")
+	flaggy.String(&options.Name, "n", "name", "beginning of each incarnation; an identifier of the process follows")
 	flaggy.Duration(&options.Latency, "", "latency", "how long a call runs")
 	flaggy.Int(&options.ColdCalls, "", "cold-calls", "calls at once that a cold process bears")
 	flaggy.Duration(&options.ColdFor, "", "cold-for", "how long a process stays cold after its start")
 	flaggy.Parse()
+	options.Name += "-" + uuid.NewString()
 	server := serviceserver.New(options)
 	err := process.Serve(listen, server, nil)
 	server.Close()
