--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -124,16 +124,6 @@
 	return <-h.ended
 }
 
-func (w *world) endAll() {
-	w.t.Helper()
-	for _, h := range w.hosts {
-		h.stop()
-	}
-	for _, h := range w.hosts {
-		require.NoError(w.t, <-h.ended)
-	}
-}
-
 func (w *world) declarations() string {
 	digest := sha256.Sum256([]byte(teamKey))
 	return fmt.Sprintf(`{
