--- a/internal/decide/pool/account.go
+++ b/internal/decide/pool/account.go
@@ -148,10 +148,11 @@
 		return
 	}
 	if target.kind.TokenGapMS > 0 && outcome.WorstTokenGapMS > target.kind.TokenGapMS {
+		target.healthy = 0
 		return
 	}
 	if !ticket.grantedAt.Before(target.coldSince) {
-		target.limit.Grow(target.inUse())
+		target.learnHealthy(now.Sub(ticket.grantedAt))
 	}
 }
 
--- a/internal/decide/pool/target_state.go
+++ b/internal/decide/pool/target_state.go
@@ -31,8 +31,9 @@
 	memoryTotal core.Tokens
 	preemptions uint64
 	flushes     uint64
-	coldSince   time.Time // when the limit last fell to the cold floor
-	gapMS       float64   // measured time between tokens
+	coldSince   time.Time     // when the limit last fell to the cold floor
+	healthy     time.Duration // time of streams since then that ended within the bounds
+	gapMS       float64       // measured time between tokens
 	profile     forecast.Profile
 	profileAt   time.Time
 	dirty       bool
@@ -78,6 +79,7 @@
 func (t *targetState) fallCold(now time.Time) {
 	t.limit.FallCold()
 	t.coldSince = now
+	t.healthy = 0
 }
 
 // restart forgets everything that a former incarnation was known to bear.
