Let a repeated call wait for the outcome of the one before it

Cause: against the stand-ins a booking's immediate repeat was refused with 409, because the caller is answered before the outcome is recorded. Ruled out: recording before answering (a slow platform would hold every answer); claiming a row that became void while the repeat waited (the other caller has been told that nothing ran). Change: a call that finds its key in use looks again up to five times within 3.1 s, then says in_progress. Tests of the callers' side against the stand-ins of engine, service and platform: eight faults of an engine leave the text as it is without faults; a booking's runs are counted at the service. Faulty variants that fail: a row claimed that became void while waiting, waiting for ever.

--- a/internal/claims/execution.go
+++ b/internal/claims/execution.go
@@ -61,6 +61,7 @@
 func (x *execution) perform(ctx context.Context, effect claim.Effect) (claim.Event, bool) {
 	switch effect.Kind {
 	case claim.EffectRead:
+		x.pause(effect.Wait)
 		event, body := x.executor.readRow(x.budget, x.key)
 		x.body = body
 		return event, true
@@ -86,7 +87,15 @@
 	if kind != claim.EventReadFailed && kind != claim.EventWriteLost && kind != claim.EventNotApplied {
 		return
 	}
-	timer := x.executor.options.Clock.NewTimer(x.executor.options.Backoff)
+	x.pause(x.executor.options.Backoff)
+}
+
+// pause waits, but not longer than the platform's part of the call may take.
+func (x *execution) pause(d time.Duration) {
+	if d == 0 {
+		return
+	}
+	timer := x.executor.options.Clock.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
--- a/internal/decide/claim/call.go
+++ b/internal/decide/claim/call.go
@@ -11,6 +11,11 @@
 	maxPlatformSteps = 10
 	// maxRecordSteps bounds the reads and writes that record an outcome.
 	maxRecordSteps = 6
+	// maxWaits bounds how often a call looks for the outcome of another one with its key:
+	// 3.1 s in all.
+	maxWaits = 5
+	// firstWait is the wait before the first look, doubled by each further one.
+	firstWait = 100 * time.Millisecond
 	// retryInProgress is when a caller may ask again for a call that still runs.
 	retryInProgress = time.Second
 	// retryPlatform is when a caller may try again while the platform is away.
@@ -28,6 +33,7 @@
 	outcome core.ClaimState
 	refusal *core.Refusal // what to say once the row is void
 	steps   int
+	waits   int
 }
 
 // New returns the state of a call that has not begun and its first effect. The duration
@@ -48,6 +54,8 @@
 	switch c.phase {
 	case phaseReading:
 		return c.reading(event, now)
+	case phaseWaiting:
+		return c.waiting(event, now)
 	case phaseAcquiring:
 		return c.acquiring(event, now)
 	case phaseClaiming:
--- a/internal/decide/claim/call_claim.go
+++ b/internal/decide/claim/call_claim.go
@@ -29,14 +29,38 @@
 		c.phase = phaseDone
 		return c, []Effect{{Kind: EffectReplay}}
 	case core.ClaimSent, core.ClaimClaimed:
-		if now.Before(c.seen.Until) {
-			return c.refuse(inProgress())
+		if !now.Before(c.seen.Until) {
+			return c.takeOver()
 		}
-		return c.takeOver()
+		return c.wait()
 	}
 	return c.refuse(outcomeUnknown())
 }
 
+// wait looks again a little later: most calls have their outcome soon.
+func (c Call) wait() (Call, []Effect) {
+	if c.waits == maxWaits {
+		return c.refuse(inProgress())
+	}
+	pause := firstWait << c.waits
+	c.waits++
+	c.phase = phaseWaiting
+	return c, []Effect{{Kind: EffectRead, Wait: pause}}
+}
+
+// waiting takes the row of another call with the key. If that call did not run, this one
+// does not either: it came before the other's caller was told so.
+func (c Call) waiting(event Event, now time.Time) (Call, []Effect) {
+	if event.Kind != EventRead {
+		return c.refuse(platformAway())
+	}
+	if !c.seen.free() {
+		return c.occupied(now)
+	}
+	c.refusal = overtaken()
+	return c.voidRead(event, now)
+}
+
 // takeOver settles the row of a claimant that has not answered in time. A call that was
 // sent may have run; one that was only claimed cannot be sent once the row is void.
 func (c Call) takeOver() (Call, []Effect) {
--- a/internal/decide/claim/phase.go
+++ b/internal/decide/claim/phase.go
@@ -5,6 +5,7 @@
 
 const (
 	phaseReading    phase = iota + 1 // the row, before anything was written
+	phaseWaiting                     // the row, until another call with the key has its outcome
 	phaseAcquiring                   // a ticket
 	phaseClaiming                    // the write of the row as sent
 	phaseConfirming                  // the row, after that write's answer was lost
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -23,6 +23,20 @@
 	acquired chan struct{}
 }
 
+// testDesk is a desk that can be made ready for a test.
+type testDesk interface {
+	desk.Desk
+	prepare()
+}
+
+func (d *fakeDesk) prepare() {
+	d.closed = make(chan core.Outcome, 64)
+	d.acquired = make(chan struct{}, 64)
+	if d.view == nil {
+		d.view = testView()
+	}
+}
+
 func (d *fakeDesk) Snapshot() *snapshot.Snapshot {
 	view := *d.view
 	view.Leaving = d.leaving.Load()
