Begin a whole answer anew when its rerun gives another text

Cause: a caller that takes the answer in one piece has seen none of it, and still got generation_diverged when a target died and the rerun differed. Change: one new beginning under the retry budget; streamed answers keep their typed end.

--- a/internal/front/completions.go
+++ b/internal/front/completions.go
@@ -116,10 +116,15 @@
 	return sink.refusal
 }
 
-// answerWhole gives the answer in one piece.
+// answerWhole gives the answer in one piece. The caller has seen nothing of an answer
+// whose rerun gave another text, so that it may begin anew, under the retry budget.
 func (f *Front) answerWhole(w http.ResponseWriter, r *http.Request, from *caller, asked *generation, job *relay.Job) *core.Refusal {
 	sink := &wholeSink{}
 	f.relay.Run(r.Context(), job, sink)
+	if diverged(sink.refusal) && f.budget.Spend() {
+		sink = &wholeSink{}
+		f.relay.Run(r.Context(), job, sink)
+	}
 	if sink.refusal != nil {
 		return sink.refusal
 	}
@@ -129,3 +134,7 @@
 	writeJSON(w, http.StatusOK, wholeAnswer(asked, job, sink, f.options.Clock.Now()))
 	return nil
 }
+
+func diverged(refusal *core.Refusal) bool {
+	return refusal != nil && refusal.Kind == core.RefusedDiverged
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -81,6 +81,13 @@
 	return response
 }
 
+func readAll(t *testing.T, response *http.Response) string {
+	t.Helper()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(data)
+}
+
 // readEvents returns the texts and the event ids of a stream.
 func readEvents(t *testing.T, body io.Reader) (text string, ids []string, done bool) {
 	t.Helper()
