Rerun beside reconnections that fail, so that a dead target is not waited for

Ruled out: fewer reconnections (a short link fault would cost every stream its generation); a rerun at the first break (a connection that broke alone is mended by the immediate reconnection). Change: from the second failing reconnection on, a rerun starts beside them under the retry budget; it is given up when the generation goes on first, unless the target is being reclaimed. An attempt that starts after its connection was given up is cancelled at once.

--- a/internal/decide/rerun/state.go
+++ b/internal/decide/rerun/state.go
@@ -85,7 +85,8 @@
 	case 0:
 		return s, effects
 	case s.current.connection:
-		return s.resumeCurrent(effects)
+		s, effects = s.resumeCurrent(effects)
+		return s.hedge(effects)
 	case s.candidate.connection:
 		return s.resumeCandidate(effects)
 	}
--- a/internal/decide/rerun/state_frame.go
+++ b/internal/decide/rerun/state_frame.go
@@ -26,6 +26,9 @@
 	if event.Final {
 		return s.end(EndFinished, effects)
 	}
+	if s.candidate.live() && !s.reclaimed {
+		return s.stopCandidate(effects)
+	}
 	return s, effects
 }
 
@@ -68,11 +71,16 @@
 // diverge gives up a candidate that did not reproduce the delivered tokens. A further
 // rerun could not be trusted either.
 func (s State) diverge(effects []Effect) (State, []Effect) {
-	effects = append(effects, Effect{Kind: EffectStop, Connection: s.candidate.connection, Generation: s.candidate.generation})
-	s.candidate = track{}
+	s, effects = s.stopCandidate(effects)
 	s.diverged = true
 	if s.current.live() {
 		return s, effects
 	}
 	return s.end(EndDiverged, effects)
 }
+
+func (s State) stopCandidate(effects []Effect) (State, []Effect) {
+	effects = append(effects, Effect{Kind: EffectStop, Connection: s.candidate.connection, Generation: s.candidate.generation})
+	s.candidate = track{}
+	return s, effects
+}
--- a/internal/decide/rerun/state_recover.go
+++ b/internal/decide/rerun/state_recover.go
@@ -6,6 +6,10 @@
 	"siskintide.example/siskintide/internal/core"
 )
 
+// hedgeResumes is the number of reconnections without a new token after which a rerun
+// starts beside them: the first one is immediate and mends a connection that broke alone.
+const hedgeResumes = 2
+
 // resumeCurrent reconnects to the target of the generation that is delivered, or gives
 // the generation up when the reconnections are spent.
 func (s State) resumeCurrent(effects []Effect) (State, []Effect) {
@@ -36,8 +40,7 @@
 }
 
 // stalled reconnects to a target that has been silent for too long, because the link may
-// be dead without an error. A target that stays silent also gets a rerun beside it; the
-// one that goes on first wins. A generation that waits for its ticket is left alone.
+// be dead without an error. A generation that waits for its ticket is left alone.
 func (s State) stalled(effects []Effect) (State, []Effect) {
 	if !s.current.live() {
 		if s.candidate.generation == (core.GenerationID{}) {
@@ -48,9 +51,15 @@
 	if s.current.generation == (core.GenerationID{}) {
 		return s, effects
 	}
-	again := s.current.resumes > 0
 	s, effects = s.resumeCurrent(effects)
-	if !again || s.ended || s.candidate.live() || s.reruns >= s.limits.Reruns {
+	return s.hedge(effects)
+}
+
+// hedge starts a rerun beside a generation whose reconnections fail, so that a dead target
+// is not waited for. The rerun is given up when the generation goes on first.
+func (s State) hedge(effects []Effect) (State, []Effect) {
+	failing := s.current.live() && s.current.resumes >= hedgeResumes
+	if !failing || s.ended || s.candidate.live() || s.reruns >= s.limits.Reruns {
 		return s, effects
 	}
 	return s.rerun(effects)
--- a/internal/decide/rerun/state_test.go
+++ b/internal/decide/rerun/state_test.go
@@ -94,7 +94,35 @@
 	s, effects = s.Step(stalled, time.Time{}, nil)
 	require.Len(t, effects, 1, "one rerun at a time is enough")
 	s, effects = s.Step(Event{Kind: EventFrame, Connection: effects[0].Connection, Generation: g, Sequence: 1}, time.Time{}, nil)
-	require.Equal(t, []Effect{{Kind: EffectDeliver}}, effects, "the silent target goes on after all")
+	require.Equal(t, []Effect{{Kind: EffectDeliver}, {Kind: EffectStop, Connection: 4}}, effects, "the silent target goes on after all")
 	_, effects = s.Step(stalled, time.Time{}, nil)
 	require.Len(t, effects, 1)
 }
+
+// A stream whose target will stop goes on until its rerun has every delivered token.
+func TestReclaimedTargetDeliversUntilTheRerunHasCaughtUp(t *testing.T) {
+	g, other := core.GenerationID{1}, core.GenerationID{2}
+	frame := func(id ConnectionID, g core.GenerationID, n core.Sequence) Event {
+		return Event{Kind: EventFrame, Connection: id, Generation: g, Sequence: n, Digest: uint64(n)}
+	}
+	deliver := []Effect{{Kind: EffectDeliver}}
+	s := New(DefaultLimits())
+	for _, step := range []struct {
+		event   Event
+		effects []Effect
+	}{
+		{Event{Kind: EventStarted, Connection: 1, Generation: g}, nil},
+		{frame(1, g, 1), deliver},
+		{Event{Kind: EventReclaim, Generation: g}, []Effect{{Kind: EffectRerun, Connection: 2}}},
+		{Event{Kind: EventStarted, Connection: 2, Generation: other}, nil},
+		{frame(1, g, 2), deliver},
+		{frame(2, other, 1), nil},
+		{frame(2, other, 2), []Effect{{Kind: EffectStop, Connection: 1, Generation: g}}},
+		{frame(1, g, 3), nil},
+		{frame(2, other, 3), deliver},
+	} {
+		var effects []Effect
+		s, effects = s.Step(step.event, time.Time{}, nil)
+		require.Equal(t, step.effects, effects)
+	}
+}
--- a/internal/decide/rerun/world_test.go
+++ b/internal/decide/rerun/world_test.go
@@ -1,6 +1,7 @@
 package rerun
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -92,6 +93,7 @@
 		require.LessOrEqual(w.t, w.reruns, DefaultLimits().Reruns)
 		w.rerunning = append(w.rerunning, effect.Connection)
 	case EffectStop:
+		w.rerunning = slices.DeleteFunc(w.rerunning, func(id ConnectionID) bool { return id == effect.Connection })
 		w.drop(func(l link) bool { return l.id == effect.Connection })
 	case EffectEnd:
 		w.reason = effect.Reason
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -206,3 +206,15 @@
 	require.Zero(t, engines.opened.Load())
 	require.Equal(t, map[core.TargetID]core.Result{"t1": core.Unused, "t2": core.Unused, "t3": core.Unused}, desk.results())
 }
+
+// An attempt that starts after its connection was given up is cancelled at once.
+func TestStartOfAGivenUpConnection(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	desk := newTicketDesk()
+	s := newSession(New(Options{Desk: desk, Engines: &faultyEngines{}, Clock: clockwork.NewFakeClock()}), &Job{}, &collector{})
+	s.connections = []connection{{id: 1}}
+	require.True(t, s.started(arrival{connection: 1, attempt: &attempt{ticketed: true}}))
+	require.False(t, s.started(arrival{connection: 2, attempt: &attempt{ticketed: true, target: "t2"}}))
+	require.Equal(t, core.Cancelled, (<-desk.closed).Result)
+	require.Equal(t, arrivalExited, (<-s.inbox).kind)
+}
--- a/internal/relay/session_take.go
+++ b/internal/relay/session_take.go
@@ -21,7 +21,9 @@
 		s.takeFrame(work, got)
 		return
 	case arrivalStarted:
-		s.started(got)
+		if !s.started(got) {
+			return
+		}
 		event.Kind, event.Generation = rerun.EventStarted, got.attempt.generation
 	case arrivalBroken:
 		event.Kind = rerun.EventBroken
@@ -35,13 +37,17 @@
 	s.step(work, event, nil)
 }
 
-func (s *session) started(got arrival) {
+// started takes a new attempt. One whose connection has been given up meanwhile is cancelled.
+func (s *session) started(got arrival) bool {
 	s.attempts = append(s.attempts, got.attempt)
 	for i := range s.connections {
 		if s.connections[i].id == got.connection {
 			s.connections[i].generation = got.attempt.generation
+			return true
 		}
 	}
+	s.cancel(got.attempt)
+	return false
 }
 
 // lost settles the attempt whose target has refused, died or forgotten it.
