--- /dev/null
+++ b/internal/decide/orders/give_slot.go
@@ -0,0 +1,6 @@
+package orders
+
+// GiveSlot gives the slot back.
+type GiveSlot struct{}
+
+func (GiveSlot) effect() {}
--- /dev/null
+++ b/internal/decide/orders/version.go
@@ -0,0 +1,9 @@
+package orders
+
+import "siskintide.example/siskintide/internal/core"
+
+// Version names one version of one model.
+type Version struct {
+	Model   core.ModelID
+	Version core.ModelVersion
+}
