--- a/internal/decide/pool/account.go
+++ b/internal/decide/pool/account.go
@@ -16,7 +16,7 @@
 		return &target.profile
 	}
 	target.profile = forecast.Profile{}
-	for _, ticket := range target.tickets {
+	for _, ticket := range target.tickets.ordered {
 		target.profile.Add(p.running(target, ticket, now))
 	}
 	p.addForeign(target)
@@ -28,8 +28,8 @@
 // addForeign counts the streams whose length and request are not known here.
 func (p *Pool) addForeign(target *targetState) {
 	unknown := p.book.Survival(forecast.Key{})
-	for _, context := range target.foreign {
-		target.profile.Add(forecast.Stream{Survival: unknown, Context: context, Limit: p.settings.MaxTokens})
+	for _, stream := range target.foreign {
+		target.profile.Add(forecast.Stream{Survival: unknown, Context: stream.Context, Limit: p.settings.MaxTokens})
 	}
 }
 
@@ -141,6 +141,7 @@
 func (p *Pool) learn(target *targetState, ticket *ticketState, outcome core.Outcome, now time.Time) {
 	if target.memory() > 0 && outcome.Output > 0 {
 		p.book.Observe(keyOf(ticket.demand), outcome.Output)
+		p.learnMargin()
 	}
 	if target.lateFirst(outcome.FirstTokenMS) {
 		target.fallCold(now)
@@ -154,6 +155,13 @@
 	}
 }
 
+// learnMargin counts a completed stream as evidence on the margin if requests wait.
+func (p *Pool) learnMargin() {
+	if p.queue.Len() > 0 {
+		p.safety.Completed()
+	}
+}
+
 // release ends the use of a ticket and settles its team's account.
 func (p *Pool) release(target *targetState, ticket *ticketState, output core.Tokens, now time.Time) {
 	id := ticket.demand.Generation
@@ -163,7 +171,7 @@
 	}
 	p.queue.Charge(ticket.demand.Team, actual-ticket.charged)
 	delete(p.tickets, id)
-	delete(target.tickets, id)
+	target.tickets.Remove(ticket)
 	p.closed.Add(id, now)
 	target.dirty = true
 }
--- a/internal/front/stream_sink.go
+++ b/internal/front/stream_sink.go
@@ -21,8 +21,8 @@
 // kept for the handler, which can still give it an HTTP status.
 type streamSink struct {
 	front    *Front
-	from     caller
-	asked    generation
+	from     *caller
+	asked    *generation
 	writer   http.ResponseWriter
 	control  *http.ResponseController
 	encoder  *relay.EventEncoder
@@ -35,7 +35,7 @@
 	refusal  *core.Refusal
 }
 
-func (f *Front) newStreamSink(w http.ResponseWriter, from caller, asked generation) *streamSink {
+func (f *Front) newStreamSink(w http.ResponseWriter, from *caller, asked *generation) *streamSink {
 	return &streamSink{
 		front:   f,
 		from:    from,
@@ -62,6 +62,7 @@
 		RequestHash: s.asked.hash,
 		Sequence:    token.Sequence,
 		Digest:      token.Digest,
+		Chat:        s.asked.chat,
 		Final:       token.FinishReason != "",
 	})
 	s.buffer = append(s.buffer, "\ndata: "...)
@@ -124,7 +125,7 @@
 }
 
 func (s *streamSink) appendFailure(ending relay.Ending) {
-	s.front.options.Metrics.Refused(s.from.team, s.from.class.ID, ending.Refusal.Kind)
+	s.front.note(s.from, ending.Refusal)
 	detail := detailOf(ending.Refusal)
 	detail.Delivered = &ending.Delivered
 	data, err := json.Marshal(errorBody{Error: detail})
