Print declarations as a list, and new targets as receiving work

Cause: printed examples showed Go syntax for a list of files, and 'receives work again' for targets that are new.

Change: the two texts.

Result: go test ./internal/commandline ./internal/operatortext: ok.

--- a/internal/commandline/observe.go
+++ b/internal/commandline/observe.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"siskintide.example/siskintide/internal/operatorapi"
 	"siskintide.example/siskintide/internal/operatortext"
@@ -33,8 +34,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(s.env.Out, "%v: declarations accepted: %d data centres, %d targets, %d teams\n",
-		declarations, len(config.DataCentres), len(config.Targets), len(config.Teams))
+	_, err = fmt.Fprintf(s.env.Out, "%s: declarations accepted: %d data centres, %d targets, %d teams\n",
+		strings.Join(declarations, ", "), len(config.DataCentres), len(config.Targets), len(config.Teams))
 	return err
 }
 
--- a/internal/operatortext/plan.go
+++ b/internal/operatortext/plan.go
@@ -94,7 +94,7 @@
 	case plan.StopsTaking:
 		return "receives no new work, its streams end normally; " + streams
 	case plan.StartsTaking:
-		return "receives work again, from its cold floor upwards"
+		return "receives work, from its cold floor upwards"
 	case plan.LoadsVersion:
 		return "loads the new version; " + streams
 	}
