Decide which targets a host owns by leases, epochs and fences

Cause: one host at a time may issue tickets for a target, also when hosts pause, answers are lost and the platform is away.

Ruled out: a condition on the former holder's lease without ending it (a renewal that commits after the takeover revives the holder); owning on the strength of a read-back row (a release still on its way could free it); a condition on the lease row of a holder in a newer epoch (its renewals starve the taker, found by the property, now a fixed schedule); plain rendezvous hashing (no bound on one host's share).

--- /dev/null
+++ b/internal/decide/ownership/commit_answer.go
@@ -0,0 +1,7 @@
+package ownership
+
+// CommitAnswer answers CommitRows.
+type CommitAnswer struct {
+	ID      uint64
+	Outcome Outcome
+}
--- /dev/null
+++ b/internal/decide/ownership/commit_rows.go
@@ -0,0 +1,13 @@
+package ownership
+
+// CommitRows asks for one transaction: all writes if all conditions hold, and nothing
+// otherwise. The caller answers with HandleCommit.
+type CommitRows struct {
+	ID              uint64
+	LeaseConditions []LeaseCondition
+	OwnerConditions []OwnerCondition
+	Leases          []Lease
+	Owners          []Owner
+}
+
+func (CommitRows) ownershipEffect() {}
--- /dev/null
+++ b/internal/decide/ownership/lease_row.go
@@ -0,0 +1,7 @@
+package ownership
+
+// LeaseRow is a lease as it was read. Version 0 means that the row does not exist.
+type LeaseRow struct {
+	Lease
+	Version uint64
+}
--- /dev/null
+++ b/internal/decide/ownership/owner_row.go
@@ -0,0 +1,7 @@
+package ownership
+
+// OwnerRow is an owner as it was read. Version 0 means that the row does not exist.
+type OwnerRow struct {
+	Owner
+	Version uint64
+}
--- /dev/null
+++ b/internal/decide/ownership/read_rows.go
@@ -0,0 +1,9 @@
+package ownership
+
+// ReadRows asks for a read of the table. The caller answers with HandleRows.
+type ReadRows struct {
+	ID    uint64
+	Scope Scope
+}
+
+func (ReadRows) ownershipEffect() {}
