--- /dev/null
+++ b/internal/decide/rerun/state_test.go
@@ -0,0 +1,100 @@
+package rerun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+var allActions = []string{"start", "next", "next", "next", "any", "crossed", "late", "broken", "lost", "reclaim", "refused", "stalled"}
+
+func TestEachTokenOnceInOrderFromOneText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, DefaultLimits(), true)
+		for _, action := range rapid.SliceOfN(rapid.SampledFrom(allActions), 0, 60).Draw(t, "actions") {
+			w.disturb(action)
+		}
+		w.finish()
+		require.NotZero(t, w.reason)
+		require.Equal(t, w.reason == EndFinished, w.whole())
+	})
+}
+
+// While targets are deterministic and tickets are granted, faults within the limits never
+// cost the caller the rest of the answer.
+func TestBearableFaultsStillGiveTheWholeAnswer(t *testing.T) {
+	actions := []string{"start", "next", "next", "next", "crossed", "late", "broken", "reclaim", "stalled"}
+	limits := Limits{Resumes: 100, Reruns: 3}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, limits, false)
+		for _, action := range rapid.SliceOfN(rapid.SampledFrom(actions), 0, 60).Draw(t, "actions") {
+			w.disturb(action)
+		}
+		for range rapid.IntRange(0, limits.Reruns-w.state.reruns).Draw(t, "losses") {
+			w.disturb("lost")
+			w.startPending()
+		}
+		w.finish()
+		require.Equal(t, EndFinished, w.reason)
+		require.Len(t, w.got, int(w.length))
+	})
+}
+
+func TestResumedStreamHoldsBackARerun(t *testing.T) {
+	digest := Chain(Chain(0, 1000), 2000)
+	for name, second := range map[string]struct {
+		digest uint64
+		final  int // index of the last token
+		reason EndReason
+	}{"same text": {2000, 2, EndFinished}, "other text": {2001, 2, EndDiverged}, "shorter text": {2000, 1, EndDiverged}} {
+		t.Run(name, func(t *testing.T) {
+			g, other := core.GenerationID{1}, core.GenerationID{2}
+			s, effect := NewResumed(DefaultLimits(), g, 2, digest)
+			require.Equal(t, Effect{Kind: EffectResume, Connection: 1, Generation: g, After: 2}, effect)
+			s, effects := s.Step(Event{Kind: EventLost, Connection: 1}, time.Time{}, nil)
+			require.Equal(t, EffectRerun, effects[0].Kind)
+			s, _ = s.Step(Event{Kind: EventStarted, Connection: 2, Generation: other}, time.Time{}, nil)
+			for n, d := range []uint64{1000, second.digest, 3000} {
+				s, effects = s.Step(Event{Kind: EventFrame, Connection: 2, Generation: other, Sequence: core.Sequence(n + 1), Digest: d, Final: n == second.final}, time.Time{}, nil)
+				if s.Ended() {
+					break
+				}
+				require.Empty(t, effects)
+			}
+			require.Equal(t, second.reason, effects[len(effects)-1].Reason)
+		})
+	}
+}
+
+func TestRerunsAreBounded(t *testing.T) {
+	s := New(DefaultLimits())
+	var effects []Effect
+	for id := range ConnectionID(DefaultLimits().Reruns) {
+		s, effects = s.Step(Event{Kind: EventLost, Connection: id + 1}, time.Time{}, nil)
+		require.Equal(t, []Effect{{Kind: EffectRerun, Connection: id + 2}}, effects)
+	}
+	_, effects = s.Step(Event{Kind: EventLost, Connection: s.opened, Reached: true}, time.Time{}, nil)
+	require.Equal(t, []Effect{{Kind: EffectEnd, Reason: EndFailed, Reached: true}}, effects)
+}
+
+func TestSilentTargetIsResumedThenRerun(t *testing.T) {
+	g := core.GenerationID{1}
+	stalled := Event{Kind: EventStalled}
+	s, effects := New(DefaultLimits()).Step(stalled, time.Time{}, nil)
+	require.Empty(t, effects, "it still waits for its ticket")
+	s, _ = s.Step(Event{Kind: EventStarted, Connection: 1, Generation: g}, time.Time{}, nil)
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Equal(t, []Effect{{Kind: EffectResume, Connection: 2, Generation: g}}, effects)
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Equal(t, []EffectKind{EffectResume, EffectRerun}, []EffectKind{effects[0].Kind, effects[1].Kind})
+	s, effects = s.Step(stalled, time.Time{}, nil)
+	require.Len(t, effects, 1, "one rerun at a time is enough")
+	s, effects = s.Step(Event{Kind: EventFrame, Connection: effects[0].Connection, Generation: g, Sequence: 1}, time.Time{}, nil)
+	require.Equal(t, []Effect{{Kind: EffectDeliver}}, effects, "the silent target goes on after all")
+	_, effects = s.Step(stalled, time.Time{}, nil)
+	require.Len(t, effects, 1)
+}
