--- a/internal/decide/ownership/assign.go
+++ b/internal/decide/ownership/assign.go
@@ -21,7 +21,7 @@
 	if len(hosts) == 0 {
 		return preferred
 	}
-	room := int(loadSlack*float64(len(targets))/float64(len(hosts))) + 1
+	room := roomFor(len(targets), len(hosts))
 	load := make(map[core.HostID]int, len(hosts))
 	for _, target := range hashOrder(targets) {
 		best := bestHost(target, hosts, load, room)
@@ -31,6 +31,11 @@
 	return preferred
 }
 
+// roomFor returns the most targets that one host is given.
+func roomFor(targets, hosts int) int {
+	return int(loadSlack*float64(targets)/float64(hosts)) + 2
+}
+
 func bestHost(target core.TargetID, hosts []core.HostID, load map[core.HostID]int, room int) core.HostID {
 	var best core.HostID
 	var bestScore uint64
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -32,6 +32,7 @@
 
 	platformAway bool
 	leaving      bool
+	overslept    bool      // paused past the end of the lease; what was owned is dropped by the next step
 	seenAt       time.Time // latest time that any method was given
 	nextID       uint64
 	commit       *openCommit // nil while none is open
@@ -134,6 +135,7 @@
 func (m *Machine) noticePause(now time.Time) {
 	if !m.seenAt.IsZero() && now.Sub(m.seenAt) > m.timing.PauseLimit {
 		clear(m.reports)
+		m.overslept = m.lease.held && !m.leaseValid(now)
 	}
 	m.seenAt = now
 }
@@ -141,9 +143,13 @@
 // checkLease drops everything once the lease has run out, unless the platform is away
 // for a majority of the data centre.
 func (m *Machine) checkLease(now time.Time) []Effect {
+	if m.leaseValid(now) {
+		m.overslept = false
+	}
 	if !m.lease.held || m.leaseValid(now) || m.outageConfirmed(now) {
 		return nil
 	}
+	m.overslept = false
 	m.lease.abandon()
 	return m.loseAll()
 }
@@ -156,7 +162,7 @@
 // knew in its data centre cannot reach the platform, so that no successor can have been
 // appointed unless it is cut off from that majority.
 func (m *Machine) outageConfirmed(now time.Time) bool {
-	if !m.platformAway || now.Sub(m.seenAt) > m.timing.PauseLimit {
+	if !m.platformAway || m.overslept || now.Sub(m.seenAt) > m.timing.PauseLimit {
 		return false
 	}
 	away := 1
