--- a/tools/load/loadgen/loadgen_test.go
+++ b/tools/load/loadgen/loadgen_test.go
@@ -52,7 +52,7 @@
 	require.Equal(t, int64(12), report.Total.LargestGap.Count)
 	require.Equal(t, 12, report.Teams["studio"].Requests+report.Teams["branch"].Requests)
 	require.Equal(t, report.Teams["studio"].Requests, report.Classes["interactive"].Requests)
-	require.Zero(t, *report.Preemptions)
+	require.Equal(t, Engines{}, *report.Engines)
 	var text, svg bytes.Buffer
 	require.NoError(t, report.WriteText(&text))
 	require.Contains(t, text.String(), "completed 12")
@@ -100,6 +100,19 @@
 	require.Equal(t, map[string]int{"unfinished": 1}, report.Total.Outcomes, "%v", report.Failures)
 }
 
+func TestRestartsAndPreemptionsOfEngines(t *testing.T) {
+	standIn, options := startEngine(t)
+	watch := newEngineWatch(newDriver(options).engines, options.Engines)
+	watch.poll()
+	watch.began = true
+	standIn.Fault(fault.Order{Kind: engineserver.FaultKill})
+	watch.poll()
+	watch.poll()
+	require.Equal(t, 1, watch.restarts)
+	watch.last["e-1"], watch.first["e-1"], watch.last["e-2"] = 7, 5, 3
+	require.Equal(t, uint64(2+3), watch.preemptions())
+}
+
 // everySecondDelivery lets faults of delivery spare the first token.
 func everySecondDelivery(kind fault.Kind) int {
 	if kind == engineserver.FaultCut {
--- a/tools/load/loadgen/report.go
+++ b/tools/load/loadgen/report.go
@@ -10,16 +10,16 @@
 
 // Report is what a run showed.
 type Report struct {
-	ElapsedS    float64          `json:"elapsed_s"`
-	Seed        uint64           `json:"seed"`
-	Direct      bool             `json:"direct"`
-	Checked     bool             `json:"checked"` // every token was compared with the expected one
-	Preemptions *uint64          `json:"preemptions,omitempty"`
-	Total       Group            `json:"total"`
-	Classes     map[string]Group `json:"classes"`
-	Teams       map[string]Group `json:"teams"`
-	Seconds     []Second         `json:"seconds"`
-	Failures    []string         `json:"failures,omitempty"` // the first ones
+	ElapsedS float64          `json:"elapsed_s"`
+	Seed     uint64           `json:"seed"`
+	Direct   bool             `json:"direct"`
+	Checked  bool             `json:"checked"`           // every token was compared with the expected one
+	Engines  *Engines         `json:"engines,omitempty"` // nil if none were watched
+	Total    Group            `json:"total"`
+	Classes  map[string]Group `json:"classes"`
+	Teams    map[string]Group `json:"teams"`
+	Seconds  []Second         `json:"seconds"`
+	Failures []string         `json:"failures,omitempty"` // the first ones
 
 	total *measures // for the plot
 }
@@ -28,8 +28,8 @@
 func (r *Report) WriteText(w io.Writer) error {
 	var text strings.Builder
 	fmt.Fprintf(&text, "run of %.1f s, seed %d, direct %t, tokens checked %t\n", r.ElapsedS, r.Seed, r.Direct, r.Checked)
-	if r.Preemptions != nil {
-		fmt.Fprintf(&text, "preemptions %d\n", *r.Preemptions)
+	if r.Engines != nil {
+		fmt.Fprintf(&text, "engines: %d preemptions, %d restarts\n", r.Engines.Preemptions, r.Engines.Restarts)
 	}
 	writeGroup(&text, "all", r.Total)
 	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
--- a/tools/load/loadgen/run.go
+++ b/tools/load/loadgen/run.go
@@ -18,8 +18,12 @@
 	defer d.client.CloseIdleConnections()
 	pollCtx, stopPolling := context.WithCancel(context.Background())
 	defer stopPolling()
-	sum := make(chan uint64, 1)
-	go newPreemptions(d.engines, options.Engines).run(pollCtx, sum)
+	watch := newEngineWatch(d.engines, options.Engines)
+	watched := make(chan struct{})
+	go func() {
+		watch.run(pollCtx)
+		close(watched)
+	}()
 
 	recorder := newRecorder(time.Now())
 	recorded := make(chan struct{})
@@ -31,8 +35,9 @@
 	<-recorded
 	report := recorder.report(time.Since(recorder.started))
 	stopPolling()
-	if preempted := <-sum; len(options.Engines) > 0 {
-		report.Preemptions = &preempted
+	<-watched
+	if len(options.Engines) > 0 {
+		report.Engines = &Engines{Preemptions: watch.preemptions(), Restarts: watch.restarts}
 	}
 	report.Seed, report.Direct, report.Checked = options.Seed, options.Direct, options.Version != ""
 	return report, nil
