Add a command that measures a deployment against its engines side by side

Cause: the overhead of the relay, and what the owners' limits bring, are seen only against the same load sent straight to the engines; and the loss of a cold engine under the system's own tickets needs a command that brings it about. Change: tools/load/sidebyside; Report.Save.

--- a/tools/load/main.go
+++ b/tools/load/main.go
@@ -4,12 +4,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -86,34 +83,5 @@
 	if out == "" {
 		return nil
 	}
-	if err := os.MkdirAll(out, 0o755); err != nil {
-		return fmt.Errorf("make directory: %w", err)
-	}
-	writers := map[string]func(io.Writer) error{
-		"report.txt":  report.WriteText,
-		"report.svg":  report.WriteSVG,
-		"report.json": func(w io.Writer) error { return json.NewEncoder(w).Encode(report) },
-	}
-	for name, write := range writers {
-		if err := writeFile(filepath.Join(out, name), write); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// writeFile writes one file as a whole.
-func writeFile(path string, write func(io.Writer) error) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return fmt.Errorf("create: %w", err)
-	}
-	if err := write(file); err != nil {
-		_ = file.Close() // the failed write is reported
-		return err
-	}
-	if err := file.Close(); err != nil {
-		return fmt.Errorf("close: %w", err)
-	}
-	return nil
+	return report.Save(out)
 }
--- /dev/null
+++ b/tools/load/sidebyside/main.go
@@ -0,0 +1,139 @@
+// Command sidebyside starts a deployment on loopback and sends the same load through its
+// entry hosts and straight to its engines, in turn. It checks every token, writes what
+// callers saw and stops everything.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/tools/cluster"
+	"siskintide.example/siskintide/tools/load/loadgen"
+)
+
+const (
+	drain       = time.Minute // for running requests to end
+	maxTokens   = core.Tokens(500)
+	promptBytes = 600 // median
+	resumes     = 3
+)
+
+func main() {
+	o := options{programs: "bin", hosts: 1, engines: 1, coldStreams: 4, rate: 4, duration: 20 * time.Second, rounds: 2, seed: 1}
+	flaggy.SetName("sidebyside")
+	flaggy.SetDescription("the same load through entry hosts and straight to engines")
+	flaggy.String(&o.programs, "b", "bin", "directory of the built programs")
+	flaggy.String(&o.out, "o", "out", "directory for the reports")
+	flaggy.Int(&o.hosts, "", "hosts", "entry hosts")
+	flaggy.Int(&o.engines, "", "engines", "model engines")
+	flaggy.Int(&o.coldStreams, "", "cold-streams", "streams that engines bear while cold")
+	flaggy.Float64(&o.rate, "r", "rate", "requests a second")
+	flaggy.Duration(&o.duration, "d", "duration", "of each run")
+	flaggy.Int(&o.rounds, "", "rounds", "pairs of runs, relayed and direct")
+	flaggy.UInt64(&o.seed, "", "seed", "seed of the load")
+	flaggy.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "sidebyside:", err)
+		os.Exit(1)
+	}
+}
+
+// run starts the deployment, measures and stops it.
+func run(o options) (err error) {
+	dir, err := os.MkdirTemp("", "siskintide-sidebyside-")
+	if err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	kind := cluster.DefaultEngineKind()
+	kind.ColdStreams = o.coldStreams
+	kind.WarmStreams = max(kind.WarmStreams, o.coldStreams)
+	d, err := cluster.New(dir, cluster.Layout{
+		Programs:    o.programs,
+		DataCentres: []string{"oslo-a"},
+		Hosts:       o.hosts,
+		Engines:     o.engines,
+		Engine:      []string{"--cold-streams", fmt.Sprint(o.coldStreams)},
+		Teams:       2,
+		Kind:        kind,
+		Timing:      cluster.ProductionTiming(),
+	})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if stopErr := d.StopAll(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := d.Start(); err != nil {
+		return err
+	}
+	return measure(d, o)
+}
+
+// measure runs the load in rounds, each relayed first and direct afterwards.
+func measure(d *cluster.Deployment, o options) error {
+	for round := range o.rounds {
+		for _, direct := range []bool{false, true} {
+			report, err := loadgen.Run(context.Background(), loadOf(d, o, direct))
+			if err != nil {
+				return err
+			}
+			if err := report.WriteText(os.Stdout); err != nil {
+				return err
+			}
+			name := fmt.Sprintf("round-%d-direct-%t", round+1, direct)
+			if err := save(report, o.out, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func save(report *loadgen.Report, out, name string) error {
+	if out == "" {
+		return nil
+	}
+	return report.Save(filepath.Join(out, name))
+}
+
+// loadOf returns the load of one run.
+func loadOf(d *cluster.Deployment, o options, direct bool) loadgen.Options {
+	load := loadgen.Options{
+		Direct: direct,
+		Callers: []loadgen.Caller{
+			{Team: "team-1", Key: cluster.TeamKey, Class: "interactive", Weight: 3},
+			{Team: "team-2", Key: cluster.TeamKey + "-2", Class: "batch", Weight: 1},
+		},
+		Model:       cluster.Model,
+		Version:     "v1",
+		Rate:        o.rate,
+		Duration:    o.duration,
+		Drain:       drain,
+		MaxTokens:   maxTokens,
+		PromptBytes: promptBytes,
+		Resumes:     resumes,
+		Seed:        o.seed,
+	}
+	for _, target := range d.Targets {
+		if target.Engine {
+			load.Engines = append(load.Engines, target.Address)
+		}
+	}
+	load.Addresses = load.Engines
+	if !direct {
+		load.Addresses = nil
+		for _, host := range d.Hosts {
+			load.Addresses = append(load.Addresses, host.Callers)
+		}
+	}
+	return load
+}
