--- a/tools/load/sidebyside/main.go
+++ b/tools/load/sidebyside/main.go
@@ -1,6 +1,7 @@
-// Command sidebyside starts a deployment on loopback and sends the same load through its
-// entry hosts and straight to its engines, in turn. It checks every token, writes what
-// callers saw and stops everything.
+// Command sidebyside sends the same load through the entry hosts of a deployment on
+// loopback and straight to its engines, in turn, each time to a deployment of its own, so
+// that every run meets cold engines. It checks every token, writes what callers saw and
+// stops everything.
 package main
 
 import (
@@ -44,17 +45,50 @@
 	}
 }
 
-// run starts the deployment, measures and stops it.
-func run(o options) (err error) {
+// run makes the runs of all rounds, each relayed first and direct afterwards.
+func run(o options) error {
+	for round := range o.rounds {
+		for _, direct := range []bool{false, true} {
+			report, err := measure(o, direct)
+			if err != nil {
+				return err
+			}
+			if err := write(report, o.out, fmt.Sprintf("round-%d-direct-%t", round+1, direct)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// measure makes one run with a deployment of its own.
+func measure(o options, direct bool) (report *loadgen.Report, err error) {
 	dir, err := os.MkdirTemp("", "siskintide-sidebyside-")
 	if err != nil {
-		return fmt.Errorf("make directory: %w", err)
+		return nil, fmt.Errorf("make directory: %w", err)
 	}
 	defer os.RemoveAll(dir)
+	d, err := cluster.New(dir, layoutOf(o))
+	if err != nil {
+		return nil, fmt.Errorf("lay out: %w", err)
+	}
+	defer func() {
+		if stopErr := d.StopAll(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := d.Start(); err != nil {
+		return nil, fmt.Errorf("start: %w", err)
+	}
+	return loadgen.Run(context.Background(), loadOf(d, o, direct))
+}
+
+// layoutOf returns the deployment that the options ask for.
+func layoutOf(o options) cluster.Layout {
 	kind := cluster.DefaultEngineKind()
 	kind.ColdStreams = o.coldStreams
 	kind.WarmStreams = max(kind.WarmStreams, o.coldStreams)
-	d, err := cluster.New(dir, cluster.Layout{
+	return cluster.Layout{
 		Programs:    o.programs,
 		DataCentres: []string{"oslo-a"},
 		Hosts:       o.hosts,
@@ -63,42 +97,15 @@
 		Teams:       2,
 		Kind:        kind,
 		Timing:      cluster.ProductionTiming(),
-	})
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if stopErr := d.StopAll(); err == nil {
-			err = stopErr
-		}
-	}()
-	if err := d.Start(); err != nil {
-		return err
 	}
-	return measure(d, o)
 }
 
-// measure runs the load in rounds, each relayed first and direct afterwards.
-func measure(d *cluster.Deployment, o options) error {
-	for round := range o.rounds {
-		for _, direct := range []bool{false, true} {
-			report, err := loadgen.Run(context.Background(), loadOf(d, o, direct))
-			if err != nil {
-				return err
-			}
-			if err := report.WriteText(os.Stdout); err != nil {
-				return err
-			}
-			name := fmt.Sprintf("round-%d-direct-%t", round+1, direct)
-			if err := save(report, o.out, name); err != nil {
-				return err
-			}
-		}
+// write prints a report, and saves it if there is a directory for it.
+func write(report *loadgen.Report, out, name string) error {
+	fmt.Println(name)
+	if err := report.WriteText(os.Stdout); err != nil {
+		return err
 	}
-	return nil
-}
-
-func save(report *loadgen.Report, out, name string) error {
 	if out == "" {
 		return nil
 	}
