--- a/internal/decide/ownership/commits.go
+++ b/internal/decide/ownership/commits.go
@@ -28,7 +28,7 @@
 		m.lease.begin()
 	}
 	lease := m.lease.next(m.self, m.session, now)
-	m.commit = &openCommit{purpose: renewLease, serial: lease.Serial}
+	m.commit = &openCommit{purpose: renewLease, lease: lease}
 	return m.send(CommitRows{LeaseConditions: m.ownLeaseCondition(), Leases: []Lease{lease}}, now)
 }
 
@@ -61,7 +61,12 @@
 	if m.commit == nil || m.commit.id != answer.ID {
 		return m.step(now)
 	}
+	open := *m.commit
 	effects := m.settle(answer.Outcome, now)
+	if open.purpose == renewLease && answer.Outcome == Committed && answer.LeaseVersion != 0 {
+		m.lease.row = LeaseRow{Lease: open.lease, Version: answer.LeaseVersion}
+		m.lease.known = true
+	}
 	return append(effects, m.step(now)...)
 }
 
@@ -101,7 +106,7 @@
 	m.lease.changedAt = now
 	m.lease.known = false
 	if outcome == Committed {
-		m.lease.tookEffect(open.serial, m.timing.LeaseTTL)
+		m.lease.tookEffect(open.lease.Serial, m.timing.LeaseTTL)
 		m.renewAt = open.sentAt.Add(m.timing.RenewEvery)
 	}
 }
--- a/internal/decide/ownership/lease_test.go
+++ b/internal/decide/ownership/lease_test.go
@@ -103,6 +103,26 @@
 	require.Equal(t, oneTarget, d.lost)
 }
 
+func TestRenewalsThroughAPeerKeepTheLease(t *testing.T) {
+	d := newDriver("a", newTable(), oneTarget, "a", "b")
+	d.run(11 * time.Second)
+	require.True(t, d.owns("t"))
+	d.away = true // reads fail; transactions are carried out by a peer
+	d.intercept = func(rows CommitRows) bool { return true }
+	for range 60 {
+		d.run(time.Second)
+		for _, rows := range d.held {
+			answer := CommitAnswer{ID: rows.ID, Outcome: d.table.commit(rows)}
+			answer.LeaseVersion = d.table.leases["a"].Version
+			d.handle(d.HandleCommit(answer, d.at))
+		}
+		d.held = nil
+	}
+	require.True(t, d.owns("t"))
+	require.False(t, d.Degraded(d.at))
+	require.Empty(t, d.lost)
+}
+
 func report(d *driver, host core.HostID, reached bool) {
 	d.HandlePeer(PeerReport{Host: host, PlatformReached: reached, HeardAt: d.at}, d.at)
 }
--- a/internal/decide/ownership/open_commit.go
+++ b/internal/decide/ownership/open_commit.go
@@ -7,7 +7,7 @@
 	id      uint64
 	purpose purpose
 	sentAt  time.Time
-	serial  uint64  // of the lease written by renewLease
+	lease   Lease   // written by renewLease
 	owners  []Owner // rows written
 	breaks  bool    // another host's lease is written too
 }
--- a/internal/decide/ownership/timing.go
+++ b/internal/decide/ownership/timing.go
@@ -11,7 +11,7 @@
 	ReadEvery     time.Duration // full read while the host has all that it should own
 	WatchEvery    time.Duration // full read while the host waits for something to own
 	RetryAfter    time.Duration // delay after the platform was not available
-	AnswerTimeout time.Duration // an operation without an answer counts as ambiguous
+	AnswerTimeout time.Duration // an operation without an answer counts as ambiguous; covers a call and a relay
 	PeerFresh     time.Duration // longest age of a peer's report that counts
 	PauseLimit    time.Duration // a longer silence of the own control thread voids what peers said
 	NewHostGrace  time.Duration // time for a new host to get its lease
@@ -27,7 +27,7 @@
 		ReadEvery:     20 * time.Second,
 		WatchEvery:    2 * time.Second,
 		RetryAfter:    time.Second,
-		AnswerTimeout: 3 * time.Second,
+		AnswerTimeout: 4500 * time.Millisecond,
 		PeerFresh:     4 * time.Second,
 		PauseLimit:    2 * time.Second,
 		NewHostGrace:  10 * time.Second,
