Give the ledger its own row bodies, a table interface and contract tests

Cause: the ledger had no tests, its values were named after Go fields, and a row under a wrong key was believed.

Ruled out: skipping malformed rows: a lease that cannot be read would pass for one that is gone, and its targets would be taken.

Change: Table interface, leaseBody and ownerBody, RowError, VersionAfter for relayed renewals. The calls that the daemon uses are unchanged.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,75 +1,82 @@
-// Package ledger keeps leases and owners of targets in the platform's table.
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/platform"
 )
 
-// Ledger reads and encodes the rows of one data centre.
+// Ledger reads and encodes the rows of one data centre. It is safe for concurrent use.
 type Ledger struct {
-	table      *platform.Client
+	table      Table
 	dataCentre core.DataCentreID
 }
 
 // New returns the ledger of a data centre.
-func New(table *platform.Client, dataCentre core.DataCentreID) *Ledger {
+func New(table Table, dataCentre core.DataCentreID) *Ledger {
 	return &Ledger{table: table, dataCentre: dataCentre}
 }
 
 func (l *Ledger) leaseKey(host core.HostID) string {
-	return fmt.Sprintf("lease/%s/%s", l.dataCentre, host)
+	return "lease/" + string(l.dataCentre) + "/" + string(host)
 }
 
 func (l *Ledger) ownerKey(target core.TargetID) string {
-	return fmt.Sprintf("owner/%s/%s", l.dataCentre, target)
+	return "owner/" + string(l.dataCentre) + "/" + string(target)
 }
 
-// Read carries out a read. Owners are read before leases.
+// Read carries out a read for a host. The answer is not OK when the platform was not
+// reached or a row is malformed.
 func (l *Ledger) Read(ctx context.Context, self core.HostID, effect ownership.ReadRows) ownership.ReadAnswer {
 	answer := ownership.ReadAnswer{ID: effect.ID}
-	owners, leases, err := l.rows(ctx, self, effect.Scope)
-	if err != nil {
-		return answer
-	}
-	for _, row := range owners {
-		read := ownership.OwnerRow{Version: row.Version}
-		if json.Unmarshal(row.Value, &read.Owner) != nil {
-			return answer
-		}
-		answer.Owners = append(answer.Owners, read)
-	}
-	for _, row := range leases {
-		read := ownership.LeaseRow{Version: row.Version}
-		if json.Unmarshal(row.Value, &read.Lease) != nil {
-			return answer
-		}
-		answer.Leases = append(answer.Leases, read)
+	if err := l.read(ctx, self, effect.Scope, &answer); err != nil {
+		return ownership.ReadAnswer{ID: effect.ID}
 	}
 	answer.OK = true
 	return answer
 }
 
-func (l *Ledger) rows(ctx context.Context, self core.HostID, scope ownership.Scope) (owners, leases []core.Row, err error) {
+// read fills in the rows. Owners are read before leases: only so does a lease of another
+// epoch prove that an owner row is void.
+func (l *Ledger) read(ctx context.Context, self core.HostID, scope ownership.Scope, answer *ownership.ReadAnswer) error {
 	if scope == ownership.ReadOwnLease {
 		row, err := l.table.Row(ctx, l.leaseKey(self))
 		if err != nil || row.Version == 0 {
-			return nil, nil, err
+			return err
 		}
-		return nil, []core.Row{row}, nil
+		answer.Leases, err = decodeAll([]core.Row{row}, l.decodeLease)
+		return err
+	}
+	owners, err := l.table.Rows(ctx, l.ownerKey(""))
+	if err != nil {
+		return err
 	}
-	owners, err = l.table.Rows(ctx, l.ownerKey(""))
+	leases, err := l.table.Rows(ctx, l.leaseKey(""))
 	if err != nil {
-		return nil, nil, err
+		return err
+	}
+	if answer.Owners, err = decodeAll(owners, l.decodeOwner); err != nil {
+		return err
 	}
-	leases, err = l.table.Rows(ctx, l.leaseKey(""))
-	return owners, leases, err
+	answer.Leases, err = decodeAll(leases, l.decodeLease)
+	return err
+}
+
+func decodeAll[T any](rows []core.Row, decode func(core.Row) (T, error)) ([]T, error) {
+	decoded := make([]T, 0, len(rows))
+	for _, row := range rows {
+		one, err := decode(row)
+		if err != nil {
+			return nil, err
+		}
+		decoded = append(decoded, one)
+	}
+	return decoded, nil
 }
 
 // Encode returns the transaction of a commit.
@@ -82,20 +89,34 @@
 		transaction.Conditions = append(transaction.Conditions, core.Condition{Key: l.ownerKey(c.Target), Version: c.Version})
 	}
 	for _, lease := range effect.Leases {
-		transaction.Writes = append(transaction.Writes, core.Write{Key: l.leaseKey(lease.Host), Value: encode(lease)})
+		transaction.Writes = append(transaction.Writes, core.Write{Key: l.leaseKey(lease.Host), Value: encode(leaseBody(lease))})
 	}
 	for _, owner := range effect.Owners {
-		transaction.Writes = append(transaction.Writes, core.Write{Key: l.ownerKey(owner.Target), Value: encode(owner)})
+		transaction.Writes = append(transaction.Writes, core.Write{Key: l.ownerKey(owner.Target), Value: encode(ownerBody(owner))})
 	}
 	return transaction
 }
 
-// encode cannot fail for the plain structs of package ownership.
-func encode[T ownership.Lease | ownership.Owner](row T) []byte {
+// encode cannot fail: the bodies hold only text, numbers and flags.
+func encode[T leaseBody | ownerBody](row T) []byte {
 	value, _ := json.Marshal(row)
 	return value
 }
 
+// VersionAfter returns the version of the row of the transaction's first write after its
+// commit. It is zero if the row cannot be read or no longer holds what was written.
+func (l *Ledger) VersionAfter(ctx context.Context, transaction core.Transaction) uint64 {
+	if len(transaction.Writes) == 0 {
+		return 0
+	}
+	written := transaction.Writes[0]
+	row, err := l.table.Row(ctx, written.Key)
+	if err != nil || !bytes.Equal(row.Value, written.Value) {
+		return 0
+	}
+	return row.Version
+}
+
 // OutcomeOf returns the outcome of a commit from its error.
 func OutcomeOf(err error) ownership.Outcome {
 	var conflict *platform.ConflictError
