Carry the row's version with the answer to a relayed commit

Cause: see CommitAnswer.LeaseVersion: without it a host that renews through a peer renews only once.

Ruled out: reads through a peer as well: one more message each way for every renewal.

--- a/internal/daemon/ownership_effects.go
+++ b/internal/daemon/ownership_effects.go
@@ -51,6 +51,9 @@
 		var conflict *platform.ConflictError
 		answer.Committed = err == nil
 		answer.Conflict = errors.As(err, &conflict)
+		if answer.Committed {
+			answer.Version = e.ledger.VersionAfter(ctx, transaction)
+		}
 		e.node.Send(from, answer)
 	})
 }
