Weigh heartbeats, links and the list, and bound the links of a host

Cause: each host linked with every listed one, which at 400 hosts takes 399 heartbeats a second each way, and a listed host never lapsed.

Ruled out: links by position on sorted lists (one departure moves all); a free choice of remote hosts (a data centre of one host gets a link from each of a large one).

Change: View keeps listed and heard apart; up to 16 hosts a full mesh, beyond a ring in the data centre, two links to each other data centre and up to 8 links on demand (View.Demand, not called yet).

Seen to fail first: no remote links, no ring, every host links to a small data centre: TestOverlayIsConnectedAndItsDegreeBounded; the list alone keeps a host alive, or is needed: TestLivenessOfALinkedHost; no bound on demand: TestDemandedLinksAreBoundedAndLapse.

--- a/internal/decide/membership/view.go
+++ b/internal/decide/membership/view.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -10,74 +12,164 @@
 type View struct {
 	self     core.Host
 	settings Settings
-	hosts    map[core.HostID]core.Host
-	up       map[core.HostID]bool
-	heard    map[core.HostID]time.Time
+	members  map[core.HostID]*member // without this host
 }
 
 // New returns a view that knows only its own host.
 func New(self core.Host, settings Settings) *View {
-	return &View{
-		self:     self,
-		settings: settings,
-		hosts:    map[core.HostID]core.Host{self.ID: self},
-		up:       map[core.HostID]bool{},
-		heard:    map[core.HostID]time.Time{},
-	}
+	return &View{self: self, settings: settings, members: map[core.HostID]*member{}}
 }
 
-// SetList takes in the platform's list, which lags.
-func (v *View) SetList(hosts []core.Host, _ time.Time) {
+// SetList takes in the platform's list, which lags. A host that it no longer names stays
+// known while it is heard.
+func (v *View) SetList(hosts []core.Host, now time.Time) {
+	named := make(map[core.HostID]bool, len(hosts))
 	for _, host := range hosts {
-		v.hosts[host.ID] = host
+		if host.ID == v.self.ID {
+			continue
+		}
+		named[host.ID] = true
+		m := v.member(host.ID, now)
+		if !m.listed {
+			m.since = now
+		}
+		m.listed = true
+		m.host = host
+	}
+	for id, m := range v.members {
+		if !named[id] {
+			v.unlist(id, m, now)
+		}
+	}
+}
+
+func (v *View) unlist(id core.HostID, m *member, now time.Time) {
+	m.listed = false
+	forgotten := now.Sub(m.since) > v.settings.ForgetAfter && !m.heardWithin(v.settings.ForgetAfter, now)
+	if forgotten && !m.linked {
+		delete(v.members, id)
 	}
 }
 
-// Heard takes in a heartbeat.
+func (v *View) member(id core.HostID, now time.Time) *member {
+	m := v.members[id]
+	if m == nil {
+		m = &member{host: core.Host{ID: id}, since: now}
+		v.members[id] = m
+	}
+	return m
+}
+
+// Heard takes in a heartbeat that came over the link to its host.
 func (v *View) Heard(id core.HostID, beat Heartbeat, now time.Time) {
-	v.heard[id] = now
-	host := v.hosts[id]
-	host.Leaving = beat.Leaving
-	v.hosts[id] = host
+	if id == v.self.ID {
+		return
+	}
+	m := v.member(id, now)
+	m.heardAt = now
+	m.beat = beat
 }
 
-// LinkChanged takes in that the link to a host came up or ended.
+// LinkChanged takes in that the link to a host came up or ended. A handshake proves that
+// the host is alive; the end of a link proves nothing.
 func (v *View) LinkChanged(id core.HostID, up bool, now time.Time) {
-	v.up[id] = up
+	if id == v.self.ID {
+		return
+	}
+	m := v.member(id, now)
+	m.linked = up
 	if up {
-		v.heard[id] = now
+		m.heardAt = now
+	}
+}
+
+// Demand asks for a link with a host, such as the owner of a target. Beyond
+// Settings.DemandLinks the links that were asked for longest ago are given up.
+func (v *View) Demand(id core.HostID, now time.Time) {
+	if m := v.members[id]; m != nil {
+		m.demanded = now
 	}
 }
 
 // Reachable reports whether a host is linked and was heard lately.
 func (v *View) Reachable(id core.HostID, now time.Time) bool {
-	return v.up[id] && now.Sub(v.heard[id]) <= v.settings.HeardWithin
+	m := v.members[id]
+	return m != nil && m.linked && m.heardWithin(v.settings.HeardWithin, now)
 }
 
 // HeardAt returns when a host was last heard; zero if it never was.
-func (v *View) HeardAt(id core.HostID) time.Time { return v.heard[id] }
+func (v *View) HeardAt(id core.HostID) time.Time {
+	if m := v.members[id]; m != nil {
+		return m.heardAt
+	}
+	return time.Time{}
+}
 
-// Live returns this host and the reachable ones.
+// Live returns the hosts that are taken to be alive, this one included, sorted.
 func (v *View) Live(now time.Time) []core.Host {
-	return v.filter(func(host core.Host) bool { return host.ID == v.self.ID || v.Reachable(host.ID, now) })
+	linked := map[core.HostID]bool{}
+	for _, host := range v.Peers(now) {
+		linked[host.ID] = true
+	}
+	return v.filter(now, func(m *member) bool { return v.isLive(m, linked[m.host.ID], now) })
+}
+
+func (v *View) isLive(m *member, shouldBeLinked bool, now time.Time) bool {
+	if m.heardWithin(v.settings.HeardWithin, now) {
+		return true
+	}
+	if !m.listed {
+		return false
+	}
+	isNew := m.heardAt.IsZero() && now.Sub(m.since) <= v.settings.NewFor
+	return isNew || !shouldBeLinked
 }
 
-// Known returns every host of the list, this one included.
-func (v *View) Known(time.Time) []core.Host {
-	return v.filter(func(core.Host) bool { return true })
+// Known returns every host that is listed or was heard lately, this one included, sorted.
+func (v *View) Known(now time.Time) []core.Host {
+	return v.filter(now, func(*member) bool { return true })
 }
 
-// Peers returns the hosts to stay linked with.
-func (v *View) Peers(time.Time) []core.Host {
-	return v.filter(func(host core.Host) bool { return host.ID != v.self.ID })
+// Peers returns the hosts to stay linked with, sorted.
+func (v *View) Peers(now time.Time) []core.Host {
+	hosts := v.filter(now, func(m *member) bool {
+		return m.host.PeerAddress != "" && (m.listed || m.heardWithin(v.settings.HeardWithin, now))
+	})
+	if len(hosts) > v.settings.MeshHosts {
+		chosen := overlay(v.self, hosts, v.settings)
+		v.addDemanded(chosen, now)
+		hosts = slices.DeleteFunc(hosts, func(host core.Host) bool { return !chosen[host.ID] })
+	}
+	return slices.DeleteFunc(hosts, func(host core.Host) bool { return host.ID == v.self.ID })
+}
+
+// addDemanded adds the hosts that were asked for last.
+func (v *View) addDemanded(chosen map[core.HostID]bool, now time.Time) {
+	var demanded []*member
+	for _, m := range v.members {
+		if !m.demanded.IsZero() && now.Sub(m.demanded) <= v.settings.DemandFor && !chosen[m.host.ID] {
+			demanded = append(demanded, m)
+		}
+	}
+	slices.SortFunc(demanded, func(a, b *member) int {
+		if order := b.demanded.Compare(a.demanded); order != 0 {
+			return order
+		}
+		return strings.Compare(string(a.host.ID), string(b.host.ID))
+	})
+	for _, m := range demanded[:min(len(demanded), v.settings.DemandLinks)] {
+		chosen[m.host.ID] = true
+	}
 }
 
-func (v *View) filter(keep func(core.Host) bool) []core.Host {
-	var kept []core.Host
-	for _, host := range v.hosts {
-		if keep(host) {
-			kept = append(kept, host)
+// filter returns this host and the members to keep, sorted.
+func (v *View) filter(now time.Time, keep func(*member) bool) []core.Host {
+	kept := []core.Host{v.self}
+	for _, m := range v.members {
+		if keep(m) {
+			kept = append(kept, m.current(v.settings.HeardWithin, now))
 		}
 	}
+	slices.SortFunc(kept, func(a, b core.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return kept
 }
--- /dev/null
+++ b/internal/decide/membership/view_test.go
@@ -0,0 +1,195 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func host(centre, n int) core.Host {
+	return core.Host{
+		ID:          core.HostID(fmt.Sprintf("dc%d-h%d", centre, n)),
+		DataCentre:  core.DataCentreID(fmt.Sprintf("dc%d", centre)),
+		PeerAddress: "127.0.0.1:1",
+	}
+}
+
+func hosts(sizes ...int) []core.Host {
+	var all []core.Host
+	for centre, size := range sizes {
+		for n := range size {
+			all = append(all, host(centre, n))
+		}
+	}
+	return all
+}
+
+func isLive(v *View, id core.HostID, now time.Time) bool {
+	for _, h := range v.Live(now) {
+		if h.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLivenessOfALinkedHost(t *testing.T) {
+	other := host(0, 1)
+	type step struct {
+		at       time.Duration
+		do       func(v *View, now time.Time)
+		live     bool
+		reach    bool
+		question string
+	}
+	list := func(v *View, now time.Time) { v.SetList(hosts(2), now) }
+	empty := func(v *View, now time.Time) { v.SetList(nil, now) }
+	beat := func(v *View, now time.Time) { v.Heard(other.ID, Heartbeat{}, now) }
+	up := func(v *View, now time.Time) { v.LinkChanged(other.ID, true, now) }
+	down := func(v *View, now time.Time) { v.LinkChanged(other.ID, false, now) }
+	none := func(*View, time.Time) {}
+	cases := map[string][]step{
+		"listed and never heard": {
+			{0, list, true, false, "new"}, {5 * time.Second, list, true, false, "still new"},
+			{6 * time.Second, list, false, false, "silent although listed"},
+		},
+		"heard although the list lags": {
+			{0, up, true, true, "linked before it is listed"}, {3 * time.Second, empty, true, true, "not listed"},
+			{6 * time.Second, beat, true, true, "heard"}, {10 * time.Second, none, true, true, "heard 4 s ago"},
+			{11 * time.Second, none, false, false, "silent"},
+		},
+		"silent although the list lags": {
+			{0, list, true, false, "new"}, {time.Second, up, true, true, "linked"},
+			{2 * time.Second, down, true, false, "link lost, heard 1 s ago"},
+			{6 * time.Second, list, false, false, "silent"}, {60 * time.Second, list, false, false, "for long"},
+			{61 * time.Second, up, true, true, "back"},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := New(host(0, 0), DefaultSettings())
+			for _, s := range steps {
+				now := start.Add(s.at)
+				s.do(v, now)
+				require.Equal(t, s.live, isLive(v, other.ID, now), "%v %s", s.at, s.question)
+				require.Equal(t, s.reach, v.Reachable(other.ID, now), "%v %s", s.at, s.question)
+				require.True(t, isLive(v, host(0, 0).ID, now), "this host")
+			}
+		})
+	}
+}
+
+func TestHeartbeatSaysBetterThanTheListWhetherAHostLeaves(t *testing.T) {
+	v := New(host(0, 0), DefaultSettings())
+	leaving := host(0, 1)
+	leaving.Leaving = true
+	v.SetList([]core.Host{leaving}, start)
+	require.True(t, v.Live(start)[1].Leaving)
+	v.Heard(leaving.ID, Heartbeat{Session: "next"}, start)
+	require.False(t, v.Live(start)[1].Leaving)
+	v.SetList([]core.Host{host(0, 1)}, start)
+	v.Heard(leaving.ID, Heartbeat{Leaving: true}, start)
+	require.True(t, v.Live(start)[1].Leaving)
+}
+
+func TestUnlinkedHostLivesAsLongAsItIsListed(t *testing.T) {
+	all := hosts(40)
+	v := New(all[0], DefaultSettings())
+	v.SetList(all, start)
+	later := start.Add(time.Minute)
+	peers := v.Peers(later)
+	require.Len(t, v.Live(later), len(all)-len(peers), "linked hosts are silent, the others listed")
+	v.SetList(all[:1], later)
+	require.Len(t, v.Live(later), 1)
+}
+
+func TestDemandedLinksAreBoundedAndLapse(t *testing.T) {
+	settings := DefaultSettings()
+	all := hosts(100)
+	v := New(all[0], settings)
+	v.SetList(all, start)
+	before := len(v.Peers(start))
+	for i, h := range all {
+		v.Demand(h.ID, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	require.Len(t, v.Peers(now), before+settings.DemandLinks)
+	require.Contains(t, v.Peers(now), all[99], "the latest demand")
+	require.Len(t, v.Peers(now.Add(settings.DemandFor)), before)
+}
+
+// links returns the links between all hosts when each knows all.
+func links(all []core.Host) map[core.HostID]map[core.HostID]bool {
+	linked := map[core.HostID]map[core.HostID]bool{}
+	for _, h := range all {
+		linked[h.ID] = map[core.HostID]bool{}
+	}
+	for _, h := range all {
+		v := New(h, DefaultSettings())
+		v.SetList(all, start)
+		for _, peer := range v.Peers(start) {
+			linked[h.ID][peer.ID] = true
+			linked[peer.ID][h.ID] = true
+		}
+	}
+	return linked
+}
+
+func reached(linked map[core.HostID]map[core.HostID]bool, from core.HostID) int {
+	seen := map[core.HostID]bool{from: true}
+	for queue := []core.HostID{from}; len(queue) > 0; queue = queue[1:] {
+		for next := range linked[queue[0]] {
+			if !seen[next] {
+				seen[next] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(seen)
+}
+
+// maxDegree bounds the links of one host in both directions, without those on demand.
+const maxDegree = 48
+
+func TestOverlayIsConnectedAndItsDegreeBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 4).Draw(t, "sizes")
+		sizes[0] = max(sizes[0], 2)
+		var all []core.Host
+		for _, h := range hosts(sizes...) {
+			if len(all) < 2 || rapid.IntRange(0, 9).Draw(t, "live") > 0 {
+				all = append(all, h)
+			}
+		}
+		linked := links(all)
+		require.Equal(t, len(all), reached(linked, all[0].ID), "all hosts are reached")
+		for id, peers := range linked {
+			require.LessOrEqual(t, len(peers), maxDegree, "links of %s", id)
+		}
+	})
+}
+
+// Limits of one host at the planned size: a heartbeat a second over each link.
+const (
+	plannedLinks     = 30 // messages a second each way, at most
+	plannedLinksMean = 18
+)
+
+func TestHeartbeatsAtThePlannedSize(t *testing.T) {
+	total := 0
+	linked := links(hosts(100, 100, 100, 100))
+	for id, peers := range linked {
+		total += len(peers)
+		require.LessOrEqual(t, len(peers), plannedLinks, "links of %s", id)
+	}
+	mean := float64(total) / float64(len(linked))
+	require.LessOrEqual(t, mean, float64(plannedLinksMean))
+	t.Logf("mean %.1f links a host", mean)
+}
