--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func newTestServer(t *testing.T, desk *fakeDesk, engines relay.Engines, rest ...any) *httptest.Server {
+func newTestServer(t *testing.T, desk testDesk, engines relay.Engines, rest ...any) *httptest.Server {
 	t.Helper()
 	options := Options{
 		Desk: desk, Engines: engines, EventKey: testEventKey, Clock: clockwork.NewRealClock(),
@@ -57,15 +57,11 @@
 		switch one := one.(type) {
 		case Services:
 			options.Services = one
-		case *fakeClaims:
+		case Claims:
 			options.Claims = one
 		}
 	}
-	desk.closed = make(chan core.Outcome, 64)
-	desk.acquired = make(chan struct{}, 64)
-	if desk.view == nil {
-		desk.view = testView()
-	}
+	desk.prepare()
 	server := httptest.NewServer(New(options))
 	t.Cleanup(server.Close)
 	return server
@@ -85,6 +81,13 @@
 	return response
 }
 
+func readAll(t *testing.T, response *http.Response) string {
+	t.Helper()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(data)
+}
+
 // readEvents returns the texts and the event ids of a stream.
 func readEvents(t *testing.T, body io.Reader) (text string, ids []string, done bool) {
 	t.Helper()
