--- a/internal/decide/rerun/state.go
+++ b/internal/decide/rerun/state.go
@@ -63,6 +63,8 @@
 		return s.refused(event, effects)
 	case EventReclaim:
 		return s.reclaim(event, effects)
+	case EventStalled:
+		return s.stalled(effects)
 	}
 	return s, effects
 }
@@ -83,7 +85,8 @@
 	case 0:
 		return s, effects
 	case s.current.connection:
-		return s.resumeCurrent(effects)
+		s, effects = s.resumeCurrent(effects)
+		return s.hedge(effects)
 	case s.candidate.connection:
 		return s.resumeCandidate(effects)
 	}
--- a/internal/decide/rerun/state_recover.go
+++ b/internal/decide/rerun/state_recover.go
@@ -1,6 +1,14 @@
 package rerun
 
-import "time"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// hedgeResumes is the number of reconnections without a new token after which a rerun
+// starts beside them: the first one is immediate and mends a connection that broke alone.
+const hedgeResumes = 2
 
 // resumeCurrent reconnects to the target of the generation that is delivered, or gives
 // the generation up when the reconnections are spent.
@@ -31,6 +39,32 @@
 	return t, append(effects, effect)
 }
 
+// stalled reconnects to a target that has been silent for too long, because the link may
+// be dead without an error. A generation that waits for its ticket is left alone.
+func (s State) stalled(effects []Effect) (State, []Effect) {
+	if !s.current.live() {
+		if s.candidate.generation == (core.GenerationID{}) {
+			return s, effects
+		}
+		return s.resumeCandidate(effects)
+	}
+	if s.current.generation == (core.GenerationID{}) {
+		return s, effects
+	}
+	s, effects = s.resumeCurrent(effects)
+	return s.hedge(effects)
+}
+
+// hedge starts a rerun beside a generation whose reconnections fail, so that a dead target
+// is not waited for. The rerun is given up when the generation goes on first.
+func (s State) hedge(effects []Effect) (State, []Effect) {
+	failing := s.current.live() && s.current.resumes >= hedgeResumes
+	if !failing || s.ended || s.candidate.live() || s.reruns >= s.limits.Reruns {
+		return s, effects
+	}
+	return s.rerun(effects)
+}
+
 // backoff returns nothing for the first reconnection, then a doubling wait.
 func (s State) backoff(resumes int) time.Duration {
 	if resumes == 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,22 +11,25 @@
 type Front struct {
 	options Options
 	relay   *relay.Relay
+	budget  *relay.RetryBudget
 	mux     *http.ServeMux
 }
 
 // New returns the callers' HTTP handler.
 func New(options Options) http.Handler {
-	f := &Front{options: options, mux: http.NewServeMux()}
+	f := &Front{options: options, mux: http.NewServeMux(), budget: relay.NewRetryBudget()}
 	f.relay = relay.New(relay.Options{
 		Desk:    options.Desk,
 		Engines: options.Engines,
 		Clock:   options.Clock,
 		Metrics: options.Metrics,
+		Budget:  f.budget,
 	})
 	f.mux.HandleFunc("POST /v1/completions", f.handle(f.completions))
 	f.mux.HandleFunc("POST /v1/chat/completions", f.handle(f.chatCompletions))
 	f.mux.HandleFunc("GET /v1/streams", f.handle(f.streams))
 	f.mux.HandleFunc("GET /v1/models", f.handle(f.models))
+	f.mux.HandleFunc("/services/{name}/{path...}", f.handle(f.services))
 	f.mux.HandleFunc("/", f.unknownPath)
 	return f
 }
@@ -35,7 +38,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
 
 // handle finds the caller and renders the refusal that a handler returns.
-func (f *Front) handle(next func(http.ResponseWriter, *http.Request, caller) *core.Refusal) http.HandlerFunc {
+func (f *Front) handle(next func(http.ResponseWriter, *http.Request, *caller) *core.Refusal) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		from, refusal := f.identify(r)
 		if refusal == nil {
@@ -48,5 +51,5 @@
 }
 
 func (f *Front) unknownPath(w http.ResponseWriter, r *http.Request) {
-	f.refuse(w, caller{}, badRequest("unknown path or method: %s %.80s", r.Method, r.URL.Path))
+	f.refuse(w, &caller{}, badRequest("unknown path or method: %s %.80s", r.Method, r.URL.Path))
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -11,7 +11,7 @@
 // session is one caller's stream. Its fields belong to the goroutine that calls run.
 type session struct {
 	relay       *Relay
-	job         Job
+	job         *Job
 	sink        Sink
 	inbox       chan arrival
 	state       rerun.State
@@ -22,19 +22,21 @@
 	refusal     *core.Refusal // latest refusal of a ticket
 	avoid       core.TargetID // target that failed last
 	startedAt   time.Time
+	at          time.Time // when the present report or check came; read once for each
 	lastToken   time.Time
 	stalled     time.Duration
-	idle        bool // no token since the last keep-alive check
+	silent      int  // checks since the last new token from any target
 	gone        bool // the caller has left
 }
 
-func newSession(relay *Relay, job Job, sink Sink) *session {
+func newSession(relay *Relay, job *Job, sink Sink) *session {
 	return &session{relay: relay, job: job, sink: sink, inbox: make(chan arrival, inboxFrames)}
 }
 
 // run drives the stream to its end and then waits for the session's goroutines.
 func (s *session) run(caller context.Context) {
 	s.startedAt = s.now()
+	s.at = s.startedAt
 	work, cancel := context.WithCancel(context.WithoutCancel(caller))
 	defer cancel()
 	s.begin(work)
@@ -66,27 +68,39 @@
 }
 
 func (s *session) loop(caller, work context.Context) {
-	ticker := s.relay.options.Clock.NewTicker(keepAliveInterval)
+	ticker := s.relay.options.Clock.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for !s.state.Ended() && !s.gone {
 		select {
 		case got := <-s.inbox:
-			s.take(work, got)
+			s.at = s.now()
+			s.take(work, &got)
 		case <-s.revoked():
+			s.at = s.now()
 			s.reclaim(work)
 		case <-ticker.Chan():
-			s.keepAlive()
+			s.at = s.now()
+			s.check(work)
 		case <-caller.Done():
 			s.gone = true
 		}
 	}
 }
 
-func (s *session) keepAlive() {
-	if s.idle && s.sink.KeepAlive() != nil {
+// check looks after a stream that gets no tokens.
+func (s *session) check(work context.Context) {
+	s.silent++
+	if s.silent%keepAliveChecks == 0 && s.sink.KeepAlive() != nil {
 		s.gone = true
+		return
+	}
+	limit := stallChecks
+	if s.state.Delivered() == 0 {
+		limit = firstTokenChecks
+	}
+	if s.silent%limit == 0 {
+		s.step(work, rerun.Event{Kind: rerun.EventStalled}, nil)
 	}
-	s.idle = true
 }
 
 // revoked returns the channel on which the owner asks to move the newest attempt.
