Add a tool that measures what an entry host adds to streams

Change: tools/overhead starts one entry host and engines with equal steps, sends the same load straight and relayed in turns, reads the host's processor time, writes text and JSON.

--- /dev/null
+++ b/tools/overhead/measurement.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/tools/cluster"
+	"siskintide.example/siskintide/tools/load/loadgen"
+)
+
+const (
+	// stepBase is a decoding step of the engines, and so the token gap. Steps do not depend
+	// on the number of streams, so that the spread of streams over engines changes nothing.
+	stepBase = 25 * time.Millisecond
+	// streamsPerEngine is both the cold and the warm bound, so that warm-up limits nothing.
+	streamsPerEngine = 40
+	// memoryTokens is more than the engines' streams need.
+	memoryTokens = 1_000_000
+	// drainTime lets running requests end after the load.
+	drainTime = 30 * time.Second
+)
+
+// measurement is one deployment with one entry host under the same load in two ways.
+type measurement struct {
+	programs string
+	engines  int
+	rate     float64 // requests a second
+	length   int     // tokens of each answer
+	duration time.Duration
+	rounds   int
+	seed     uint64
+}
+
+// run starts the deployment and measures every round.
+func (m measurement) run() (_ *report, err error) {
+	dir, err := os.MkdirTemp("", "siskintide-overhead-")
+	if err != nil {
+		return nil, fmt.Errorf("make directory: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	deployment, err := cluster.New(dir, m.layout())
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if stopErr := deployment.StopAll(); err == nil {
+			err = stopErr
+		}
+	}()
+	if err := deployment.Start(); err != nil {
+		return nil, err
+	}
+	if err := deployment.WaitOwned(); err != nil {
+		return nil, err
+	}
+	return m.measure(deployment)
+}
+
+// layout returns one entry host and engines with equal steps.
+func (m measurement) layout() cluster.Layout {
+	streams, memory := fmt.Sprint(streamsPerEngine), fmt.Sprint(memoryTokens)
+	return cluster.Layout{
+		Programs:    m.programs,
+		DataCentres: []string{"oslo-a"},
+		Hosts:       1,
+		Engines:     m.engines,
+		Kind:        cluster.EngineKind{ColdStreams: streamsPerEngine, WarmStreams: streamsPerEngine, MemoryTokens: memoryTokens, QueueMS: 10000, QueueEntries: 200},
+		Timing:      cluster.ProductionTiming(),
+		Engine: []string{"--step-base", stepBase.String(), "--step-per-stream", "1ns", "--prefill-per-token", "1ns",
+			"--cold-streams", streams, "--warm-streams", streams, "--memory", memory},
+	}
+}
+
+func (m measurement) measure(deployment *cluster.Deployment) (*report, error) {
+	result := &report{Engines: m.engines, Rate: m.rate, Length: m.length, StepMS: float64(stepBase) / float64(time.Millisecond), DurationS: m.duration.Seconds(), Seed: m.seed}
+	for range m.rounds {
+		r, err := m.round(deployment)
+		if err != nil {
+			return nil, err
+		}
+		result.Rounds = append(result.Rounds, *r)
+	}
+	return result, nil
+}
+
+// round sends the load straight to the engines and then through the entry host.
+func (m measurement) round(deployment *cluster.Deployment) (*round, error) {
+	direct, err := m.load(deployment, true)
+	if err != nil {
+		return nil, err
+	}
+	host := deployment.Hosts[0]
+	before, err := processorTime(host.Process.PID())
+	if err != nil {
+		return nil, err
+	}
+	relayed, err := m.load(deployment, false)
+	if err != nil {
+		return nil, err
+	}
+	after, err := processorTime(host.Process.PID())
+	if err != nil {
+		return nil, err
+	}
+	peak, err := peakMemory(host.Process.PID())
+	if err != nil {
+		return nil, err
+	}
+	return &round{Direct: direct.Total, Relayed: relayed.Total, HostCPUS: (after - before).Seconds(), HostPeakKiB: peak, Failures: append(direct.Failures, relayed.Failures...)}, nil
+}
+
+// load sends one run's requests.
+func (m measurement) load(deployment *cluster.Deployment, direct bool) (*loadgen.Report, error) {
+	options := loadgen.Options{
+		Direct:      direct,
+		Callers:     []loadgen.Caller{{Team: "team-1", Key: cluster.TeamKey, Class: "interactive", Weight: 1}},
+		Model:       cluster.Model,
+		Version:     "v1",
+		Rate:        m.rate,
+		Duration:    m.duration,
+		Drain:       drainTime,
+		MaxTokens:   core.Tokens(m.length),
+		Length:      m.length,
+		PromptBytes: 600,
+		Seed:        m.seed,
+	}
+	for _, t := range deployment.Targets {
+		if direct {
+			options.Addresses = append(options.Addresses, t.Address)
+		}
+	}
+	if !direct {
+		options.Addresses = []string{deployment.Hosts[0].Callers}
+	}
+	return loadgen.Run(context.Background(), options)
+}
