Authenticate an event id without allocating

Ruled out: pooling the sum buffer, since Sum can append to the event id's own buffer. Change: the encoder keeps the team's bytes; Sum appends to dst and is cut to its length. No form of an event id changes.

--- a/internal/relay/event_decode.go
+++ b/internal/relay/event_decode.go
@@ -29,7 +29,7 @@
 	if err != nil || len(moving) != movingBytes+macBytes {
 		return EventPosition{}, &EventIDError{Reason: "malformed"}
 	}
-	code := appendMAC(nil, hmac.New(sha256.New, key), team, steady, moving[:movingBytes])
+	code := appendMAC(nil, hmac.New(sha256.New, key), teamPart(team), steady, moving[:movingBytes])
 	if !hmac.Equal(code, moving[movingBytes:]) {
 		return EventPosition{}, &EventIDError{Reason: "not authentic"}
 	}
--- a/internal/relay/event_encoder.go
+++ b/internal/relay/event_encoder.go
@@ -31,7 +31,7 @@
 // generation is encoded once. It is used by one goroutine.
 type EventEncoder struct {
 	mac        hash.Hash
-	team       core.TeamID
+	team       []byte // name and separator, as the code covers them
 	generation core.GenerationID
 	steady     []byte // binary form of what stays the same for a generation
 	text       []byte // its text form
@@ -41,9 +41,13 @@
 // NewEventEncoder returns an encoder of event ids for one team. The key is the same on
 // all hosts, so that any of them can resume the stream.
 func NewEventEncoder(key []byte, team core.TeamID) *EventEncoder {
-	return &EventEncoder{mac: hmac.New(sha256.New, key), team: team}
+	return &EventEncoder{mac: hmac.New(sha256.New, key), team: teamPart(team)}
 }
 
+// teamPart returns the bytes that stand for a team in the code. The separator is in no
+// identifier, so that the team's end is certain.
+func teamPart(team core.TeamID) []byte { return append([]byte(team), 0) }
+
 // Append writes the event id of a position to dst. The form is two parts of unpadded
 // URL-safe base64 with a full stop between them.
 func (e *EventEncoder) Append(dst []byte, position EventPosition) []byte {
@@ -87,14 +91,13 @@
 	return append(dst, flags)
 }
 
-// appendMAC writes the code over the team and both parts. The team's length is bound by
-// the position of the version byte being after a separator that no identifier contains.
-func appendMAC(dst []byte, mac hash.Hash, team core.TeamID, steady, moving []byte) []byte {
+// appendMAC writes the code over the team and both parts. Sum appends to dst itself, so
+// that a dst with room costs no allocation.
+func appendMAC(dst []byte, mac hash.Hash, team, steady, moving []byte) []byte {
 	mac.Reset()
-	mac.Write([]byte(team))
-	mac.Write([]byte{0})
+	mac.Write(team)
 	mac.Write(steady)
 	mac.Write(moving)
-	var sum [sha256.Size]byte
-	return append(dst, mac.Sum(sum[:0])[:macBytes]...)
+	length := len(dst)
+	return mac.Sum(dst)[:length+macBytes]
 }
