Hold half a KiB for the usual lines of an engine's stream

Ruled out: a lower bound of lines, because long tokens and other layouts must still pass. Change: the buffer is 512 B; a longer line is put together up to the same bound of 8 KiB and refused beyond it as before.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -9,8 +9,12 @@
 	"siskintide.example/siskintide/internal/core"
 )
 
-// maxLineBytes bounds one line of a stream, and so the memory that a stream holds.
-const maxLineBytes = 8 << 10
+const (
+	// maxLineBytes bounds one line of a stream, and so the memory that a stream holds.
+	maxLineBytes = 8 << 10
+	// usualLineBytes is what a stream holds while its lines are of the usual length.
+	usualLineBytes = 512
+)
 
 var (
 	prefixID   = []byte("id:")
@@ -25,6 +29,7 @@
 	incarnation core.Incarnation
 	body        io.ReadCloser
 	lines       *bufio.Reader
+	long        []byte        // the pieces of a line longer than the buffer of lines; nil for others
 	eventID     core.Sequence // value of the latest id line; zero if none since the last frame
 	last        core.Sequence
 	done        bool
@@ -36,7 +41,7 @@
 		generation:  generation,
 		incarnation: incarnation,
 		body:        body,
-		lines:       bufio.NewReaderSize(body, maxLineBytes),
+		lines:       bufio.NewReaderSize(body, usualLineBytes),
 	}
 }
 
@@ -72,13 +77,22 @@
 
 // readLine returns the next line without its end. The line is valid until the next read.
 func (s *Stream) readLine() ([]byte, error) {
+	s.long = nil
 	line, err := s.lines.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil, malformed(line, "line too long")
+	for errors.Is(err, bufio.ErrBufferFull) {
+		s.long = append(s.long, line...)
+		if len(s.long) >= maxLineBytes {
+			return nil, malformed(s.long, "line too long")
+		}
+		line, err = s.lines.ReadSlice('\n')
 	}
 	if err != nil {
 		return nil, s.broken(err)
 	}
+	if s.long != nil {
+		s.long = append(s.long, line...)
+		line = s.long
+	}
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -53,6 +53,15 @@
 	require.Equal(t, io.EOF, err)
 }
 
+func TestStreamWithLongLines(t *testing.T) {
+	long := strings.Repeat("ab", 2*usualLineBytes)
+	s := streamOf(event(1, `"a"`, "null") + event(2, `"`+long+`"`, "null") + event(3, `"b"`, `"stop"`) + "data: [DONE]\n\n")
+	frames, err := readAll(s)
+	require.Equal(t, io.EOF, err)
+	require.Len(t, frames, 3)
+	require.Equal(t, []string{"a", long, "b"}, []string{frames[0].Text, frames[1].Text, frames[2].Text})
+}
+
 func TestStreamThatIsNotWhole(t *testing.T) {
 	cases := map[string]struct {
 		text    string
