--- /dev/null
+++ b/tools/demo/hold.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"siskintide.example/siskintide/tools/cluster"
+)
+
+// hold starts the deployment, prints how to operate it, and keeps it until interrupted.
+func (d *demo) hold() error {
+	if err := d.start(); err != nil {
+		return err
+	}
+	fmt.Println("export SISKINTIDE_OPERATOR_KEY=" + cluster.OperatorKey)
+	fmt.Println("export SISKINTIDE_HOSTS=" + d.adminAddresses())
+	for _, h := range d.Hosts {
+		fmt.Printf("host %s (pid %d): callers %s, admin %s\n", h.Name, h.Process.PID(), h.Callers, h.Admin)
+	}
+	fmt.Println("team's API key:", cluster.TeamKey)
+	fmt.Println("running until interrupted (Ctrl-C)")
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	<-interrupted
+	signal.Stop(interrupted)
+	return nil
+}
+
+// adminAddresses lists the hosts' admin addresses as the command line takes them.
+func (d *demo) adminAddresses() string {
+	list := ""
+	for i, h := range d.Hosts {
+		if i > 0 {
+			list += ","
+		}
+		list += h.Admin
+	}
+	return list
+}
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -13,20 +13,24 @@
 func main() {
 	programs := "bin"
 	keep := false
+	hold := false
 	flaggy.SetName("demo")
 	flaggy.SetDescription("the whole path on this machine")
 	flaggy.String(&programs, "b", "bin", "directory of the built programs")
 	flaggy.Bool(&keep, "k", "keep", "keep the directory with logs and settings")
+	flaggy.Bool(&hold, "", "hold", "only start the deployment and keep it until interrupted")
 	flaggy.Parse()
-	if err := run(programs, keep); err != nil {
+	if err := run(programs, keep, hold); err != nil {
 		fmt.Println("FAILED:", err)
 		os.Exit(1)
 	}
-	fmt.Println("all steps passed")
+	if !hold {
+		fmt.Println("all steps passed")
+	}
 }
 
 // run does every step in a directory of its own and stops what it started.
-func run(programs string, keep bool) (err error) {
+func run(programs string, keep, hold bool) (err error) {
 	dir, err := os.MkdirTemp("", "siskintide-demo-")
 	if err != nil {
 		return fmt.Errorf("make directory: %w", err)
@@ -45,6 +49,9 @@
 		}
 		os.RemoveAll(dir)
 	}()
+	if hold {
+		return d.hold()
+	}
 	for _, step := range d.steps() {
 		if err := step.work(); err != nil {
 			return fmt.Errorf("%s: %w", step.name, err)
