Give engines the orders of an accepted bring-in

Cause: bring-in changed the declared version, but no order reached an engine. Ruled out: a slot held by a host (its death would need a lease of its own); streams counted from load reports alone (they lag); giving the slot back on loss of a target (the engine may still load). Change: the control loop runs decide/orders for each owned engine under the lease; effects leave through control.Ports, answers come back as events. decide/weights: one slot a data centre, a row that belongs to the target, so the next owner inherits it. decide/orders.Former counts streams of the former version, one too many rather than one too few. Orders' timing follows the lease. An engine's restart makes its streams count as former again. Seen to fail: with every slot demand granted, TestBringIn 'two engines load at a time' (one of its two cases), TestClaim, TestOneHolder; with Former.Count always 0, TestBringIn 'the former version was unloaded under a running stream' (both), TestFormer. Not explained: the first run of TestBringIn, before frees of the slot were repeated and with assertions inside the wait, timed out in one case; 3 runs at once passed after that change.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -35,6 +35,7 @@
 	s.executeOwnership(s.ownership.SetTargets(s.localTargets(), now), now)
 	for id := range s.polls {
 		s.refreshTarget(id, now)
+		s.orderTarget(id, now)
 	}
 	for id, p := range s.pools {
 		s.configurePool(id, p)
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -10,8 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/orders"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/decide/weights"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -32,6 +34,11 @@
 	owners    map[core.TargetID]ownership.OwnerRow
 	away      bool // the platform cannot be reached
 	cancelled []core.GenerationID
+
+	statesRead []core.TargetID
+	ordered    []orders.SendOrder
+	slotsTaken []weights.Claim
+	slotsGiven []weights.Claim
 }
 
 func newFakePorts() *fakePorts {
@@ -100,6 +107,14 @@
 func (f *fakePorts) Poll(target core.Target, _ core.LoadReport) {
 	f.polled = append(f.polled, target.ID)
 }
+func (f *fakePorts) ReadEngine(target core.Target, _ core.Fence, _ uint64) {
+	f.statesRead = append(f.statesRead, target.ID)
+}
+func (f *fakePorts) Order(_ core.Target, order orders.SendOrder) {
+	f.ordered = append(f.ordered, order)
+}
+func (f *fakePorts) TakeSlot(claim weights.Claim) { f.slotsTaken = append(f.slotsTaken, claim) }
+func (f *fakePorts) GiveSlot(claim weights.Claim) { f.slotsGiven = append(f.slotsGiven, claim) }
 func (f *fakePorts) Cancel(_ string, generation core.GenerationID) {
 	f.cancelled = append(f.cancelled, generation)
 }
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/orders"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/decide/revision"
 	"siskintide.example/siskintide/internal/message"
@@ -26,6 +27,21 @@
 // HandleLoadFailed takes the news that a target did not answer a poll.
 func (l *Loop) HandleLoadFailed(target core.TargetID) { l.Post(loadEvent{target: target}) }
 
+// HandleEngineState takes the answer to a read of an engine's state.
+func (l *Loop) HandleEngineState(target core.TargetID, fence core.Fence, read orders.StateRead) {
+	l.Post(engineStateEvent{target: target, fence: fence, read: read})
+}
+
+// HandleSlot takes the answer to a demand for the data centre's slot.
+func (l *Loop) HandleSlot(target core.TargetID, fence core.Fence, granted bool) {
+	l.Post(slotEvent{target: target, fence: fence, granted: granted})
+}
+
+// HandleSlotFreed takes the answer to an attempt to free the data centre's slot.
+func (l *Loop) HandleSlotFreed(target core.TargetID, fence core.Fence, ok bool) {
+	l.Post(slotFreedEvent{target: target, fence: fence, ok: ok})
+}
+
 // HandleRows takes the answer to a read of ownership rows.
 func (l *Loop) HandleRows(answer ownership.ReadAnswer) { l.Post(rowsEvent{answer: answer}) }
 
--- a/internal/control/load_event.go
+++ b/internal/control/load_event.go
@@ -27,4 +27,5 @@
 	state.failed = false
 	state.last = *e.report
 	s.execute(p.Report(*e.report, now), now)
+	s.reportOrders(*e.report, now)
 }
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -2,8 +2,10 @@
 
 import (
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/orders"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/decide/weights"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -28,6 +30,15 @@
 	Poll(target core.Target, last core.LoadReport)
 	// Cancel asks an engine to stop a generation; a failure is left to the next load report.
 	Cancel(address string, generation core.GenerationID)
+	// ReadEngine reads an engine's state and answers with HandleEngineState.
+	ReadEngine(target core.Target, fence core.Fence, id uint64)
+	// Order gives an order to an engine unless it is late. Its effect is read back.
+	Order(target core.Target, order orders.SendOrder)
+	// TakeSlot answers with HandleSlot.
+	TakeSlot(claim weights.Claim)
+	// GiveSlot frees the data centre's slot if the claimant holds it, and answers with
+	// HandleSlotFreed.
+	GiveSlot(claim weights.Claim)
 	// RelayCommit carries out another host's transaction and sends the answer to it.
 	RelayCommit(from core.HostID, id uint64, transaction core.Transaction)
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -7,6 +7,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/membership"
+	"siskintide.example/siskintide/internal/decide/orders"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/decide/pool"
 	"siskintide.example/siskintide/internal/decide/revision"
@@ -31,6 +32,9 @@
 	ownedIn map[core.TargetID]core.PoolID // pool that each owned target was put in
 	polls   map[core.TargetID]*poll       // owned targets
 
+	orders      map[core.TargetID]*engineOrders // owned engines
+	orderTiming orders.Timing
+
 	pending map[core.GenerationID]*pending // demands of this host's callers
 	held    map[core.GenerationID]*held    // tickets of this host's callers
 
@@ -53,23 +57,25 @@
 
 func newState(options Options) *state {
 	s := &state{
-		self:       options.Self,
-		session:    options.Session,
-		settings:   options.Settings,
-		log:        options.Log,
-		follower:   revision.New(revision.DefaultTiming(), options.Seed),
-		ramp:       newRamp(),
-		members:    membership.New(options.Self, membership.DefaultSettings()),
-		ownership:  ownership.New(options.Self.ID, options.Session, options.Timing),
-		pools:      map[core.PoolID]*pool.Pool{},
-		ownedIn:    map[core.TargetID]core.PoolID{},
-		polls:      map[core.TargetID]*poll{},
-		pending:    map[core.GenerationID]*pending{},
-		held:       map[core.GenerationID]*held{},
-		summaries:  map[summaryKey]*summary{},
-		announced:  map[core.PoolID]*announced{},
-		heartbeats: map[core.HostID]message.Heartbeat{},
-		loads:      map[core.HostID]message.TargetLoads{},
+		self:        options.Self,
+		session:     options.Session,
+		settings:    options.Settings,
+		log:         options.Log,
+		follower:    revision.New(revision.DefaultTiming(), options.Seed),
+		ramp:        newRamp(),
+		members:     membership.New(options.Self, membership.DefaultSettings()),
+		ownership:   ownership.New(options.Self.ID, options.Session, options.Timing),
+		pools:       map[core.PoolID]*pool.Pool{},
+		ownedIn:     map[core.TargetID]core.PoolID{},
+		polls:       map[core.TargetID]*poll{},
+		orders:      map[core.TargetID]*engineOrders{},
+		pending:     map[core.GenerationID]*pending{},
+		held:        map[core.GenerationID]*held{},
+		summaries:   map[summaryKey]*summary{},
+		announced:   map[core.PoolID]*announced{},
+		heartbeats:  map[core.HostID]message.Heartbeat{},
+		orderTiming: orderTiming(options.Timing.LeaseTTL),
+		loads:       map[core.HostID]message.TargetLoads{},
 	}
 	if len(options.Seeds) > 0 {
 		s.members.SetList(options.Seeds, options.Clock.Now())
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -30,6 +30,7 @@
 	s.log.WithField("target", id).Info("target acquired")
 	s.polls[id] = &poll{}
 	s.refreshTarget(id, now)
+	s.orderTarget(id, now)
 }
 
 // lost stops issuing tickets for a target.
@@ -37,6 +38,7 @@
 	s.dirty = true
 	s.log.WithField("target", id).Info("target lost")
 	delete(s.polls, id)
+	delete(s.orders, id) // the next owner takes up the orders, and the slot if one is held
 	p := s.ownedIn[id]
 	delete(s.ownedIn, id)
 	if p != "" {
@@ -59,7 +61,7 @@
 	s.leaveFormerPool(id, target.Pool(), now)
 	p := s.pool(target.Pool())
 	s.ownedIn[id] = target.Pool()
-	s.execute(p.SetTarget(*target, *kind, fence, s.catalog.Accepts(id), now), now)
+	s.execute(p.SetTarget(*target, *kind, fence, s.acceptsWork(id), now), now)
 }
 
 // leaveFormerPool removes a target that now serves another model from its old pool.
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -20,6 +20,7 @@
 	for _, p := range s.pools {
 		s.execute(p.Tick(now), now)
 	}
+	s.tickOrders(now)
 	s.pollTargets(now)
 	s.announce(now)
 	s.expirePending(now)
--- /dev/null
+++ b/internal/daemon/bring_in_test.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/plan"
+	"siskintide.example/siskintide/internal/engine"
+)
+
+// engineView is what one engine reports of its streams and versions, read in this order.
+type engineView struct {
+	streams int
+	held    map[core.ModelVersion]string // state of each version
+}
+
+func (w *world) look(client *engine.Client, at int) engineView {
+	w.t.Helper()
+	load, err := client.Load(context.Background(), "", address(w.engines[at]))
+	require.NoError(w.t, err)
+	state, err := client.State(context.Background(), address(w.engines[at]))
+	require.NoError(w.t, err)
+	view := engineView{streams: len(load.Streams), held: map[core.ModelVersion]string{}}
+	for _, m := range state.Models {
+		view.held[m.Version] = m.State
+	}
+	return view
+}
+
+// ownerOf returns the host that owns a target.
+func (w *world) ownerOf(target core.TargetID) *runningHost {
+	w.t.Helper()
+	var owner core.HostID
+	w.eventually("owner known", func() bool {
+		status, err := w.operators().Status(context.Background())
+		require.NoError(w.t, err)
+		for _, s := range status.Targets {
+			if s.Target == target {
+				owner = s.Owner
+			}
+		}
+		return owner != ""
+	})
+	for _, h := range w.hosts {
+		if h.settings.Host == owner {
+			return h
+		}
+	}
+	return nil
+}
+
+// TestBringIn: the owner of two engines leaves during the first load, and another host
+// ends what it began. A stream of the former version is whole, its version is held until
+// the stream has ended, and no two engines load at a time.
+func TestBringIn(t *testing.T) {
+	for name, c := range map[string]struct {
+		fences bool
+		weight int
+	}{
+		"both versions fit, fences ignored": {false, 2000},
+		"one version fits, fences checked":  {true, 1500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			atStart := goleak.IgnoreCurrent()
+			t.Cleanup(func() { goleak.VerifyNone(t, atStart) })
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			w := &world{t: t, fences: c.fences, weight: c.weight, step: 10 * time.Millisecond}
+			w.start(2)
+			engines := engine.NewClient(client)
+
+			response, err := client.Do(request(t, w.hosts[0], "Draft. [[length=400]]", ""))
+			require.NoError(t, err)
+			defer response.Body.Close()
+			first, _, _ := readEvents(response.Body, 1)
+			w.confirm(plan.Intent{Kind: plan.BringIn, Model: "manus-llm", Version: "v2"})
+
+			owner, former := w.ownerOf("e1"), -1
+			stopped, violation := false, ""
+			w.eventually("new version on both engines", func() bool {
+				loading, done := 0, 0
+				for i := range w.engines {
+					view := w.look(engines, i)
+					if former < 0 && view.streams > 0 {
+						former = i
+					}
+					if view.held["v2"] == "loading" {
+						loading++
+					}
+					if view.held["v2"] == "ready" && len(view.held) == 1 {
+						done++
+					}
+					if i == former && view.streams > 0 {
+						if _, held := view.held["v1"]; !held {
+							violation = "the former version was unloaded under a running stream"
+						}
+					}
+				}
+				if loading > 1 {
+					violation = "two engines load at a time"
+				}
+				if loading == 1 && !stopped {
+					stopped = true
+					owner.stop()
+				}
+				return violation != "" || done == len(w.engines)
+			})
+			require.Empty(t, violation)
+			require.True(t, stopped)
+			require.GreaterOrEqual(t, former, 0)
+			rest, _, done := readEvents(response.Body, 0)
+			require.True(t, done)
+			require.Len(t, append(first, rest...), 400)
+			for _, h := range w.hosts {
+				require.NoError(t, h.end())
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,14 +86,15 @@
 	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
 	targets := newTargetClient()
 	e := &effects{
-		self:     d.settings.Host,
-		loop:     d.loop,
-		platform: client,
-		ledger:   ledger.New(client, d.settings.DataCentre),
-		targets:  targets,
-		engines:  engine.NewClient(targets),
-		services: service.NewClient(targets),
-		log:      d.log,
+		self:       d.settings.Host,
+		dataCentre: d.settings.DataCentre,
+		loop:       d.loop,
+		platform:   client,
+		ledger:     ledger.New(client, d.settings.DataCentre),
+		targets:    targets,
+		engines:    engine.NewClient(targets),
+		services:   service.NewClient(targets),
+		log:        d.log,
 	}
 	e.node = peer.New(peer.Options{
 		Self:    d.settings.Self(),
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -26,17 +26,18 @@
 // effects carries out what the control loop asks for. Each effect that takes time runs on
 // its own goroutine; the loop bounds how many of each kind are open.
 type effects struct {
-	ctx      context.Context
-	self     core.HostID
-	loop     *control.Loop
-	node     *peer.Node
-	platform *platform.Client
-	ledger   *ledger.Ledger
-	targets  *http.Client // connections to engines and services
-	engines  *engine.Client
-	services *service.Client
-	log      log.Interface
-	running  sync.WaitGroup
+	ctx        context.Context
+	self       core.HostID
+	dataCentre core.DataCentreID
+	loop       *control.Loop
+	node       *peer.Node
+	platform   *platform.Client
+	ledger     *ledger.Ledger
+	targets    *http.Client // connections to engines and services
+	engines    *engine.Client
+	services   *service.Client
+	log        log.Interface
+	running    sync.WaitGroup
 }
 
 // start runs one effect on its own goroutine.
--- /dev/null
+++ b/internal/daemon/order_effects.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/orders"
+	"siskintide.example/siskintide/internal/engine"
+)
+
+// engineReady is the state of a model version that serves.
+const engineReady = "ready"
+
+// ReadEngine implements control.Ports.
+func (e *effects) ReadEngine(target core.Target, fence core.Fence, id uint64) {
+	e.start(func(ctx context.Context) {
+		state, err := e.engines.State(ctx, target.Address)
+		if err != nil {
+			e.log.WithError(err).WithField("target", target.ID).Debug("state of an engine not read")
+		}
+		e.loop.HandleEngineState(target.ID, fence, stateRead(id, state, err == nil))
+	})
+}
+
+func stateRead(id uint64, state engine.State, ok bool) orders.StateRead {
+	read := orders.StateRead{ID: id, OK: ok, Incarnation: state.Incarnation}
+	for _, m := range state.Models {
+		version := orders.Version{Model: m.Model, Version: m.Version}
+		read.Held = append(read.Held, orders.Held{Version: version, Ready: m.State == engineReady})
+	}
+	return read
+}
+
+// Order implements control.Ports. The time is compared last, so that a host that was
+// paused sends nothing late.
+func (e *effects) Order(target core.Target, order orders.SendOrder) {
+	e.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, order.Timeout)
+		defer cancel()
+		if !time.Now().Before(order.NotAfter) {
+			return
+		}
+		err := e.engines.Order(ctx, target.Address, engine.Order{
+			Fence:   order.Fence,
+			Kind:    engine.OrderKind(order.Kind),
+			Model:   order.Version.Model,
+			Version: order.Version.Version,
+		})
+		if err != nil {
+			e.log.WithError(err).WithField("target", target.ID).Warn("order to an engine failed")
+		}
+	})
+}
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -37,6 +37,9 @@
 	engines  []*httptest.Server
 	services []*httptest.Server
 	hosts    []*runningHost
+	fences   bool // engines check fences
+	weight   int  // largest weights that an engine holds; a version has 1000
+	step     time.Duration
 }
 
 // runningHost is a daemon that the test started.
@@ -49,7 +52,14 @@
 // newWorld starts stand-ins and hosts, and accepts the declarations.
 func newWorld(t *testing.T, hosts int) *world {
 	t.Helper()
-	w := &world{t: t}
+	w := &world{t: t, fences: true, weight: 2000, step: 2 * time.Millisecond}
+	w.start(hosts)
+	return w
+}
+
+func (w *world) start(hosts int) {
+	t := w.t
+	t.Helper()
 	store := platformserver.New(platformserver.Options{})
 	w.platform = httptest.NewServer(store)
 	t.Cleanup(func() { w.platform.Close(); store.Close() })
@@ -64,13 +74,13 @@
 	for _, h := range w.hosts {
 		w.eventually("host ready", func() bool { return w.status("http://"+h.settings.Listen.Admin+"/readyz") == http.StatusOK })
 	}
-	return w
 }
 
 func (w *world) addEngine() {
 	options := engineserver.Defaults()
-	options.StepBase = 2 * time.Millisecond
-	options.ChecksFences = true
+	options.StepBase = w.step
+	options.ChecksFences = w.fences
+	options.LoadTime = 1500 * time.Millisecond
 	server := engineserver.New(options)
 	front := httptest.NewServer(server)
 	w.engines = append(w.engines, front)
@@ -129,7 +139,7 @@
 	return fmt.Sprintf(`{
 	"data_centres": [{"id": "oslo-a", "region": "oslo"}],
 	"target_kinds": [
-		{"id": "runner", "role": "engine", "cold_streams": 4, "warm_streams": 32, "memory_tokens": 16384, "first_token_ms": 770, "token_gap_ms": 77, "checks_fences": true, "weight_bytes": 2000, "max_context_tokens": 8192},
+		{"id": "runner", "role": "engine", "cold_streams": 4, "warm_streams": 32, "memory_tokens": 16384, "first_token_ms": 770, "token_gap_ms": 77, "checks_fences": %t, "weight_bytes": %d, "max_context_tokens": 8192},
 		{"id": "app", "role": "service", "cold_streams": 4, "warm_streams": 32, "checks_fences": false}],
 	"models": [{"id": "manus-llm", "version": "v1", "weight_bytes": 1000, "max_tokens": 4096, "queue_ms": 20000, "queue_entries": 100}],
 	"services": [{"id": "booking-app", "unrepeatable_paths": ["/bookings"], "timeout_ms": 10000, "keep_answer_s": 3600}],
@@ -139,7 +149,7 @@
 		{"id": "e1", "data_centre": "oslo-a", "address": %q, "kind": "runner", "model": "manus-llm"},
 		{"id": "e2", "data_centre": "oslo-a", "address": %q, "kind": "runner", "model": "manus-llm"},
 		{"id": "s1", "data_centre": "oslo-a", "address": %q, "kind": "app", "service": "booking-app"}]}`,
-		hex.EncodeToString(digest[:]), address(w.engines[0]), address(w.engines[1]), address(w.services[0]))
+		w.fences, w.weight, hex.EncodeToString(digest[:]), address(w.engines[0]), address(w.engines[1]), address(w.services[0]))
 }
 
 func (w *world) operators() *operatorclient.Client {
--- a/internal/decide/orders/machine.go
+++ b/internal/decide/orders/machine.go
@@ -100,6 +100,7 @@
 	}
 	if read.Incarnation != m.state.Incarnation {
 		m.loading = time.Time{} // a new start of the engine holds nothing of an earlier order
+		m.switched = Version{}  // and its streams begin on its built-in version
 	}
 	m.state = read
 	m.fresh = true
--- /dev/null
+++ b/internal/decide/ownership/lease_until.go
@@ -0,0 +1,7 @@
+package ownership
+
+import "time"
+
+// LeaseUntil returns the end of this host's lease on its own clock. It is in the past in
+// degraded mode and zero without a lease.
+func (m *Machine) LeaseUntil() time.Time { return m.lease.validUntil }
