--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -119,6 +119,7 @@
 		LogLevel:    "error",
 	}
 	s.Timing.Lease = settings.Duration(3 * time.Second)
+	s.Timing.PlatformCall = s.Timing.Lease / 5
 	s.Timing.ClockMargin = settings.Duration(300 * time.Millisecond)
 	s.Timing.ShutdownGrace = settings.Duration(time.Minute)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -35,10 +35,12 @@
 // files are looked up in its directory.
 func Parse(name string, data []byte) (*Settings, error) {
 	s := &Settings{Timing: DefaultTiming(), LogLevel: "info"}
+	s.Timing.PlatformCall = 0
 	d := decode(name, data, s)
 	if err := d.err(); err != nil {
 		return nil, err
 	}
+	s.Timing = s.Timing.withPlatformCall()
 	d.checkPlace(s)
 	d.checkKeys(s)
 	d.checkTiming(s.Timing)
@@ -127,7 +129,7 @@
 	d.span("timing.clock_margin", t.ClockMargin, 100*time.Millisecond, 30*time.Second)
 	d.span("timing.heartbeat", t.Heartbeat, 200*time.Millisecond, 5*time.Second)
 	d.span("timing.config_poll", t.ConfigPoll, 500*time.Millisecond, 5*time.Second)
-	d.span("timing.platform_call", t.PlatformCall, 100*time.Millisecond, 10*time.Second)
+	d.span("timing.platform_call", t.PlatformCall, 100*time.Millisecond, time.Duration(t.Lease)/platformCallParts)
 	d.span("timing.shutdown_grace", t.ShutdownGrace, time.Second, time.Hour)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,6 +31,7 @@
 	require.NoError(t, err)
 	require.Equal(t, core.Host{ID: "dar-a-1", DataCentre: "dar-a", PeerAddress: "127.0.0.1:7002"}, s.Self())
 	require.Equal(t, Duration(12*time.Second), s.Timing.Lease)
+	require.Equal(t, Duration(2400*time.Millisecond), s.Timing.PlatformCall, "follows the lease")
 	require.Equal(t, DefaultTiming().ConfigPoll, s.Timing.ConfigPoll)
 	require.Equal(t, "info", s.LogLevel)
 }
@@ -45,6 +46,7 @@
 		"wrong unit":         {`"12s"`, `"12 seconds"`, `host.jsonc:12: timing.lease: got "12 seconds"; accepted: a duration with its unit`},
 		"no unit":            {`"12s"`, `12`, `host.jsonc:12: timing.lease: got 12; accepted: a duration with its unit`},
 		"out of bounds":      {`"12s"`, `"12h"`, `host.jsonc:12: timing.lease: got "12h0m0s"; accepted: a duration from 3s to 1m0s`},
+		"platform call":      {`{"lease": "12s"}`, `{"lease": "5s", "platform_call": "2s"}`, `host.jsonc:12: timing.platform_call: got "2s"; accepted: a duration from 100ms to 1s`},
 		"short key":          {`"peer-key-peer-key-peer-key-peer-key-"`, `"short"`, `host.jsonc:6: peer_key: got 5 bytes; accepted: at least 32 bytes`},
 		"no key":             {`"event_key": "event-key-event-key-event-key-event-",`, ``, `event_key: got neither or both`},
 		"equal keys":         {`"event-key-event-key-event-key-event-"`, `"peer-key-peer-key-peer-key-peer-key-"`, `two equal keys`},
