--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -132,13 +132,15 @@
 
 // world is one host's control state with a clock that the test moves.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	state *state
 	ports *fakePorts
 	now   time.Time
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldFor(t) }
+
+func newWorldFor(t testing.TB) *world {
 	t.Helper()
 	w := &world{t: t, ports: newFakePorts(), now: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
 	w.state = newState(Options{
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -5,15 +5,15 @@
 // Demand asks for the right to run one generation, or one call of a plain service, on some
 // target of a pool.
 type Demand struct {
-	Generation   GenerationID
-	Entry        HostID // host that will talk to the target
-	Team         TeamID
-	Pool         PoolID
-	Class        Class
-	Priority     Priority
-	PromptTokens Tokens
-	MaxTokens    Tokens        // zero means the model's own limit
-	PrefixHash   uint64        // hash of the prompt's leading block; zero means none
-	QueueBudget  time.Duration // longest time the request may wait for a ticket
-	Avoid        TargetID      // target that just failed this request; empty means none
+	Generation   GenerationID  `cbor:"1,keyasint,omitempty"`
+	Entry        HostID        `cbor:"2,keyasint,omitempty"` // host that will talk to the target
+	Team         TeamID        `cbor:"3,keyasint,omitempty"`
+	Pool         PoolID        `cbor:"4,keyasint,omitempty"`
+	Class        Class         `cbor:"5,keyasint,omitempty"`
+	Priority     Priority      `cbor:"6,keyasint,omitempty"`
+	PromptTokens Tokens        `cbor:"7,keyasint,omitempty"`
+	MaxTokens    Tokens        `cbor:"8,keyasint,omitempty"`  // zero means the model's own limit
+	PrefixHash   uint64        `cbor:"9,keyasint,omitempty"`  // hash of the prompt's leading block; zero means none
+	QueueBudget  time.Duration `cbor:"10,keyasint,omitempty"` // longest time the request may wait for a ticket
+	Avoid        TargetID      `cbor:"11,keyasint,omitempty"` // target that just failed this request; empty means none
 }
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -2,10 +2,10 @@
 
 // Outcome says how the use of a ticket ended.
 type Outcome struct {
-	Generation      GenerationID
-	Target          TargetID
-	Result          Result
-	Output          Tokens
-	FirstTokenMS    int64 // time from sending the request to the target to its first token
-	WorstTokenGapMS int64 // largest time between two tokens
+	Generation      GenerationID `cbor:"1,keyasint,omitempty"`
+	Target          TargetID     `cbor:"2,keyasint,omitempty"`
+	Result          Result       `cbor:"3,keyasint,omitempty"`
+	Output          Tokens       `cbor:"4,keyasint,omitempty"`
+	FirstTokenMS    int64        `cbor:"5,keyasint,omitempty"` // time from sending the request to the target to its first token
+	WorstTokenGapMS int64        `cbor:"6,keyasint,omitempty"` // largest time between two tokens
 }
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -8,10 +8,10 @@
 // Refusal is the typed failure that a caller sees. Run says whether the request had an
 // effect; RetryAfter is zero when a retry makes no sense.
 type Refusal struct {
-	Kind       RefusalKind
-	Message    string
-	Run        RunState
-	RetryAfter time.Duration
+	Kind       RefusalKind   `cbor:"1,keyasint,omitempty"`
+	Message    string        `cbor:"2,keyasint,omitempty"`
+	Run        RunState      `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Error implements error.
