Let the pool's tests live through the warm-up

Change: the fixtures let the warm-up pass before streams complete, in all cases alike; no assertion changed.

--- a/internal/decide/pool/pool_test.go
+++ b/internal/decide/pool/pool_test.go
@@ -74,7 +74,9 @@
 func (f *fixture) warm() {
 	f.report(nil)
 	for f.limit() < fixtureKind.WarmStreams {
-		for _, id := range f.fill() {
+		granted := f.fill()
+		f.now = f.now.Add(defaultWarmUp)
+		for _, id := range granted {
 			f.complete(id, 100, 50)
 		}
 	}
@@ -143,6 +145,7 @@
 			f.report(nil)
 			granted := f.fill()
 			tc.prepare(f)
+			f.now = f.now.Add(defaultWarmUp)
 			for _, id := range granted {
 				f.complete(id, 100, tc.gapMS)
 			}
