--- a/internal/decide/pool/pool_test.go
+++ b/internal/decide/pool/pool_test.go
@@ -166,6 +166,7 @@
 			granted := f.fill()
 			f.now = f.now.Add(defaultWarmUp)
 			tc.prepare(f)
+			f.now = f.now.Add(defaultWarmUp)
 			for _, id := range granted {
 				f.complete(id, 100, tc.gapMS)
 			}
