Free the slot of an engine that does not answer

Cause: an engine that died while its target held the data centre's slot kept all others from loading, also after its owner had changed. Ruled out: an expiry time in the row (hosts' clocks differ). Change: an owner frees the slot once the engine was silent for LoadLimit. Seen to fail: with no GiveSlot returned there, TestSilentEngineFreesTheSlot.

--- a/internal/decide/orders/machine.go
+++ b/internal/decide/orders/machine.go
@@ -25,6 +25,7 @@
 	askAfter time.Time // no TakeSlot before then
 	stopped  bool      // StopWork was emitted
 	loading  time.Time // when the load that holds the slot was ordered; zero if none
+	heardAt  time.Time // last answer of the engine under this ownership, or its start
 	switched Version   // version that callers were last told to use
 }
 
@@ -46,6 +47,7 @@
 	if fence != m.fence {
 		m.forget()
 		m.nextRead = now
+		m.heardAt = now
 	}
 	m.fence = fence
 	m.until = until
@@ -103,6 +105,7 @@
 		m.switched = Version{}  // and its streams begin on its built-in version
 	}
 	m.state = read
+	m.heardAt = now
 	m.fresh = true
 	return m.next(now)
 }
@@ -117,7 +120,7 @@
 	if !m.owned(now) || m.wanted == (Version{}) {
 		return nil
 	}
-	effects := m.read(now)
+	effects := append(m.silent(now), m.read(now)...)
 	if !m.fresh {
 		return effects
 	}
--- /dev/null
+++ b/internal/decide/orders/silent_test.go
@@ -0,0 +1,21 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSilentEngineFreesTheSlot: an owner whose engine never answers frees the slot that
+// this owner or a former one took for it, and not before a load must have ended.
+func TestSilentEngineFreesTheSlot(t *testing.T) {
+	timing, now := DefaultTiming(), time.Unix(1000, 0)
+	m := New(timing)
+	m.SetWanted(Version{Model: "m", Version: "v2"}, true, now)
+	end := now.Add(timing.LoadLimit)
+	require.NotContains(t, m.SetHold(1, end.Add(time.Minute), now), GiveSlot{})
+	require.NotContains(t, m.Tick(end.Add(-time.Millisecond)), GiveSlot{})
+	require.Contains(t, m.Tick(end), GiveSlot{})
+	require.NotContains(t, m.Tick(end.Add(time.Second)), GiveSlot{}, "once in each such time")
+}
--- a/internal/decide/orders/steps.go
+++ b/internal/decide/orders/steps.go
@@ -66,6 +66,18 @@
 	return effects
 }
 
+// silent gives the slot back when the engine has not answered for as long as a load may
+// take, so that others can go on. A former owner may have left the slot to this target.
+func (m *Machine) silent(now time.Time) []Effect {
+	if now.Before(m.heardAt.Add(m.timing.LoadLimit)) {
+		return nil
+	}
+	m.heardAt = now
+	m.loading = time.Time{}
+	m.slot = false
+	return []Effect{GiveSlot{}}
+}
+
 // inTime reports whether the lease outlasts an order that is sent now.
 func (m *Machine) inTime(now time.Time) bool { return now.Before(m.lastSend()) }
 
