Bring a model version in within the demo

Cause: the demo did not show that a confirmed bring-in reaches the engines. Ruled out: engines that load for 5 s, which would add about 20 s. Change: one step after the return; engines' stand-ins load for 0.5 s.

--- a/tools/demo/demo.go
+++ b/tools/demo/demo.go
@@ -23,6 +23,7 @@
 		Engines:     2,
 		Services:    1,
 		Kind:        cluster.DefaultEngineKind(),
+		Engine:      []string{"--load-time", "500ms"},
 		Timing:      cluster.FastTiming(),
 	})
 	if err != nil {
--- a/tools/demo/steps.go
+++ b/tools/demo/steps.go
@@ -20,6 +20,7 @@
 		{"take a data centre out", d.takeOut},
 		{"resume after a host was killed", d.killAndResume},
 		{"return the data centre", d.bringBack},
+		{"bring a model version in", d.bringIn},
 		{"planned stop of a host", d.stopGracefully},
 	}
 }
