--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -59,6 +59,8 @@
 			options.Services = one
 		case Claims:
 			options.Claims = one
+		case clockwork.Clock:
+			options.Clock = one
 		}
 	}
 	desk.prepare()
--- /dev/null
+++ b/internal/relay/slow_reader_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/engine"
+)
+
+// countedEngines counts the frames that have been read from its streams.
+type countedEngines struct {
+	faultyEngines
+	frames atomic.Int64
+}
+
+func (e *countedEngines) Start(ctx context.Context, ticket core.Ticket, request engine.Request) (FrameReader, error) {
+	reader, err := e.faultyEngines.Start(ctx, ticket, request)
+	return &countedReader{FrameReader: reader, frames: &e.frames}, err
+}
+
+type countedReader struct {
+	FrameReader
+	frames *atomic.Int64
+}
+
+func (r *countedReader) Next() (engine.Frame, error) {
+	r.frames.Add(1)
+	return r.FrameReader.Next()
+}
+
+// A caller that stops reading holds a bounded number of frames and delays nobody else. It
+// gets its whole answer once it reads again.
+func TestSlowReader(t *testing.T) {
+	const length, maxAhead = 1000, 8
+	synctest.Test(t, func(t *testing.T) {
+		let := make(chan struct{})
+		slow, slowEngines := &collector{onSome: func(int) { <-let }}, &countedEngines{faultyEngines: faultyEngines{length: length}}
+		desk, ended := newTicketDesk(), make(chan struct{})
+		go func() { runJob(desk, slowEngines, slow); close(ended) }()
+		synctest.Wait()
+		require.LessOrEqual(t, slowEngines.frames.Load(), int64(maxAhead))
+
+		other := &collector{}
+		runJob(desk, &faultyEngines{length: length}, other)
+		require.Len(t, other.tokens, length)
+
+		close(let)
+		<-ended
+		require.Len(t, slow.tokens, length)
+		require.Nil(t, slow.ending.Refusal)
+	})
+}
