Use the relay's transport for connections to engines

Cause: the host talked to engines through a general transport: buffers of 4 KiB each way, and no bound on the wait for an answer's header, so that an engine frozen at a start was waited for without end (found by reading; no test of the daemon shows it). Ruled out: one transport for services too, whose answers may take longer than 30 s. Change: engines get relay.NewTransport(), with 64 kept connections as before; services keep the general one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,14 +84,15 @@
 
 func (d *Daemon) newEffects(session core.SessionID) *effects {
 	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
-	targets := newTargetClient()
+	streams, targets := &http.Client{Transport: relay.NewTransport()}, newTargetClient()
 	e := &effects{
 		self:     d.settings.Host,
 		loop:     d.loop,
 		platform: client,
 		ledger:   ledger.New(client, d.settings.DataCentre),
+		streams:  streams,
 		targets:  targets,
-		engines:  engine.NewClient(targets),
+		engines:  engine.NewClient(streams),
 		services: service.NewClient(targets),
 		log:      d.log,
 	}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -32,7 +32,8 @@
 	node     *peer.Node
 	platform *platform.Client
 	ledger   *ledger.Ledger
-	targets  *http.Client // connections to engines and services
+	streams  *http.Client // connections to engines
+	targets  *http.Client // connections to services
 	engines  *engine.Client
 	services *service.Client
 	log      log.Interface
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -66,6 +66,7 @@
 	d.running.Wait()
 	d.effects.running.Wait()
 	d.effects.platform.Close()
+	d.effects.streams.CloseIdleConnections()
 	d.effects.targets.CloseIdleConnections()
 	_ = d.metrics.Close()
 	d.log.Info("host stopped")
--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -12,7 +12,7 @@
 	// headerTimeout bounds the wait for an engine to accept or refuse a request.
 	headerTimeout = 30 * time.Second
 	// idleConnections bounds the connections to one engine that are kept for reuse.
-	idleConnections = 32
+	idleConnections = 64
 	// idleConnTimeout closes connections that are no longer needed.
 	idleConnTimeout = 30 * time.Second
 	// bufferBytes is the size of a connection's read and write buffers; there are two for
