--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -10,8 +10,10 @@
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/orders"
 	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/decide/revision"
+	"siskintide.example/siskintide/internal/decide/weights"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -32,6 +34,11 @@
 	owners    map[core.TargetID]ownership.OwnerRow
 	away      bool // the platform cannot be reached
 	cancelled []core.GenerationID
+
+	statesRead []core.TargetID
+	ordered    []orders.SendOrder
+	slotsTaken []weights.Claim
+	slotsGiven []weights.Claim
 }
 
 func newFakePorts() *fakePorts {
@@ -100,6 +107,14 @@
 func (f *fakePorts) Poll(target core.Target, _ core.LoadReport) {
 	f.polled = append(f.polled, target.ID)
 }
+func (f *fakePorts) ReadEngine(target core.Target, _ core.Fence, _ uint64) {
+	f.statesRead = append(f.statesRead, target.ID)
+}
+func (f *fakePorts) Order(_ core.Target, order orders.SendOrder) {
+	f.ordered = append(f.ordered, order)
+}
+func (f *fakePorts) TakeSlot(claim weights.Claim) { f.slotsTaken = append(f.slotsTaken, claim) }
+func (f *fakePorts) GiveSlot(claim weights.Claim) { f.slotsGiven = append(f.slotsGiven, claim) }
 func (f *fakePorts) Cancel(_ string, generation core.GenerationID) {
 	f.cancelled = append(f.cancelled, generation)
 }
@@ -117,13 +132,15 @@
 
 // world is one host's control state with a clock that the test moves.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	state *state
 	ports *fakePorts
 	now   time.Time
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldFor(t) }
+
+func newWorldFor(t testing.TB) *world {
 	t.Helper()
 	w := &world{t: t, ports: newFakePorts(), now: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)}
 	w.state = newState(Options{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,15 +86,16 @@
 	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
 	streams, targets := &http.Client{Transport: relay.NewTransport()}, newTargetClient()
 	e := &effects{
-		self:     d.settings.Host,
-		loop:     d.loop,
-		platform: client,
-		ledger:   ledger.New(client, d.settings.DataCentre),
-		streams:  streams,
-		targets:  targets,
-		engines:  engine.NewClient(streams),
-		services: service.NewClient(targets),
-		log:      d.log,
+		self:       d.settings.Host,
+		dataCentre: d.settings.DataCentre,
+		loop:       d.loop,
+		platform:   client,
+		ledger:     ledger.New(client, d.settings.DataCentre),
+		streams:    streams,
+		targets:    targets,
+		engines:    engine.NewClient(streams),
+		services:   service.NewClient(targets),
+		log:        d.log,
 	}
 	e.node = peer.New(peer.Options{
 		Self:    d.settings.Self(),
