Cut named hosts off from the platform's stand-in

Cause: a drill could only take the platform away from everybody. The cut of one data centre from the platform, with its peers still linked, could not be brought about. Ruled out: a proxy in front of the stand-in for each data centre (more processes and ports, and settings that differ by host). Change: the platform's client names the host in the header Calling-Host; a fault's order may list callers; the fault "cut" ends calls before they take effect. New drill data-centre-cut takes oslo-b out while its hosts are cut off. Test: TestACutKeepsOnlyTheNamedCallersAway. With the client sending another header it failed: "An error is expected but got nil" at the cut host's commit. The drill itself has not been reported at this commit.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 }
 
 func (d *Daemon) newEffects(session core.SessionID) *effects {
-	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall))
+	client := platform.NewClient(d.settings.Platform, time.Duration(d.settings.Timing.PlatformCall)).Named(d.settings.Host)
 	targets := newTargetClient()
 	e := &effects{
 		self:       d.settings.Host,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"siskintide.example/siskintide/internal/core"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// maxConnections bounds the connections of one host, so that a slow platform is not
 	// flooded by calls that wait.
 	maxConnections = 16
+	// callerHeader names the host that calls.
+	callerHeader = "Calling-Host"
 	// idleTimeout closes connections that are no longer needed.
 	idleTimeout = 30 * time.Second
 )
@@ -25,6 +29,7 @@
 type Client struct {
 	base    string
 	timeout time.Duration
+	caller  core.HostID // empty if calls don't name their host
 	http    *http.Client
 }
 
@@ -43,6 +48,13 @@
 	}
 }
 
+// Named returns the client with every call naming the host that makes it, so that the
+// platform can tell its callers apart. It is called before the first call.
+func (c *Client) Named(caller core.HostID) *Client {
+	c.caller = caller
+	return c
+}
+
 // useLastResponse keeps a call from being sent again to another address.
 func useLastResponse(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
@@ -94,6 +106,9 @@
 	if err != nil {
 		return answer{}, false, err
 	}
+	if c.caller != "" {
+		request.Header.Set(callerHeader, string(c.caller))
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return answer{}, connected.Load(), err
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -211,3 +211,25 @@
 		require.Equal(t, step.hosts, hosts)
 	}
 }
+
+func TestACutKeepsOnlyTheNamedCallersAway(t *testing.T) {
+	standIn := startStandIn(t, platformserver.Options{})
+	_, cut := connect(t, standIn)
+	_, linked := connect(t, standIn)
+	cut.Named("oslo-b-1")
+	linked.Named("oslo-a-1")
+	standIn.Fault(fault.Order{Kind: platformserver.FaultCut, Callers: []string{"oslo-b-1"}})
+	ctx := t.Context()
+
+	var ambiguous *AmbiguousError
+	require.ErrorAs(t, cut.Commit(ctx, insert("a", "cut")), &ambiguous)
+	var unavailable *UnavailableError
+	_, err := cut.Row(ctx, "a")
+	require.ErrorAs(t, err, &unavailable)
+
+	require.NoError(t, linked.Commit(ctx, insert("a", "linked")))
+	standIn.Fault(fault.Order{Kind: fault.Clear})
+	got, err := cut.Row(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, "linked", string(got.Value))
+}
--- a/tools/drill/drills.go
+++ b/tools/drill/drills.go
@@ -24,6 +24,7 @@
 		platformOutage(),
 		ownerKilled(),
 		hostFrozen(),
+		dataCentreCut(),
 	}
 }
 
@@ -120,3 +121,19 @@
 		},
 	}
 }
+
+// dataCentreCut cuts the hosts of one data centre off from the platform for longer than a
+// lease, while their links to peers hold, and takes it out meanwhile.
+func dataCentreCut() drill {
+	return drill{
+		name:   "data-centre-cut",
+		about:  "9 hosts, 12 engines in 3 data centres; oslo-b's hosts are cut off from the platform for 25 s, not from peers, and oslo-b is taken out meanwhile",
+		layout: stemmebu(),
+		load:   openLoad(12, 45*time.Second),
+		events: []event{
+			{5 * time.Second, "cut oslo-b off from the platform", platformFault(`{"kind":"cut","callers":["oslo-b-1","oslo-b-2","oslo-b-3"]}`)},
+			{20 * time.Second, "take oslo-b out", operate("take-out", "oslo-b", "--accept-overload")},
+			{30 * time.Second, "heal the cut", platformFault(`{"kind":"clear"}`)},
+		},
+	}
+}
--- a/tools/standin/fault/order.go
+++ b/tools/standin/fault/order.go
@@ -1,6 +1,9 @@
 package fault
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Order asks a stand-in to show a fault.
 type Order struct {
@@ -9,6 +12,8 @@
 	DelayMS int64 `json:"delay_ms,omitempty"` // delay of faults that delay something
 	Count   int   `json:"count,omitempty"`    // how often it shows; zero means any number of times
 	Every   int   `json:"every,omitempty"`    // shows at each n-th occasion; zero means at each
+	// Callers limits the fault to calls of these callers; empty means all.
+	Callers []string `json:"callers,omitempty"`
 }
 
 // Delay returns the delay of faults that delay something.
@@ -16,3 +21,8 @@
 
 // For returns how long the fault lasts; zero means until cleared.
 func (o Order) For() time.Duration { return time.Duration(o.ForMS) * time.Millisecond }
+
+// concerns reports whether the fault shows to a caller.
+func (o Order) concerns(caller string) bool {
+	return len(o.Callers) == 0 || slices.Contains(o.Callers, caller)
+}
--- a/tools/standin/fault/set.go
+++ b/tools/standin/fault/set.go
@@ -23,10 +23,14 @@
 	s.byKind[order.Kind] = begun
 }
 
-// Take reports whether the fault shows at this occasion and counts it if so.
-func (s *Set) Take(kind Kind, now time.Time) (Order, bool) {
+// Take reports whether the fault shows at this occasion and counts it if so. A fault
+// that is limited to some callers doesn't show.
+func (s *Set) Take(kind Kind, now time.Time) (Order, bool) { return s.TakeFrom("", kind, now) }
+
+// TakeFrom is Take for a call of the caller.
+func (s *Set) TakeFrom(caller string, kind Kind, now time.Time) (Order, bool) {
 	current := s.byKind[kind]
-	if current == nil {
+	if current == nil || !current.order.concerns(caller) {
 		return Order{}, false
 	}
 	if !current.until.IsZero() && !now.Before(current.until) {
--- a/tools/standin/platform/platformserver/faults.go
+++ b/tools/standin/platform/platformserver/faults.go
@@ -7,4 +7,5 @@
 	FaultDown       fault.Kind = "down"
 	FaultLoseAnswer fault.Kind = "lose_answer"
 	FaultDrop       fault.Kind = "drop"
+	FaultCut        fault.Kind = "cut"
 )
--- a/tools/standin/platform/platformserver/handlers.go
+++ b/tools/standin/platform/platformserver/handlers.go
@@ -8,6 +8,9 @@
 	"siskintide.example/siskintide/tools/standin/fault"
 )
 
+// callerHeader names the host that calls.
+const callerHeader = "Calling-Host"
+
 // maxBodyBytes bounds the body of a call.
 const maxBodyBytes = 64 << 20
 
@@ -27,7 +30,7 @@
 func (s *Server) reading(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var e effects
-		s.act(func(st *store) { e = s.common(st) })
+		s.act(func(st *store) { e = s.common(st, r.Header.Get(callerHeader)) })
 		s.before(e, w, func() { serve(w, r) })
 	}
 }
@@ -42,7 +45,7 @@
 			return
 		}
 		var e effects
-		s.act(func(st *store) { e = s.ofWrite(st) })
+		s.act(func(st *store) { e = s.ofWrite(st, r.Header.Get(callerHeader)) })
 		s.before(e, w, func() { s.writeOnce(e, w, r, body, serve) })
 	}
 }
@@ -61,6 +64,9 @@
 
 // before shows the faults that come ahead of a call's effect.
 func (s *Server) before(e effects, w http.ResponseWriter, serve func()) {
+	if e.cut {
+		panic(http.ErrAbortHandler)
+	}
 	if e.down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
@@ -72,25 +78,26 @@
 }
 
 // common takes the faults that any call shows.
-func (s *Server) common(st *store) effects {
+func (s *Server) common(st *store, caller string) effects {
 	now := s.clock.Now()
 	var e effects
-	_, e.down = st.faults.Take(FaultDown, now)
-	if slow, ok := st.faults.Take(FaultSlow, now); ok {
+	_, e.cut = st.faults.TakeFrom(caller, FaultCut, now)
+	_, e.down = st.faults.TakeFrom(caller, FaultDown, now)
+	if slow, ok := st.faults.TakeFrom(caller, FaultSlow, now); ok {
 		e.delay = slow.Delay()
 	}
 	return e
 }
 
 // ofWrite takes the faults that a write shows.
-func (s *Server) ofWrite(st *store) effects {
-	e := s.common(st)
-	if e.down {
+func (s *Server) ofWrite(st *store, caller string) effects {
+	e := s.common(st, caller)
+	if e.cut || e.down {
 		return e
 	}
 	now := s.clock.Now()
-	if _, e.drop = st.faults.Take(FaultDrop, now); !e.drop {
-		_, e.loseAnswer = st.faults.Take(FaultLoseAnswer, now)
+	if _, e.drop = st.faults.TakeFrom(caller, FaultDrop, now); !e.drop {
+		_, e.loseAnswer = st.faults.TakeFrom(caller, FaultLoseAnswer, now)
 	}
 	return e
 }
