--- a/internal/decide/ownership/machine_test.go
+++ b/internal/decide/ownership/machine_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+func TestNewHostGetsItsShare(t *testing.T) {
+	w := newWorld(t, 1, 1, 12, nil)
+	w.runUntil(20 * time.Second)
+	require.Empty(t, w.unowned())
+	w.start(1)
+	joined := w.at
+	w.runUntil(joined + DefaultTiming().HandoverAfter)
+	for _, target := range w.targets {
+		require.Equal(t, []string{"h0-0"}, w.owners(target, true), "nothing is handed over early")
+	}
+	w.runUntil(joined + recoveryBound)
+	shares := map[string]int{}
+	for _, target := range w.targets {
+		for _, owner := range w.owners(target, true) {
+			shares[owner]++
+		}
+	}
+	require.Equal(t, len(w.targets), shares["h0-0"]+shares["h1-1"])
+	require.LessOrEqual(t, max(shares["h0-0"], shares["h1-1"]), roomFor(len(w.targets), 2))
+}
+
 // Schedules that once failed.
 func TestFixedSchedules(t *testing.T) {
 	cases := []struct {
