Let a target's limit outlive a change of owner

Ruled out: taking the number of listed streams as the limit (it says nothing when the load is low).

Change: owners tell their peers each target's limit with a hash of its incarnation (within the summary of loads every 5 s); a new owner takes the limit over if the first report comes from that incarnation, within the declared bounds, not while it is degraded.

Seen failing: without the comparison of incarnations TestLimitOutlivesAChangeOfOwner /another_incarnation; TestNewOwnerTakesOverTheLimit is new with the change.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/ownership"
+	"siskintide.example/siskintide/internal/decide/pool"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -211,3 +212,17 @@
 	w.advance(3 * time.Second)
 	require.Contains(t, w.peers(), owner)
 }
+
+func TestNewOwnerTakesOverTheLimit(t *testing.T) {
+	w := newWorld(t)
+	w.ports.linked["a2"] = true
+	load := message.TargetLoad{Target: "e1", Limit: 6, Incarnation: pool.IncarnationHash("i1")}
+	w.apply(peerEvent{from: "a2", message: message.TargetLoads{Targets: []message.TargetLoad{load}}})
+	w.apply(linkEvent{host: "a2", up: false})
+	w.own()
+	limits := map[core.TargetID]int{}
+	for _, view := range w.state.targetViews() {
+		limits[view.Target] = view.Limit
+	}
+	require.Equal(t, map[core.TargetID]int{"e1": 6, "e2": 2}, limits)
+}
--- a/internal/control/peer_event.go
+++ b/internal/control/peer_event.go
@@ -33,7 +33,7 @@
 	case message.Summary:
 		s.summaries[summaryKey{owner: e.from, pool: m.Pool}] = &summary{message: m, heardAt: now}
 	case message.TargetLoads:
-		s.loads[e.from] = m
+		s.takeTargetLoads(e.from, m, now)
 	case message.Heartbeat:
 		s.handleHeartbeat(e.from, m, now)
 	case message.RelayWanted:
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -43,6 +43,7 @@
 	announced  map[core.PoolID]*announced          // what this host last told
 	heartbeats map[core.HostID]message.Heartbeat   // latest of each peer
 	loads      map[core.HostID]message.TargetLoads // latest of each peer
+	limits     map[core.TargetID]knownLimit        // what other owners last gave their targets
 
 	leaving         bool
 	platformReached bool
@@ -78,6 +79,7 @@
 		heartbeats:  map[core.HostID]message.Heartbeat{},
 		orderTiming: orderTiming(options.Timing.LeaseTTL),
 		loads:       map[core.HostID]message.TargetLoads{},
+		limits:      map[core.TargetID]knownLimit{},
 	}
 	if len(options.Seeds) > 0 {
 		s.members.SetList(options.Seeds, options.Clock.Now())
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -30,6 +30,7 @@
 	s.log.WithField("target", id).Info("target acquired")
 	s.polls[id] = &poll{}
 	s.refreshTarget(id, now)
+	s.inherit(id, now)
 	s.orderTarget(id, now)
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"siskintide.example/siskintide/internal/decide/pool"
 	"siskintide.example/siskintide/internal/message"
 	"siskintide.example/siskintide/internal/snapshot"
 )
@@ -83,6 +84,8 @@
 			Streams:  view.Running,
 			Memory:   view.MemoryUsed,
 			Forecast: view.Forecast,
+
+			Incarnation: pool.IncarnationHash(view.Incarnation),
 		})
 	}
 	for _, host := range s.members.Peers(now) {
--- a/internal/decide/pool/pool_test.go
+++ b/internal/decide/pool/pool_test.go
@@ -236,3 +236,34 @@
 		})
 	}
 }
+
+func TestLimitOutlivesAChangeOfOwner(t *testing.T) {
+	cases := []struct {
+		name     string
+		inherits core.Incarnation
+		streams  int
+		frozen   bool
+		want     int
+	}{
+		{"same incarnation", "i1", 5, false, 5},
+		{"another incarnation", "i0", 5, false, fixtureKind.ColdStreams},
+		{"beyond the warm bound", "i1", 50, false, fixtureKind.WarmStreams},
+		{"below the cold floor", "i1", 1, false, fixtureKind.ColdStreams},
+		{"degraded owner", "i1", 5, true, fixtureKind.ColdStreams},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, fixtureKind, 2)
+			f.pool.SetFrozen(c.frozen)
+			f.pool.Inherit("e", IncarnationHash(c.inherits), c.streams)
+			f.report(nil)
+			require.Equal(t, c.want, f.limit())
+			f.pass(10 * time.Second)
+			f.report(func(r *core.LoadReport) { r.Incarnation = "i2" })
+			require.Equal(t, fixtureKind.ColdStreams, f.limit(), "a restart falls to the cold floor")
+			f.pool.Inherit("e", IncarnationHash("i2"), 6)
+			f.report(func(r *core.LoadReport) { r.Incarnation = "i2" })
+			require.Equal(t, fixtureKind.ColdStreams, f.limit(), "only the first report counts")
+		})
+	}
+}
--- a/internal/decide/pool/report.go
+++ b/internal/decide/pool/report.go
@@ -26,8 +26,11 @@
 	target.reachable = true
 	if !target.known || target.incarnation != report.Incarnation {
 		p.restarted(target, report, now)
+		p.takeCounters(target, report, now)
+		target.takeInherited()
+	} else {
+		p.takeCounters(target, report, now)
 	}
-	p.takeCounters(target, report, now)
 	target.takeSettled(report.ListsStreams, asOf)
 	var effects []Effect
 	if report.ListsStreams {
--- a/internal/decide/pool/target_state.go
+++ b/internal/decide/pool/target_state.go
@@ -34,6 +34,7 @@
 	coldSince   time.Time     // when the limit last fell to the cold floor
 	healthy     time.Duration // time of streams since then that ended within the bounds
 	gapMS       float64       // measured time between tokens
+	inherited   inherited     // from a former owner, until the first report
 	profile     forecast.Profile
 	profileAt   time.Time
 	dirty       bool
--- a/internal/decide/warmup/limit.go
+++ b/internal/decide/warmup/limit.go
@@ -43,5 +43,13 @@
 	l.current = min(l.current+1, l.warm)
 }
 
+// Resume sets the limit that a former owner of the same incarnation had reached, within
+// the declared bounds.
+func (l *Limit) Resume(streams int) {
+	if !l.frozen {
+		l.current = min(max(streams, l.cold), l.warm)
+	}
+}
+
 // FallCold lowers the limit to the cold floor.
 func (l *Limit) FallCold() { l.current = l.cold }
--- a/internal/message/target_load.go
+++ b/internal/message/target_load.go
@@ -9,4 +9,6 @@
 	Streams  int           `cbor:"3,keyasint"`
 	Memory   core.Tokens   `cbor:"4,keyasint"`
 	Forecast core.Tokens   `cbor:"5,keyasint"`
+	// Incarnation is the hash of the incarnation that the limit belongs to.
+	Incarnation uint64 `cbor:"6,keyasint"`
 }
