--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -23,7 +23,7 @@
 		Summary:        250 * time.Millisecond,
 		SummaryRefresh: 5 * time.Second,
 		SummaryExpiry:  15 * time.Second,
-		Progress:       500 * time.Millisecond,
+		Progress:       time.Second,
 		TicketCheck:    5 * time.Second,
 		Poll:           time.Second,
 		EventQueue:     4096,
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -41,7 +41,7 @@
 	received chan delivery
 }
 
-func start(t *testing.T, id core.HostID, adjust func(*Options)) *endpoint {
+func start(t testing.TB, id core.HostID, adjust func(*Options)) *endpoint {
 	t.Helper()
 	e := &endpoint{changes: make(chan change, 100), received: make(chan delivery, 100)}
 	options := Options{
@@ -69,7 +69,7 @@
 	return e
 }
 
-func take[T any](t *testing.T, values <-chan T) T {
+func take[T any](t testing.TB, values <-chan T) T {
 	t.Helper()
 	select {
 	case v := <-values:
