Freeze limits while a host owns targets without a renewed lease

Change: the control loop freezes the limits of its pools with each tick while degraded.

Seen failing: TestLimitsDoNotGrowWhileTheOwnerIsDegraded without the call.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -226,3 +226,48 @@
 	}
 	require.Equal(t, map[core.TargetID]int{"e1": 6, "e2": 2}, limits)
 }
+
+func TestLimitsDoNotGrowWhileTheOwnerIsDegraded(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		w := newWorld(t)
+		w.ports.linked["a2"] = true
+		w.own()
+		w.apply(hostListEvent{hosts: []core.Host{{ID: "a2", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:3"}}})
+		w.apply(linkEvent{host: "a2", up: true})
+		w.ports.away = away
+		w.serveHealthy(40, !away)
+		require.Equal(t, away, w.state.ownership.Degraded(w.now))
+		grown := false
+		for _, view := range w.state.targetViews() {
+			grown = grown || view.Limit > 2
+		}
+		require.Equal(t, !away, grown)
+	}
+}
+
+// serveHealthy answers requests of one second each within all bounds, as many as fit, while
+// a peer says whether it reaches the platform.
+func (w *world) serveHealthy(seconds int, reached bool) {
+	w.t.Helper()
+	n := byte(100)
+	for range seconds {
+		w.apply(peerEvent{from: "a2", message: message.Heartbeat{Host: "a2", PlatformReached: reached}})
+		var granted []core.Ticket
+		for range 4 {
+			n++
+			if answers := w.ask(n); len(answers) == 1 {
+				if answer := <-answers; answer.refusal == nil {
+					granted = append(granted, answer.grant.Ticket)
+				}
+			} else {
+				w.apply(withdrawEvent{generation: generation(n)})
+			}
+		}
+		w.advance(time.Second)
+		for _, ticket := range granted {
+			w.apply(closeEvent{outcome: core.Outcome{Generation: ticket.Generation, Target: ticket.Target, Result: core.Completed, Output: 30, FirstTokenMS: 40, WorstTokenGapMS: 30}})
+		}
+		w.report("e1")
+		w.report("e2")
+	}
+}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -17,6 +17,7 @@
 func (s *state) tick(now time.Time) {
 	s.tickedAt = now
 	s.executeOwnership(s.ownership.Tick(now), now)
+	s.freeze(now)
 	for _, p := range s.pools {
 		s.execute(p.Tick(now), now)
 	}
@@ -43,6 +44,14 @@
 	}
 }
 
+// freeze stops the growth of limits while the host owns targets without a renewed lease.
+func (s *state) freeze(now time.Time) {
+	degraded := s.ownership.Degraded(now)
+	for _, p := range s.pools {
+		p.SetFrozen(degraded)
+	}
+}
+
 // viewPeriod is the longest age of the published view's counters.
 const viewPeriod = 500 * time.Millisecond
 
