Serve callers on the users' platform: adapter, route table, placement, carried streams

Cause: the daemon spoke only its own interface and needed hosts, leases and claims of its own, which the platform makes needless there. A new front passes requests through by host and prefix, control state has one goroutine (internal/fleet), and platform/ alone knows the wire's names.

--- a/cmd/siskintided/main.go
+++ b/cmd/siskintided/main.go
@@ -13,6 +13,7 @@
 
 	"siskintide.example/siskintide/internal/daemon"
 	"siskintide.example/siskintide/internal/settings"
+	"siskintide.example/siskintide/platform"
 )
 
 const (
@@ -25,10 +26,36 @@
 	flaggy.SetName("siskintided")
 	flaggy.SetDescription("entry host of siskintide: serves callers in front of model engines and plain services")
 	flaggy.String(&path, "s", "settings", "settings file, JSON with comments")
+	onPlatform := flaggy.NewSubcommand("platform")
+	onPlatform.Description = "run on the users' platform, with the settings that it gives"
+	flaggy.AttachSubcommand(onPlatform, 1)
 	flaggy.Parse()
+	if onPlatform.Used {
+		os.Exit(runOnPlatform())
+	}
 	os.Exit(run(path))
 }
 
+// runOnPlatform serves with the platform's own boot settings.
+func runOnPlatform() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings are read once; a change takes effect at the next start.
+	signal.Ignore(syscall.SIGHUP)
+	err := platform.Run(ctx)
+	var unusable *platform.BootError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &unusable):
+		fmt.Fprintln(os.Stderr, err)
+		return exitWrongInput
+	default:
+		fmt.Fprintln(os.Stderr, "siskintided:", err)
+		return exitFailed
+	}
+}
+
 func run(path string) int {
 	checked, err := settings.Load(path)
 	if err != nil {
--- /dev/null
+++ b/internal/core/route_id.go
@@ -0,0 +1,4 @@
+package core
+
+// RouteID names a route of the routing configuration.
+type RouteID string
--- /dev/null
+++ b/internal/core/routing_config.go
@@ -0,0 +1,10 @@
+package core
+
+// RoutingConfig is one whole routing configuration. It is immutable once published.
+type RoutingConfig struct {
+	Revision Revision
+	Routes   []Route
+	Pools    []PoolSpec
+	Teams    []TeamKeys // nil means that no request needs a key
+	Limits   CallerLimits
+}
--- /dev/null
+++ b/internal/core/team_keys.go
@@ -0,0 +1,8 @@
+package core
+
+// TeamKeys declares the API keys of a team.
+type TeamKeys struct {
+	Team     TeamID
+	Keys     []string
+	Priority *Priority // goes before the route's priority; nil means the route's
+}
--- /dev/null
+++ b/internal/decide/carry/stream.go
@@ -0,0 +1,157 @@
+package carry
+
+import "time"
+
+// maxSwitches bounds how often one generation goes on elsewhere.
+const maxSwitches = 8
+
+// maxMoves bounds the tries to move one generation off one engine.
+const maxMoves = 3
+
+// Stream is the state of one generation that is being relayed. Only the goroutine that
+// relays it uses it.
+type Stream struct {
+	timing   Timing
+	canMove  bool
+	copied   bool // another engine keeps a copy
+	begun    bool // an event has arrived since the last switch
+	broken   bool // the connection to the engine ended before the generation did
+	leaving  bool // the engine leaves
+	ahead    bool // the memory has been copied ahead of the final move
+	moved    bool // the generation was stopped and its memory moved
+	open     StepKind
+	since    time.Duration // notice that the engine leaves
+	last     time.Duration // last event
+	switches int
+	moves    int
+}
+
+// New returns a stream that has just been sent to an engine.
+func New(timing Timing, canMove, copied bool, now time.Duration) *Stream {
+	return &Stream{timing: timing, canMove: canMove, copied: copied, last: now}
+}
+
+// Event notes an event of the generation.
+func (s *Stream) Event(now time.Duration) { s.begun, s.last = true, now }
+
+// Leaving notes that the engine leaves. Repeats change nothing.
+func (s *Stream) Leaving(now time.Duration) {
+	if !s.leaving {
+		s.leaving, s.since = true, now
+	}
+}
+
+// CopyLost notes that the holder of the copy leaves or is gone.
+func (s *Stream) CopyLost() { s.copied = false }
+
+// Copied reports whether a copy is believed to exist.
+func (s *Stream) Copied() bool { return s.copied }
+
+// Broken notes that the connection to the engine ended before the generation did.
+func (s *Stream) Broken() { s.broken = true }
+
+// Next returns what to do now. A step other than Wait is open until its end is noted.
+func (s *Stream) Next(now time.Duration) Step {
+	step := s.next(now)
+	if step.Kind != Wait {
+		s.open = step.Kind
+	}
+	return step
+}
+
+// Due returns when Next has to be asked again though nothing happens; zero means never.
+func (s *Stream) Due(now time.Duration) time.Duration {
+	step := s.next(now)
+	if step.Kind != Wait {
+		return now
+	}
+	return step.At
+}
+
+func (s *Stream) next(now time.Duration) Step {
+	switch {
+	case s.open != 0:
+		return Step{Kind: Wait}
+	case s.moved:
+		return Step{Kind: SwitchToMoved}
+	case s.switches >= maxSwitches && s.broken:
+		return Step{Kind: GiveUp}
+	case s.broken && s.copied:
+		return Step{Kind: SwitchToCopy}
+	case s.broken:
+		return Step{Kind: GiveUp}
+	case s.switches >= maxSwitches:
+		return Step{Kind: Wait}
+	case s.copied:
+		return s.withCopy(now)
+	case s.leaving && s.canMove && s.moves < maxMoves:
+		return s.withoutCopy(now)
+	default:
+		return Step{Kind: Wait}
+	}
+}
+
+// withCopy switches when the engine is about to leave, or silent for too long.
+func (s *Stream) withCopy(now time.Duration) Step {
+	var due time.Duration
+	if s.leaving {
+		due = s.since + s.timing.SwitchAfter
+		if !s.begun {
+			due = s.since + s.timing.StartWithin
+		}
+	}
+	if s.begun && s.timing.Silence > 0 {
+		silent := s.last + s.timing.Silence
+		if due == 0 || silent < due {
+			due = silent
+		}
+	}
+	if due != 0 && now >= due {
+		return Step{Kind: SwitchToCopy}
+	}
+	return Step{Kind: Wait, At: due}
+}
+
+// withoutCopy moves a generation that has begun: ahead at once, and the rest at the time
+// at which a copy would be used.
+func (s *Stream) withoutCopy(now time.Duration) Step {
+	switch due := s.since + s.timing.SwitchAfter; {
+	case !s.begun:
+		return Step{Kind: Wait}
+	case !s.ahead:
+		return Step{Kind: MoveAhead}
+	case now >= due:
+		return Step{Kind: MoveFinal}
+	default:
+		return Step{Kind: Wait, At: due}
+	}
+}
+
+// Moved notes how MoveAhead or MoveFinal ended.
+func (s *Stream) Moved(result Result) {
+	step := s.open
+	s.open = 0
+	switch {
+	case step == MoveAhead && result == Done:
+		s.ahead = true
+	case step == MoveFinal && result == Done:
+		s.moved = true
+	default:
+		s.moves++
+	}
+}
+
+// Switched notes how a switch ended. copied tells whether the new engine has been asked
+// to have a copy kept elsewhere.
+func (s *Stream) Switched(result Result, copied bool, now time.Duration) {
+	moved := s.moved
+	s.open, s.moved = 0, false
+	if result != Done {
+		s.copied = false
+		s.broken = s.broken || moved
+		return
+	}
+	s.switches++
+	s.copied, s.begun, s.broken, s.leaving, s.ahead = copied, false, false, false, false
+	s.moves, s.last = 0, now
+}
--- /dev/null
+++ b/internal/decide/carry/stream_test.go
@@ -0,0 +1,108 @@
+package carry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var timing = Timing{SwitchAfter: 900 * time.Millisecond, StartWithin: 1300 * time.Millisecond, Silence: 140 * time.Millisecond}
+
+func TestNextStep(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		canMove, copied bool
+		prepare         func(*Stream)
+		now             time.Duration
+		want            Step
+	}{
+		"nothing happens":           {true, true, func(*Stream) {}, 0, Step{Kind: Wait}},
+		"copy is not used at once":  {true, true, func(s *Stream) { s.Leaving(0); s.Event(800 * ms) }, 850 * ms, Step{Wait, 900 * ms}},
+		"copy is used in time":      {true, true, func(s *Stream) { s.Leaving(0); s.Event(890 * ms) }, 900 * ms, Step{Kind: SwitchToCopy}},
+		"no event yet":              {true, true, func(s *Stream) { s.Leaving(0) }, 900 * ms, Step{Wait, 1300 * ms}},
+		"no event for long":         {true, true, func(s *Stream) { s.Leaving(0) }, 1300 * ms, Step{Kind: SwitchToCopy}},
+		"silent engine":             {true, true, func(s *Stream) { s.Event(0) }, 140 * ms, Step{Kind: SwitchToCopy}},
+		"silent without copy":       {true, false, func(s *Stream) { s.Event(0) }, 900 * ms, Step{Kind: Wait}},
+		"broken with copy":          {true, true, (*Stream).Broken, 0, Step{Kind: SwitchToCopy}},
+		"broken without copy":       {true, false, (*Stream).Broken, 0, Step{Kind: GiveUp}},
+		"broken after copy is lost": {true, true, func(s *Stream) { s.CopyLost(); s.Broken() }, 0, Step{Kind: GiveUp}},
+		"moves ahead at once":       {true, false, func(s *Stream) { s.Event(0); s.Leaving(0) }, 0, Step{Kind: MoveAhead}},
+		"no move before an event":   {true, false, func(s *Stream) { s.Leaving(0) }, 0, Step{Kind: Wait}},
+		"engine cannot move":        {false, false, func(s *Stream) { s.Event(0); s.Leaving(0) }, 0, Step{Kind: Wait}},
+		"final move in time":        {true, false, movedAhead, 900 * ms, Step{Kind: MoveFinal}},
+		"final move waits":          {true, false, movedAhead, 10 * ms, Step{Wait, 900 * ms}},
+		"goes on where it moved":    {true, false, func(s *Stream) { movedAhead(s); s.Next(900 * ms); s.Moved(Done); s.Broken() }, 900 * ms, Step{Kind: SwitchToMoved}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream := New(timing, c.canMove, c.copied, 0)
+			c.prepare(stream)
+			require.Equal(t, c.want, stream.Next(c.now))
+		})
+	}
+}
+
+func movedAhead(s *Stream) {
+	s.Event(0)
+	s.Leaving(0)
+	s.Next(0)
+	s.Moved(Done)
+}
+
+// Whatever happens, at most one step is open at a time, a copy is used at most once, and
+// a generation that was lost is not continued.
+func TestOneStepAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := New(timing, rapid.Bool().Draw(t, "moves"), rapid.Bool().Draw(t, "copied"), 0)
+		copies := 0 // unused copies
+		if stream.Copied() {
+			copies = 1
+		}
+		var now time.Duration
+		open := StepKind(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				stream.Event(now)
+			case 1:
+				stream.Leaving(now)
+			case 2:
+				stream.CopyLost()
+				copies = 0
+			case 3:
+				stream.Broken()
+			case 4:
+				result := Result(rapid.IntRange(1, 3).Draw(t, "result"))
+				switch open {
+				case SwitchToCopy, SwitchToMoved:
+					copied := rapid.Bool().Draw(t, "next copy")
+					stream.Switched(result, copied, now)
+					copies = 0
+					if result == Done && copied {
+						copies = 1
+					}
+				case MoveAhead, MoveFinal:
+					stream.Moved(result)
+				}
+				open = 0
+			default:
+				step := stream.Next(now)
+				if open != 0 {
+					require.Equal(t, Wait, step.Kind, "a second step while one is open")
+					continue
+				}
+				if step.Kind == SwitchToCopy {
+					require.Equal(t, 1, copies, "no unused copy")
+				}
+				if step.Kind == GiveUp {
+					return
+				}
+				if step.Kind != Wait {
+					open = step.Kind
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/carry/timing.go
@@ -0,0 +1,15 @@
+package carry
+
+import "time"
+
+// Timing bounds the steps of a stream.
+type Timing struct {
+	// SwitchAfter is the time from the notice that the engine leaves to the switch, so that
+	// the copy has what the engine made until then.
+	SwitchAfter time.Duration
+	// StartWithin is the same for a generation without an event yet.
+	StartWithin time.Duration
+	// Silence is the pause between events after which the engine counts as lost. Zero
+	// means that silence tells nothing.
+	Silence time.Duration
+}
--- /dev/null
+++ b/internal/decide/placement/book.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// awayPenalty is what a target in another data centre must be less loaded by: bytes
+	// between data centres cost, and each call takes a little longer.
+	awayPenalty = 0.25
+	// awayMemoryPenalty is the same for generations, whose bytes are few for their worth.
+	awayMemoryPenalty = 0.02
+	// failurePenalty weighs a failure rate against load.
+	failurePenalty = 2.0
+	// copyRoom is the part of a target's memory up to which copies are added, so that they
+	// do not take the room of the generations that run there.
+	copyRoom = 0.85
+	// avoidPenalty ranks targets that are avoided behind all others.
+	avoidPenalty = 1000.0
+	// peerLoadTTL is the age at which another host's account of its sends says nothing
+	// any more.
+	peerLoadTTL = 3 * time.Second
+)
+
+// Book knows the load of all targets. Only one goroutine uses it.
+type Book struct {
+	own     map[core.TargetID]Load
+	records map[core.TargetID]*record
+	peers   map[core.HostID]peerLoad
+}
+
+// NewBook returns a book without load.
+func NewBook() *Book {
+	return &Book{own: map[core.TargetID]Load{}, records: map[core.TargetID]*record{}, peers: map[core.HostID]peerLoad{}}
+}
+
+// Add counts work that this host gives a target.
+func (b *Book) Add(id core.TargetID, load Load) { b.own[id] = b.own[id].plus(load) }
+
+// Remove counts work that has ended.
+func (b *Book) Remove(id core.TargetID, load Load) {
+	left := b.own[id].minus(load)
+	if left == (Load{}) {
+		delete(b.own, id)
+		return
+	}
+	b.own[id] = left
+}
+
+// Own returns a copy of this host's work by target.
+func (b *Book) Own() map[core.TargetID]Load {
+	loads := make(map[core.TargetID]Load, len(b.own))
+	for id, load := range b.own {
+		loads[id] = load
+	}
+	return loads
+}
+
+// Peer takes over another host's account of its work.
+func (b *Book) Peer(host core.HostID, loads map[core.TargetID]Load, now time.Duration) {
+	b.peers[host] = peerLoad{loads: loads, at: now}
+}
+
+// Note takes over how a send ended.
+func (b *Book) Note(id core.TargetID, outcome Outcome, now time.Duration) {
+	if b.records[id] == nil {
+		b.records[id] = &record{}
+	}
+	b.records[id].note(outcome, now)
+}
+
+// Forget drops what is known of a target that is gone or has started again.
+func (b *Book) Forget(id core.TargetID) { delete(b.records, id) }
+
+// load returns the work of all hosts at a target.
+func (b *Book) load(id core.TargetID, now time.Duration) Load {
+	sum := b.own[id]
+	for _, peer := range b.peers {
+		if now-peer.at < peerLoadTTL {
+			sum = sum.plus(peer.loads[id])
+		}
+	}
+	return sum
+}
+
+// Choose returns the target for a request, and one for its copy if it wants one and there
+// is room. It is false if there is no candidate.
+func (b *Book) Choose(candidates []Candidate, need Need, now time.Duration) (Choice, bool) {
+	target := b.best(candidates, need, now, b.score)
+	if target == nil {
+		return Choice{}, false
+	}
+	choice := Choice{Target: *target}
+	if need.WantsCopy {
+		if holder, ok := b.ChooseCopy(candidates, need, target.Target, now); ok {
+			choice.Copy = holder
+		}
+	}
+	return choice, true
+}
+
+// ChooseCopy returns a target that may keep a copy of a generation that runs elsewhere.
+func (b *Book) ChooseCopy(candidates []Candidate, need Need, running core.TargetID, now time.Duration) (Candidate, bool) {
+	need.Avoid = append([]core.TargetID{running}, need.Avoid...)
+	holder := b.best(candidates, need, now, b.copyScore)
+	if holder == nil {
+		return Candidate{}, false
+	}
+	load := b.load(holder.Target, now)
+	if float64(load.Memory+load.Copies+need.Memory) > copyRoom*float64(holder.Memory) || b.avoided(holder.Target, now) {
+		return Candidate{}, false
+	}
+	return *holder, true
+}
+
+func (b *Book) best(candidates []Candidate, need Need, now time.Duration, score func(*Candidate, Need, time.Duration) float64) *Candidate {
+	var best *Candidate
+	lowest, lowestTie := 0.0, uint64(0)
+	for i := range candidates {
+		candidate := &candidates[i]
+		if need.avoids(candidate.Target) {
+			continue
+		}
+		value, tie := score(candidate, need, now), xxhash.Sum64String(need.Request+string(candidate.Target))
+		if best == nil || value < lowest || value == lowest && tie < lowestTie {
+			best, lowest, lowestTie = candidate, value, tie
+		}
+	}
+	return best
+}
+
+// score is low for a target that is little loaded, near and sound.
+func (b *Book) score(c *Candidate, need Need, now time.Duration) float64 {
+	load := b.load(c.Target, now)
+	value := float64(load.Requests) / float64(max(c.Slots, 1))
+	if c.Memory > 0 {
+		value = max(value, float64(load.Memory+load.Copies+need.Memory)/float64(c.Memory))
+	}
+	return value + b.penalty(c, need, now)
+}
+
+// copyScore prefers room over nearness.
+func (b *Book) copyScore(c *Candidate, need Need, now time.Duration) float64 {
+	load := b.load(c.Target, now)
+	return float64(load.Memory+load.Copies)/float64(max(c.Memory, 1)) + b.penalty(c, need, now)
+}
+
+func (b *Book) penalty(c *Candidate, need Need, now time.Duration) float64 {
+	value := 0.0
+	if c.DataCentre != need.DataCentre && c.Memory > 0 {
+		value += awayMemoryPenalty
+	} else if c.DataCentre != need.DataCentre {
+		value += awayPenalty
+	}
+	if record := b.records[c.Target]; record != nil {
+		value += failurePenalty * record.failureRate
+	}
+	if b.avoided(c.Target, now) {
+		value += avoidPenalty
+	}
+	return value
+}
+
+func (b *Book) avoided(id core.TargetID, now time.Duration) bool {
+	record := b.records[id]
+	return record != nil && (record.misplaced || now < record.avoidUntil)
+}
--- /dev/null
+++ b/internal/decide/placement/book_test.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+func engines(ids ...string) []Candidate {
+	var all []Candidate
+	for _, id := range ids {
+		all = append(all, Candidate{Target: core.TargetID(id), DataCentre: "a", Slots: 24, Memory: 34_000})
+	}
+	return all
+}
+
+func TestChoose(t *testing.T) {
+	services := []Candidate{{Target: "near", DataCentre: "a", Slots: 6}, {Target: "far", DataCentre: "b", Slots: 6}}
+	for name, c := range map[string]struct {
+		candidates []Candidate
+		prepare    func(*Book)
+		need       Need
+		want       core.TargetID
+	}{
+		"near first":               {services, func(*Book) {}, Need{DataCentre: "a"}, "near"},
+		"far when near is loaded":  {services, func(b *Book) { b.Add("near", Load{Requests: 3}) }, Need{DataCentre: "a"}, "far"},
+		"another host's work":      {services, func(b *Book) { b.Peer("h", map[core.TargetID]Load{"near": {Requests: 3}}, 0) }, Need{DataCentre: "a"}, "far"},
+		"avoided":                  {services, func(*Book) {}, Need{DataCentre: "a", Avoid: []core.TargetID{"near"}}, "far"},
+		"unreachable":              {services, func(b *Book) { b.Note("near", Unreachable, 0) }, Need{DataCentre: "a"}, "far"},
+		"only one, though avoided": {services[:1], func(b *Book) { b.Note("near", Unreachable, 0) }, Need{DataCentre: "a"}, "near"},
+		"address reused":           {services, func(b *Book) { b.Note("near", Misplaced, 0) }, Need{DataCentre: "a"}, "far"},
+		"memory decides":           {engines("x", "y"), func(b *Book) { b.Add("x", Load{Memory: 9000}) }, Need{Memory: 4000}, "y"},
+		"copies take memory":       {engines("x", "y"), func(b *Book) { b.Add("x", Load{Copies: 9000}) }, Need{Memory: 4000}, "y"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			book := NewBook()
+			c.prepare(book)
+			choice, ok := book.Choose(c.candidates, c.need, 0)
+			require.True(t, ok)
+			require.Equal(t, c.want, choice.Target.Target)
+		})
+	}
+	_, ok := NewBook().Choose(nil, Need{}, 0)
+	require.False(t, ok)
+}
+
+func TestFailingTargetIsAvoidedByItsOutcomes(t *testing.T) {
+	book := NewBook()
+	candidates := []Candidate{{Target: "good", DataCentre: "b", Slots: 6}, {Target: "bad", DataCentre: "a", Slots: 6}}
+	for i := range 20 {
+		outcome := Answered
+		if i%2 == 0 {
+			outcome = Failed
+		}
+		book.Note("bad", outcome, 0)
+	}
+	choice, ok := book.Choose(candidates, Need{DataCentre: "a"}, 0)
+	require.True(t, ok)
+	require.Equal(t, core.TargetID("good"), choice.Target.Target)
+}
+
+// The copy is never where the generation runs, and never beyond the room for copies.
+func TestCopyHasRoomElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book, candidates := NewBook(), engines("x", "y", "z")
+		for i := range rapid.IntRange(0, 60).Draw(t, "streams") {
+			need := Need{Request: fmt.Sprint(i), Memory: core.Tokens(rapid.IntRange(100, 6000).Draw(t, "memory")), WantsCopy: true}
+			choice, ok := book.Choose(candidates, need, 0)
+			require.True(t, ok)
+			book.Add(choice.Target.Target, Load{Requests: 1, Memory: need.Memory})
+			if !choice.HasCopy() {
+				continue
+			}
+			require.NotEqual(t, choice.Target.Target, choice.Copy.Target)
+			book.Add(choice.Copy.Target, Load{Copies: need.Memory})
+			held := book.load(choice.Copy.Target, 0)
+			require.LessOrEqual(t, float64(held.Memory+held.Copies), copyRoom*float64(choice.Copy.Memory))
+		}
+	})
+}
+
+func TestLoadOfASilentHostLapses(t *testing.T) {
+	book := NewBook()
+	book.Peer("h", map[core.TargetID]Load{"x": {Requests: 5}}, 0)
+	require.Equal(t, 5, book.load("x", time.Second).Requests)
+	require.Zero(t, book.load("x", peerLoadTTL).Requests)
+}
--- /dev/null
+++ b/internal/decide/placement/load.go
@@ -0,0 +1,18 @@
+package placement
+
+import "siskintide.example/siskintide/internal/core"
+
+// Load is the work that one or more hosts have at a target.
+type Load struct {
+	Requests int         // requests sent and not answered in full
+	Memory   core.Tokens // forecast memory of running generations at their end
+	Copies   core.Tokens // forecast memory of copies of generations that run elsewhere
+}
+
+func (l Load) plus(other Load) Load {
+	return Load{Requests: l.Requests + other.Requests, Memory: l.Memory + other.Memory, Copies: l.Copies + other.Copies}
+}
+
+func (l Load) minus(other Load) Load {
+	return Load{Requests: l.Requests - other.Requests, Memory: l.Memory - other.Memory, Copies: l.Copies - other.Copies}
+}
--- /dev/null
+++ b/internal/decide/routetable/doc.go
@@ -0,0 +1,3 @@
+// Package routetable answers which route, pool and team a request belongs to in one
+// routing configuration.
+package routetable
--- /dev/null
+++ b/internal/edgehost/options.go
@@ -0,0 +1,31 @@
+package edgehost
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/spend"
+	"siskintide.example/siskintide/internal/fleet"
+	"siskintide.example/siskintide/internal/gateway"
+)
+
+// Options configures a Host. All fields are required, but Metrics may be empty.
+type Options struct {
+	Self      core.Host
+	Callers   string // address of the callers' listener
+	Ready     string // address that answers whether the host takes new callers
+	ReadyPath string
+	Metrics   string // address of the metrics; empty for none
+	Codec     gateway.Codec
+	Mover     gateway.Mover
+	// Follow keeps the control goroutine informed until the context ends.
+	Follow      func(ctx context.Context, loop *fleet.Loop, log log.Interface)
+	Repeats     spend.Limits
+	KeyProofAge time.Duration // see gateway.Options
+	Grace       time.Duration // from the signal to stop until the process is killed
+	Output      io.Writer     // of the log
+}
--- /dev/null
+++ b/internal/fleet/end_event.go
@@ -0,0 +1,25 @@
+package fleet
+
+import "siskintide.example/siskintide/internal/decide/placement"
+
+// endEvent notes that a use is over.
+type endEvent struct {
+	use     Use
+	outcome placement.Outcome
+}
+
+func (e endEvent) apply(s *state) {
+	target := e.use.Target.Target
+	s.book.Remove(target, e.use.load)
+	if e.use.HasCopy() {
+		s.book.Remove(e.use.Copy.Target, e.use.copy)
+	}
+	s.loadChanged = true
+	if e.outcome != placement.Withdrawn {
+		s.book.Note(target, e.outcome, s.now())
+	}
+	if e.outcome == placement.Unreachable || e.outcome == placement.Misplaced {
+		s.log.WithField("target", target).WithField("misplaced", e.outcome == placement.Misplaced).
+			Warn("target avoided after a failed send")
+	}
+}
--- /dev/null
+++ b/internal/fleet/event.go
@@ -0,0 +1,6 @@
+package fleet
+
+// event is something that the control goroutine acts on.
+type event interface {
+	apply(s *state)
+}
--- /dev/null
+++ b/internal/fleet/knowledge.go
@@ -0,0 +1,25 @@
+package fleet
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// Knowledge is what one read of the platform's store has told.
+type Knowledge struct {
+	// SentAt is when the read was sent; the store's answer is at least as new.
+	SentAt time.Duration
+	// Config is a newer configuration, or nil.
+	Config *core.RoutingConfig
+	// Evacuated lists the data centres that are to get nothing; nil means no news.
+	Evacuated map[core.DataCentreID]bool
+	// ProvesConfig says that the read covers configuration and evacuations.
+	ProvesConfig bool
+	// Registrations are entries that are new or have changed.
+	Registrations []core.Registration
+	// Removed are entries that are gone.
+	Removed []core.TargetID
+	// WholeRegistry says that Registrations is the whole registry.
+	WholeRegistry bool
+}
--- /dev/null
+++ b/internal/fleet/loop.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/placement"
+)
+
+const (
+	// queuedEvents bounds the events that wait for the control goroutine.
+	queuedEvents = 512
+	// tickPeriod is the time between looks at what time alone changes.
+	tickPeriod = 200 * time.Millisecond
+)
+
+// Loop is the control goroutine and the way to reach it. Its methods are safe for
+// concurrent use.
+type Loop struct {
+	options Options
+	events  chan event
+	view    atomic.Pointer[View]
+	done    chan struct{}
+}
+
+// NewLoop returns a loop that knows nothing. Run makes it work.
+func NewLoop(options Options) *Loop {
+	l := &Loop{options: options, events: make(chan event, queuedEvents), done: make(chan struct{})}
+	l.view.Store(&View{Changed: make(chan struct{})})
+	return l
+}
+
+// Run owns the control state until the context ends. It is called once.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	s := newState(&l.options)
+	changed := make(chan struct{})
+	s.view.Changed = changed
+	l.publish(s)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			e.apply(s)
+		case <-ticker.C:
+			s.tick()
+		}
+		if s.membersChanged {
+			s.view.Members = s.registry.Members()
+			s.membersChanged, s.changed = false, true
+		}
+		if s.changed {
+			former := changed
+			changed = make(chan struct{})
+			s.view.Changed = changed
+			l.publish(s)
+			close(former)
+			s.changed = false
+		}
+	}
+}
+
+func (l *Loop) publish(s *state) {
+	view := s.view
+	l.view.Store(&view)
+}
+
+// tick acts on the passing of time.
+func (s *state) tick() {
+	if s.registry.Expire(s.now()) {
+		s.log.Info("targets that did not register again after the outage are gone")
+		s.membersChanged = true
+	}
+	if s.loadChanged && s.options.Share != nil {
+		s.options.Share(s.book.Own())
+		s.loadChanged = false
+	}
+}
+
+// View returns what the host knows now.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// post queues an event. It is false if the loop or the context has ended.
+func (l *Loop) post(ctx context.Context, e event) bool {
+	select {
+	case l.events <- e:
+		return true
+	case <-l.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// HandleKnowledge takes over the result of a read of the store.
+func (l *Loop) HandleKnowledge(k Knowledge) {
+	l.post(context.Background(), knowledgeEvent{Knowledge: k})
+}
+
+// HandleStore notes whether the store answers.
+func (l *Loop) HandleStore(up bool) { l.post(context.Background(), storeEvent{up: up}) }
+
+// HandleHosts notes how many hosts share the bounds of the deployment.
+func (l *Loop) HandleHosts(count int) { l.post(context.Background(), hostsEvent{count: count}) }
+
+// HandlePeerLoad takes over another host's account of its work.
+func (l *Loop) HandlePeerLoad(host core.HostID, loads map[core.TargetID]placement.Load) {
+	l.post(context.Background(), peerLoadEvent{host: host, loads: loads})
+}
+
+// Leave notes that this host shuts down.
+func (l *Loop) Leave() { l.post(context.Background(), leaveEvent{}) }
+
+// Count notes one request of a caller for a pool.
+func (l *Loop) Count(pool core.PoolID) { l.post(context.Background(), countEvent{pool: pool}) }
+
+// Place chooses a target, and counts the work there until End. It is false if there is
+// no target, or the context ended.
+func (l *Loop) Place(ctx context.Context, placing Placing) (Use, bool) {
+	reply := make(chan Use, 1)
+	if !l.post(ctx, placeEvent{placing: placing, reply: reply}) {
+		return Use{}, false
+	}
+	select {
+	case use := <-reply:
+		return use, use.Target.Target != ""
+	case <-l.done:
+		return Use{}, false
+	}
+}
+
+// End notes that a use is over, and how it ended.
+func (l *Loop) End(use Use, outcome placement.Outcome) {
+	l.post(context.Background(), endEvent{use: use, outcome: outcome})
+}
+
+// Spend asks whether the host's share of second sends covers one more to a pool.
+func (l *Loop) Spend(ctx context.Context, pool core.PoolID) bool {
+	reply := make(chan bool, 1)
+	if !l.post(ctx, spendEvent{pool: pool, reply: reply}) {
+		return false
+	}
+	select {
+	case granted := <-reply:
+		return granted
+	case <-l.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/registry"
+	"siskintide.example/siskintide/internal/decide/spend"
+)
+
+// state is the control state. Only the goroutine of Loop.Run touches it.
+type state struct {
+	options        *Options
+	log            log.Interface
+	view           View // next view; published if changed
+	changed        bool
+	membersChanged bool
+	registry       *registry.Registry
+	book           *placement.Book
+	repeats        map[core.PoolID]*spend.Ledger
+	hosts          int // hosts that share bounds, this one included
+	storeAway      bool
+	loadChanged    bool
+}
+
+func newState(options *Options) *state {
+	return &state{
+		options:  options,
+		log:      options.Log,
+		registry: registry.New(),
+		book:     placement.NewBook(),
+		repeats:  map[core.PoolID]*spend.Ledger{},
+		hosts:    1,
+	}
+}
+
+func (s *state) now() time.Duration { return s.options.Clock() }
+
+// ledger returns the count of second sends of a pool.
+func (s *state) ledger(pool core.PoolID) *spend.Ledger {
+	if s.repeats[pool] == nil {
+		s.repeats[pool] = spend.NewLedger(s.options.Repeats)
+	}
+	return s.repeats[pool]
+}
+
+// candidates lists the targets of a pool that may take new work.
+func (s *state) candidates(pool core.PoolID) []placement.Candidate {
+	var all []placement.Candidate
+	now := s.now()
+	spec := s.view.Table.Pool(pool)
+	for id, member := range s.view.Members {
+		if member.Pool != pool || !s.view.Usable(id) {
+			continue
+		}
+		candidate := placement.Candidate{
+			Target:     id,
+			Address:    member.Address,
+			DataCentre: member.DataCentre,
+			Slots:      member.Slots,
+			Cold:       now < member.ColdUntil,
+		}
+		if spec != nil && spec.Engine != nil {
+			candidate.Memory = spec.Engine.MemoryTokens
+		}
+		all = append(all, candidate)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/store_event.go
@@ -0,0 +1,21 @@
+package fleet
+
+// storeEvent notes whether the store answers.
+type storeEvent struct {
+	up bool
+}
+
+func (e storeEvent) apply(s *state) {
+	if e.up == !s.storeAway {
+		return
+	}
+	s.storeAway = !e.up
+	if e.up {
+		s.registry.Returned(s.now())
+		s.log.Info("regained the platform's store")
+		return
+	}
+	s.registry.Away()
+	age, _ := s.view.ConfigProof.Age(s.now())
+	s.log.WithField("config_age_ms", age.Milliseconds()).Warn("lost the platform's store")
+}
--- /dev/null
+++ b/internal/fleet/use.go
@@ -0,0 +1,10 @@
+package fleet
+
+import "siskintide.example/siskintide/internal/decide/placement"
+
+// Use is the work that one request has at its target, and at the one that keeps its copy.
+type Use struct {
+	placement.Choice
+	load placement.Load // at the target
+	copy placement.Load // at the holder of the copy
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/freshness"
+	"siskintide.example/siskintide/internal/decide/registry"
+	"siskintide.example/siskintide/internal/decide/routetable"
+)
+
+// View is what a host knows at one moment. It is immutable.
+type View struct {
+	Table       *routetable.Table // nil until a configuration is known
+	ConfigProof freshness.Proof
+	Registered  bool // the registry has been read
+	Members     map[core.TargetID]registry.Member
+	Evacuated   map[core.DataCentreID]bool
+	Leaving     bool            // this host shuts down
+	Changed     <-chan struct{} // closed when a newer view is in force
+}
+
+// Usable reports whether new work may be sent to a target.
+func (v *View) Usable(id core.TargetID) bool {
+	member, ok := v.Members[id]
+	return ok && !member.Leaving && !v.Evacuated[member.DataCentre]
+}
+
+// Proved reports whether the configuration is proved to be at most as old as the bound.
+func (v *View) Proved(now, bound time.Duration) bool {
+	return v.Table != nil && v.ConfigProof.Within(now, bound)
+}
--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"context"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/fleet"
+)
+
+// Desk is the control goroutine as traffic sees it.
+type Desk interface {
+	View() *fleet.View
+	Count(pool core.PoolID)
+	Place(ctx context.Context, placing fleet.Placing) (fleet.Use, bool)
+	End(use fleet.Use, outcome placement.Outcome)
+	Spend(ctx context.Context, pool core.PoolID) bool
+}
+
+var _ Desk = (*fleet.Loop)(nil)
--- /dev/null
+++ b/internal/gateway/event_gap_error.go
@@ -0,0 +1,13 @@
+package gateway
+
+import "fmt"
+
+// EventGapError reports that an event of a stream is missing.
+type EventGapError struct {
+	Last, Got int64 // ids of the events before and after the gap
+}
+
+// Error implements error.
+func (e *EventGapError) Error() string {
+	return fmt.Sprintf("event %d came after event %d", e.Got, e.Last)
+}
--- /dev/null
+++ b/internal/gateway/event_reader.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one event of a stream, and so the memory for reading it.
+const maxEventBytes = 1 << 20
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	lines *bufio.Reader
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(body, readBuffer)}
+}
+
+// next returns the next whole event. At the end of the stream it returns io.EOF, and with
+// it what followed the last whole event. An event that is cut off by a failure is not returned.
+func (r *eventReader) next() (streamEvent, error) {
+	var event streamEvent
+	for {
+		line, err := r.lines.ReadSlice('\n')
+		event.bytes = append(event.bytes, line...)
+		if len(event.bytes) > maxEventBytes {
+			return streamEvent{}, &TooLargeError{Part: "event", Limit: maxEventBytes}
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF {
+			return event, io.EOF
+		}
+		if err != nil {
+			return streamEvent{}, err
+		}
+		trimmed := bytes.TrimRight(line, "\r\n")
+		if len(trimmed) == 0 {
+			return event, nil
+		}
+		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			event.id, event.hasID = id, err == nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// passedOn returns a copy of a header without what concerns one connection.
+func passedOn(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, line := range header["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			copied.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		copied.Del(name)
+	}
+	return copied
+}
+
+// headerBytes returns the size of a request's line and header as they were sent.
+func headerBytes(r *http.Request) int64 {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(size)
+}
--- /dev/null
+++ b/internal/gateway/move_result.go
@@ -0,0 +1,9 @@
+package gateway
+
+import "siskintide.example/siskintide/internal/decide/carry"
+
+// moveResult is how a move of a generation's memory ended.
+type moveResult struct {
+	result carry.Result
+	handle Handle
+}
--- /dev/null
+++ b/internal/gateway/stream_relay.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/carry"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/fleet"
+)
+
+const (
+	// switchAfter is the time from the notice that an engine leaves to the switch. Engines
+	// leave 1.5 s after their notice at the earliest; copies lag by up to 0.3 s.
+	switchAfter = 900 * time.Millisecond
+	// startWithin is the same for a generation without an event.
+	startWithin = 1100 * time.Millisecond
+	// silencePart is the part of the pause that still earns full credit after which a
+	// silent engine counts as lost: the rest is left for going on elsewhere.
+	silencePart = 0.75
+	// commitAfter bounds the wait for the answer to a switch while the former engine still
+	// works: two engines may not work on one generation for 400 ms.
+	commitAfter = 300 * time.Millisecond
+	// copyEvents is the number of events from which a generation is worth a copy.
+	copyEvents = 12
+)
+
+// streamRelay passes one stream on to its caller, from one engine after another. Only the
+// caller's goroutine uses it.
+type streamRelay struct {
+	*job
+	ctx        context.Context
+	controller *http.ResponseController
+	machine    *carry.Stream
+	source     *source // that the caller gets events of
+	next       *source // that is to take over; nil if no switch is open
+	commitAt   time.Duration
+	moves      chan moveResult
+	moveTo     placement.Candidate // engine that the memory is moved to
+	handle     Handle              // of the moved memory
+	started    bool                // the caller has the header
+	firstAt    time.Duration
+	lastAt     time.Duration
+	lastID     int64
+	hasLast    bool
+	switches   int
+	tried      []core.TargetID
+}
+
+// stream serves a request whose answer is a stream of events.
+func (j *job) stream() {
+	ctx, cancel := context.WithTimeout(j.r.Context(), j.left()-answerMargin)
+	defer cancel()
+	relay := &streamRelay{
+		job:        j,
+		ctx:        ctx,
+		controller: http.NewResponseController(j.w),
+		moves:      make(chan moveResult, 1),
+	}
+	if view := j.gateway.options.Desk.View(); view.Leaving && j.longerThan(j.gateway.options.StopGrace) {
+		j.refuse(notRun(core.RefusedLeaving, "the host shuts down", retrySoon))
+		return
+	}
+	relay.run()
+}
+
+// longerThan reports whether the generation is likely to take longer than a time.
+func (j *job) longerThan(limit time.Duration) bool {
+	return time.Duration(j.request.Output())*usualTokenTime > limit/2
+}
+
+// usualTokenTime is the time for one token on an engine with a usual load.
+const usualTokenTime = 9 * time.Millisecond
+
+// run relays until the stream has ended one way or the other.
+func (s *streamRelay) run() {
+	if !s.begin() {
+		return
+	}
+	defer func() { s.stopAll() }()
+	for {
+		view := s.gateway.options.Desk.View()
+		if done := s.act(view); done {
+			return
+		}
+		if done := s.wait(view); done {
+			return
+		}
+	}
+}
+
+// begin sends the request to a first engine. It answers the caller if there is none.
+func (s *streamRelay) begin() bool {
+	use, ok := s.placeFirst()
+	if !ok {
+		s.endCall(s.ctx, nil)
+		return false
+	}
+	s.tried = append(s.tried, use.Target.Target)
+	s.machine = carry.New(s.timing(), s.canMove(), use.HasCopy(), s.now())
+	s.source = s.startSource(s.ctx, use, s.sendTo(use, nil))
+	return true
+}
+
+// placeFirst chooses an engine that has not been tried.
+func (s *streamRelay) placeFirst() (fleet.Use, bool) {
+	if len(s.tried) >= maxTries || s.sends > 0 && !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
+		return fleet.Use{}, false
+	}
+	need := s.need(s.tried)
+	need.WantsCopy = s.wantsCopy()
+	return s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
+}
+
+func (s *streamRelay) timing() carry.Timing {
+	return carry.Timing{
+		SwitchAfter: switchAfter,
+		StartWithin: startWithin,
+		Silence:     time.Duration(silencePart * float64(s.route.GapGoal)),
+	}
+}
+
+func (s *streamRelay) canMove() bool {
+	return s.spec != nil && s.spec.Engine != nil && s.spec.Engine.Moves
+}
+
+// wantsCopy reports whether the rest of the generation is worth a copy.
+func (s *streamRelay) wantsCopy() bool {
+	if s.spec == nil || s.spec.Engine == nil || !s.spec.Engine.Copies {
+		return false
+	}
+	eventTokens := max(s.spec.Engine.EventTokens, 1)
+	return s.request.Output() >= core.Tokens(copyEvents*eventTokens)
+}
+
+func (s *streamRelay) sendTo(use fleet.Use, from *Handle) Send {
+	send := Send{Target: use.Target.Target, Priority: s.priority(), From: from}
+	if use.HasCopy() {
+		send.CopyTo = use.Copy.Address
+	}
+	if from != nil && s.hasLast {
+		send.After = formatID(s.lastID)
+	}
+	return send
+}
+
+// act carries out what the machine decides in the light of a view.
+func (s *streamRelay) act(view *fleet.View) bool {
+	if !view.Usable(s.source.use.Target.Target) {
+		s.machine.Leaving(s.now())
+	}
+	if s.source.use.HasCopy() && !view.Usable(s.source.use.Copy.Target) {
+		s.machine.CopyLost()
+	}
+	switch s.machine.Next(s.now()).Kind {
+	case carry.SwitchToCopy:
+		use := s.source.use
+		s.switchTo(use.Copy, Handle{Address: use.Copy.Address, ID: s.request.ID})
+	case carry.SwitchToMoved:
+		s.switchTo(s.moveTo, s.handle)
+	case carry.MoveAhead:
+		s.move(false)
+	case carry.MoveFinal:
+		s.move(true)
+	case carry.GiveUp:
+		s.lose()
+		return true
+	case carry.Wait:
+	}
+	return false
+}
+
+// switchTo sends the request to the engine that has the generation's memory.
+func (s *streamRelay) switchTo(to placement.Candidate, handle Handle) {
+	if !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
+		s.machine.Switched(carry.NotDone, false, s.now())
+		return
+	}
+	need := s.need(nil)
+	need.WantsCopy = s.wantsCopy()
+	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Running: to.Target})
+	if !ok {
+		s.machine.Switched(carry.NotDone, false, s.now())
+		return
+	}
+	s.log.WithField("from", s.source.use.Target.Target).WithField("to", to.Target).
+		WithField("after_event", s.lastID).WithField("silent_ms", (s.now()-s.lastAt).Milliseconds()).
+		WithField("copied", handle.ID == s.request.ID).Info("stream goes on at another engine")
+	s.next = s.startSource(s.ctx, use, s.sendTo(use, &handle))
+	s.commitAt = s.now() + commitAfter
+}
+
+// move copies the generation's memory to another engine on a goroutine of its own.
+func (s *streamRelay) move(final bool) {
+	if !final || s.moveTo.Target == "" {
+		holder := s.chooseMoveTarget()
+		if holder.Target == "" {
+			s.machine.Moved(carry.NotDone)
+			return
+		}
+		s.moveTo = holder
+	}
+	from, to, id := s.source.use.Target.Address, s.moveTo.Address, s.request.ID
+	s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveTo.Target).
+		WithField("final", final).Info("generation's memory moves")
+	moves, mover, ctx := s.moves, s.gateway.options.Mover, s.ctx
+	go func() {
+		handle, err := mover.Move(ctx, from, id, to, final)
+		result := carry.Done
+		if err != nil {
+			result = carry.NotDone
+		}
+		moves <- moveResult{result: result, handle: handle}
+	}()
+}
+
+// chooseMoveTarget picks the engine that a generation moves to.
+func (s *streamRelay) chooseMoveTarget() placement.Candidate {
+	need := s.need([]core.TargetID{s.source.use.Target.Target})
+	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
+	if !ok {
+		return placement.Candidate{}
+	}
+	s.gateway.options.Desk.End(use, placement.Withdrawn)
+	return use.Target
+}
+
+// wait blocks until something happens, and takes it in.
+func (s *streamRelay) wait(view *fleet.View) bool {
+	var current, next chan signal
+	if s.next != nil {
+		next = s.next.signals
+	} else {
+		current = s.source.signals
+	}
+	timer := time.NewTimer(s.untilDue())
+	defer timer.Stop()
+	select {
+	case told := <-current:
+		return s.fromSource(told)
+	case told := <-next:
+		return s.fromNext(told)
+	case moved := <-s.moves:
+		s.handle = moved.handle
+		s.machine.Moved(moved.result)
+	case <-view.Changed:
+	case <-timer.C:
+		if s.next != nil && s.now() >= s.commitAt {
+			s.source.stop()
+			s.machine.Broken()
+		}
+	case <-s.ctx.Done():
+		s.expire()
+		return true
+	}
+	return false
+}
+
+// untilDue returns the time until the machine, or an open switch, has to be looked at.
+func (s *streamRelay) untilDue() time.Duration {
+	if s.next != nil {
+		if left := s.commitAt - s.now(); left > 0 {
+			return left
+		}
+		return s.left()
+	}
+	if due := s.machine.Due(s.now()); due > 0 {
+		return max(due-s.now(), 0)
+	}
+	return s.left()
+}
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -8,6 +8,7 @@
 	tokenGap   tally.Histogram
 	queue      tally.Histogram
 	stall      tally.Histogram
+	whole      tally.Histogram
 }
 
 func newSeries(scope tally.Scope) *series {
@@ -16,5 +17,6 @@
 		tokenGap:   scope.Histogram("token_gap_seconds", gapBuckets),
 		queue:      scope.Histogram("queue_seconds", latencyBuckets),
 		stall:      scope.Histogram("stall_seconds", latencyBuckets),
+		whole:      scope.Histogram("request_seconds", latencyBuckets),
 	}
 }
--- a/internal/telemetry/traffic.go
+++ b/internal/telemetry/traffic.go
@@ -42,6 +42,14 @@
 	t.of(team, class).stall.RecordDuration(d)
 }
 
+// Answered records the time to the end of a request, and counts requests by how they ended.
+func (t *Traffic) Answered(team core.TeamID, class core.Class, outcome string, d time.Duration) {
+	t.of(team, class).whole.RecordDuration(d)
+	tags := t.tags.tags(team, class)
+	tags["outcome"] = outcome
+	t.scope.Tagged(tags).Counter("requests_total").Inc(1)
+}
+
 // Refused counts a refusal by its kind.
 func (t *Traffic) Refused(team core.TeamID, class core.Class, kind core.RefusalKind) {
 	tags := t.tags.tags(team, class)
