Learn from a hub: one host reads the platform's store and places for all

Any host can be a hub; nobody agrees on it. A hub's answer to a question proves its age on the asker's clock, so a host cut off from the store goes on, and one whose hub is silent reads for itself.

Ruled out: pushing an age with the news, since a message may be held up in a cut link.

--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -6,4 +6,5 @@
 	DataCentre  DataCentreID `json:"data_centre"`
 	PeerAddress string       `json:"peer_address"` // IP and port
 	Leaving     bool         `json:"leaving,omitempty"`
+	Capacity    float64      `json:"capacity,omitempty"` // share of a processor core; zero if it does not say
 }
--- /dev/null
+++ b/internal/decide/hub/chooser.go
@@ -0,0 +1,148 @@
+package hub
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// AskPeriod is the time between two questions to the hub.
+	AskPeriod = 400 * time.Millisecond
+	// answerTimeout is how long an answer may take; links between data centres take some
+	// milliseconds, and a hub on a small host some tens.
+	answerTimeout = 350 * time.Millisecond
+	// staleAfter is the age of a hub's knowledge from which another source is used. It
+	// leaves most of the two seconds in which a leaving target must get no more work.
+	staleAfter = 1200 * time.Millisecond
+	// avoidPeriod keeps a hub that did not answer, or knew nothing recent, from being chosen.
+	avoidPeriod = 2 * time.Second
+	// subscriberTTL is the time without a question after which an asker counts as gone.
+	subscriberTTL = 1500 * time.Millisecond
+)
+
+// Chooser is the state of the choice. Only one goroutine uses it.
+type Chooser struct {
+	candidates []core.HostID
+	peers      map[core.HostID]*peer
+	current    core.HostID
+	askers     map[core.HostID]time.Duration // last question of each
+}
+
+// NewChooser returns a chooser without candidates.
+func NewChooser() *Chooser {
+	return &Chooser{peers: map[core.HostID]*peer{}, askers: map[core.HostID]time.Duration{}}
+}
+
+// SetCandidates replaces the candidates, best first.
+func (c *Chooser) SetCandidates(hosts []core.Host) {
+	c.candidates = c.candidates[:0]
+	for _, host := range hosts {
+		c.candidates = append(c.candidates, host.ID)
+	}
+}
+
+func (c *Chooser) peer(id core.HostID) *peer {
+	if c.peers[id] == nil {
+		c.peers[id] = &peer{}
+	}
+	return c.peers[id]
+}
+
+// Link notes that the link to a host is up or down.
+func (c *Chooser) Link(id core.HostID, up bool) {
+	p := c.peer(id)
+	p.linked, p.waiting, p.proven = up, false, false
+	if !up && c.current == id {
+		c.current = ""
+	}
+}
+
+// Asked notes a question of another host, for which this one is the hub.
+func (c *Chooser) Asked(by core.HostID, now time.Duration) { c.askers[by] = now }
+
+// Answered notes the answer to a question that was sent at a moment, and the age of the
+// hub's knowledge when it answered.
+func (c *Chooser) Answered(id core.HostID, sentAt, age time.Duration, known bool) {
+	p := c.peer(id)
+	if p.waiting && sentAt >= p.asked {
+		p.waiting = false
+	}
+	if known && (!p.proven || sentAt-age > p.provenAt) {
+		p.proven, p.provenAt = true, sentAt-age
+	}
+}
+
+// Next returns what to do now, given how old the host's knowledge is by proof. A question
+// that is due counts as sent.
+func (c *Chooser) Next(now, age time.Duration, known bool) Plan {
+	c.dropSilent(now)
+	if best := c.best(now); best != c.current {
+		c.current = best
+		c.peer(best).askedAt = now - AskPeriod
+	}
+	plan := Plan{Hub: c.current, ReadStore: c.hasAskers(now) || !known || age > staleAfter}
+	if c.current == "" {
+		plan.ReadStore = true
+		return plan
+	}
+	p := c.peer(c.current)
+	if now-p.askedAt >= AskPeriod {
+		plan.Ask, p.askedAt = true, now
+		if !p.waiting {
+			p.waiting, p.asked = true, now
+		}
+	}
+	return plan
+}
+
+// dropSilent avoids a hub whose answer is overdue, or whose knowledge is old.
+func (c *Chooser) dropSilent(now time.Duration) {
+	if c.current == "" {
+		return
+	}
+	p := c.peer(c.current)
+	overdue := p.waiting && now-p.asked > answerTimeout
+	stale := p.proven && now-p.provenAt > staleAfter
+	if overdue || stale {
+		p.avoidUntil, p.waiting, p.proven = now+avoidPeriod, false, false
+		c.current = ""
+	}
+}
+
+// fits reports whether a candidate may be the hub.
+func (c *Chooser) fits(id core.HostID, now time.Duration) bool {
+	p := c.peer(id)
+	return p.linked && now >= p.avoidUntil
+}
+
+// best returns the first candidate that may be the hub, or none.
+func (c *Chooser) best(now time.Duration) core.HostID {
+	for _, id := range c.candidates {
+		if c.fits(id, now) {
+			return id
+		}
+	}
+	return ""
+}
+
+func (c *Chooser) hasAskers(now time.Duration) bool {
+	for id, at := range c.askers {
+		if now-at > subscriberTTL {
+			delete(c.askers, id)
+		}
+	}
+	return len(c.askers) > 0
+}
+
+// Askers returns the hosts that this one is the hub of.
+func (c *Chooser) Askers() []core.HostID {
+	ids := make([]core.HostID, 0, len(c.askers))
+	for id := range c.askers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Hub returns the current hub, or none.
+func (c *Chooser) Hub() core.HostID { return c.current }
--- /dev/null
+++ b/internal/decide/hub/chooser_test.go
@@ -0,0 +1,122 @@
+package hub
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const ms = time.Millisecond
+
+func host(id, dataCentre string) core.Host {
+	return core.Host{ID: core.HostID(id), DataCentre: core.DataCentreID(dataCentre)}
+}
+
+func sized(id, dataCentre string, capacity float64) core.Host {
+	sized := host(id, dataCentre)
+	sized.Capacity = capacity
+	return sized
+}
+
+func ids(hosts []core.Host) []core.HostID {
+	var all []core.HostID
+	for _, h := range hosts {
+		all = append(all, h.ID)
+	}
+	return all
+}
+
+func TestCandidates(t *testing.T) {
+	members := []core.Host{sized("big", "a", 0.8), sized("a2", "a", 0.4), sized("b1", "b", 0.6), sized("b2", "b", 0.4), sized("c1", "c", 0.3)}
+	for self, want := range map[core.Host][]core.HostID{
+		host("big", "a"): nil,
+		host("a2", "a"):  {"big"},
+		host("b2", "b"):  {"big", "b1", "a2"},
+		host("b1", "b"):  {"big"},
+		host("c1", "c"):  {"big"},
+		host("new", "c"): {"big", "c1", "b1"},
+	} {
+		t.Run(string(self.ID), func(t *testing.T) { require.Equal(t, want, ids(Candidates(self, members))) })
+	}
+}
+
+func twoCandidates() *Chooser {
+	c := NewChooser()
+	c.SetCandidates([]core.Host{host("x", "a"), host("y", "a")})
+	c.Link("x", true)
+	c.Link("y", true)
+	return c
+}
+
+func TestSilentHubIsReplaced(t *testing.T) {
+	c := twoCandidates()
+	require.Equal(t, Plan{Hub: "x", Ask: true, ReadStore: true}, c.Next(1000*ms, 0, false))
+	c.Answered("x", 1000*ms, 100*ms, true)
+	require.Equal(t, Plan{Hub: "x"}, c.Next(1100*ms, 200*ms, true))
+	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1400*ms, 500*ms, true))
+	require.Equal(t, Plan{Hub: "y", Ask: true}, c.Next(1800*ms, 900*ms, true))
+	require.Equal(t, Plan{Hub: "y", ReadStore: true}, c.Next(2110*ms, 1210*ms, true))
+}
+
+func TestHubWithOldKnowledgeIsReplaced(t *testing.T) {
+	c := twoCandidates()
+	c.Next(1000*ms, 0, true)
+	c.Answered("x", 1000*ms, 1300*ms, true)
+	require.Equal(t, core.HostID("y"), c.Next(1010*ms, 0, true).Hub)
+}
+
+func TestBetterHubIsTakenWhenItIsBack(t *testing.T) {
+	c := twoCandidates()
+	c.Link("x", false)
+	require.Equal(t, core.HostID("y"), c.Next(1000*ms, 0, true).Hub)
+	c.Link("x", true)
+	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1010*ms, 0, true))
+}
+
+func TestHubOfOthersReadsTheStore(t *testing.T) {
+	c := twoCandidates()
+	require.False(t, c.Next(1010*ms, 0, true).ReadStore)
+	c.Asked("z", 1020*ms)
+	require.True(t, c.Next(1030*ms, 0, true).ReadStore)
+	require.False(t, c.Next(2700*ms, 0, true).ReadStore)
+}
+
+// Whatever links and hubs do, a host reads the store by itself while its knowledge is old
+// or it has no hub, and a hub that does not answer is given up.
+func TestOldKnowledgeIsNeverReliedUponAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := twoCandidates()
+		now, open := time.Second, map[core.HostID]time.Duration{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "wait")) * ms
+			id := core.HostID(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "host"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				c.Link(id, rapid.Bool().Draw(t, "up"))
+				delete(open, id)
+			case 1:
+				c.Answered(id, now, time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*ms, true)
+				delete(open, id)
+			default:
+				age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "own age")) * ms
+				plan := c.Next(now, age, true)
+				require.True(t, plan.ReadStore || plan.Hub != "" && age <= staleAfter)
+				for asked, at := range open {
+					require.False(t, plan.Hub == asked && now-at > answerTimeout && now-at < answerTimeout+avoidPeriod, "a silent hub is kept")
+				}
+				if _, waits := open[plan.Hub]; plan.Ask && !waits {
+					open[plan.Hub] = now
+				}
+				for asked, at := range open {
+					if now-at > answerTimeout {
+						delete(open, asked)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -21,21 +21,18 @@
 	copyRoom = 0.85
 	// avoidPenalty ranks targets that are avoided behind all others.
 	avoidPenalty = 1000.0
-	// peerLoadTTL is the age at which another host's account of its sends says nothing
-	// any more.
-	peerLoadTTL = 3 * time.Second
 )
 
 // Book knows the load of all targets. Only one goroutine uses it.
 type Book struct {
 	own     map[core.TargetID]Load
 	records map[core.TargetID]*record
-	peers   map[core.HostID]peerLoad
+	peers   *peers
 }
 
 // NewBook returns a book without load.
 func NewBook() *Book {
-	return &Book{own: map[core.TargetID]Load{}, records: map[core.TargetID]*record{}, peers: map[core.HostID]peerLoad{}}
+	return &Book{own: map[core.TargetID]Load{}, records: map[core.TargetID]*record{}, peers: newPeers()}
 }
 
 // Add counts work that this host gives a target.
@@ -60,11 +57,23 @@
 	return loads
 }
 
-// Peer takes over another host's account of its work.
-func (b *Book) Peer(host core.HostID, loads map[core.TargetID]Load, now time.Duration) {
-	b.peers[host] = peerLoad{loads: loads, at: now}
+// Peer takes over another host's account of its work. Grants up to the given number are
+// part of it, or were not used.
+func (b *Book) Peer(host core.HostID, loads map[core.TargetID]Load, granted uint64, now time.Duration) {
+	b.peers.report(host, loads, granted, now)
 }
 
+// Grant counts a placement that another host was given until it reports it.
+func (b *Book) Grant(host core.HostID, number uint64, loads map[core.TargetID]Load, now time.Duration) {
+	b.peers.grant(host, number, loads, now)
+}
+
+// ForgetPeer drops the work of a host that is gone.
+func (b *Book) ForgetPeer(host core.HostID) { b.peers.forget(host) }
+
+// Expire drops hosts that have not reported for a while.
+func (b *Book) Expire(now time.Duration) { b.peers.expire(now) }
+
 // Note takes over how a send ended.
 func (b *Book) Note(id core.TargetID, outcome Outcome, now time.Duration) {
 	if b.records[id] == nil {
@@ -77,14 +86,8 @@
 func (b *Book) Forget(id core.TargetID) { delete(b.records, id) }
 
 // load returns the work of all hosts at a target.
-func (b *Book) load(id core.TargetID, now time.Duration) Load {
-	sum := b.own[id]
-	for _, peer := range b.peers {
-		if now-peer.at < peerLoadTTL {
-			sum = sum.plus(peer.loads[id])
-		}
-	}
-	return sum
+func (b *Book) load(id core.TargetID) Load {
+	return b.own[id].plus(b.peers.totals[id])
 }
 
 // Choose returns the target for a request, and one for its copy if it wants one and there
@@ -110,8 +113,8 @@
 	if holder == nil {
 		return Candidate{}, false
 	}
-	load := b.load(holder.Target, now)
-	if float64(load.Memory+load.Copies+need.Memory) > copyRoom*float64(holder.Memory) || b.avoided(holder.Target, now) {
+	load := b.load(holder.Target)
+	if float64(load.Memory+load.Copies+need.Memory) > copyRoom*float64(holder.Memory) || b.Avoided(holder.Target, now) {
 		return Candidate{}, false
 	}
 	return *holder, true
@@ -135,7 +138,7 @@
 
 // score is low for a target that is little loaded, near and sound.
 func (b *Book) score(c *Candidate, need Need, now time.Duration) float64 {
-	load := b.load(c.Target, now)
+	load := b.load(c.Target)
 	value := float64(load.Requests) / float64(max(c.Slots, 1))
 	if c.Memory > 0 {
 		value = max(value, float64(load.Memory+load.Copies+need.Memory)/float64(c.Memory))
@@ -145,7 +148,7 @@
 
 // copyScore prefers room over nearness.
 func (b *Book) copyScore(c *Candidate, need Need, now time.Duration) float64 {
-	load := b.load(c.Target, now)
+	load := b.load(c.Target)
 	return float64(load.Memory+load.Copies)/float64(max(c.Memory, 1)) + b.penalty(c, need, now)
 }
 
@@ -159,13 +162,14 @@
 	if record := b.records[c.Target]; record != nil {
 		value += failurePenalty * record.failureRate
 	}
-	if b.avoided(c.Target, now) {
+	if b.Avoided(c.Target, now) {
 		value += avoidPenalty
 	}
 	return value
 }
 
-func (b *Book) avoided(id core.TargetID, now time.Duration) bool {
+// Avoided reports whether sends to a target failed a short time ago.
+func (b *Book) Avoided(id core.TargetID, now time.Duration) bool {
 	record := b.records[id]
 	return record != nil && (record.misplaced || now < record.avoidUntil)
 }
--- a/internal/decide/placement/book_test.go
+++ b/internal/decide/placement/book_test.go
@@ -29,7 +29,7 @@
 	}{
 		"near first":               {services, func(*Book) {}, Need{DataCentre: "a"}, "near"},
 		"far when near is loaded":  {services, func(b *Book) { b.Add("near", Load{Requests: 3}) }, Need{DataCentre: "a"}, "far"},
-		"another host's work":      {services, func(b *Book) { b.Peer("h", map[core.TargetID]Load{"near": {Requests: 3}}, 0) }, Need{DataCentre: "a"}, "far"},
+		"another host's work":      {services, func(b *Book) { b.Peer("h", map[core.TargetID]Load{"near": {Requests: 3}}, 0, 0) }, Need{DataCentre: "a"}, "far"},
 		"avoided":                  {services, func(*Book) {}, Need{DataCentre: "a", Avoid: []core.TargetID{"near"}}, "far"},
 		"unreachable":              {services, func(b *Book) { b.Note("near", Unreachable, 0) }, Need{DataCentre: "a"}, "far"},
 		"only one, though avoided": {services[:1], func(b *Book) { b.Note("near", Unreachable, 0) }, Need{DataCentre: "a"}, "near"},
@@ -78,7 +78,7 @@
 			}
 			require.NotEqual(t, choice.Target.Target, choice.Copy.Target)
 			book.Add(choice.Copy.Target, Load{Copies: need.Memory})
-			held := book.load(choice.Copy.Target, 0)
+			held := book.load(choice.Copy.Target)
 			require.LessOrEqual(t, float64(held.Memory+held.Copies), copyRoom*float64(choice.Copy.Memory))
 		}
 	})
@@ -86,7 +86,41 @@
 
 func TestLoadOfASilentHostLapses(t *testing.T) {
 	book := NewBook()
-	book.Peer("h", map[core.TargetID]Load{"x": {Requests: 5}}, 0)
-	require.Equal(t, 5, book.load("x", time.Second).Requests)
-	require.Zero(t, book.load("x", peerLoadTTL).Requests)
+	book.Peer("h", map[core.TargetID]Load{"x": {Requests: 5}}, 0, 0)
+	book.Expire(time.Second)
+	require.Equal(t, 5, book.load("x").Requests)
+	book.Expire(peerLoadTTL)
+	require.Zero(t, book.load("x").Requests)
+}
+
+// However reports and grants cross, a grant counts until a report covers it, and nothing
+// is left when all hosts are forgotten.
+func TestGrantsCountUntilReported(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := NewBook()
+		reported, pending := map[core.HostID]int{}, map[core.HostID][]uint64{}
+		for number := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			host := core.HostID(rapid.SampledFrom([]string{"h", "i"}).Draw(t, "host"))
+			if rapid.Bool().Draw(t, "grant") {
+				book.Grant(host, number, map[core.TargetID]Load{"x": {Requests: 1}}, 0)
+				pending[host] = append(pending[host], number)
+			} else {
+				granted := uint64(rapid.IntRange(0, int(number)).Draw(t, "granted"))
+				reported[host] = rapid.IntRange(0, 9).Draw(t, "work")
+				book.Peer(host, map[core.TargetID]Load{"x": {Requests: reported[host]}}, granted, 0)
+				var left []uint64
+				for _, n := range pending[host] {
+					if n > granted {
+						left = append(left, n)
+					}
+				}
+				pending[host] = left
+			}
+			want := reported["h"] + reported["i"] + len(pending["h"]) + len(pending["i"])
+			require.Equal(t, want, book.load("x").Requests)
+		}
+		book.ForgetPeer("h")
+		book.ForgetPeer("i")
+		require.Zero(t, book.load("x"))
+	})
 }
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -41,6 +41,7 @@
 	sink    *eventlog.Sink
 	metrics *telemetry.Registry
 	loop    *fleet.Loop
+	linker  *linker
 	callers *http.Server
 	others  []*http.Server
 	running sync.WaitGroup
@@ -59,10 +60,11 @@
 	}()
 	err := h.start(life)
 	if err == nil {
-		h.log.WithField("callers", options.Callers).Info("host started")
+		h.log.WithField("callers", options.Callers).WithField("data_centre", options.Self.DataCentre).Info("host started")
 		<-ctx.Done()
 		h.shutDown()
 	}
+	h.closeAll()
 	end()
 	h.running.Wait()
 	h.log.Info("host stopped")
@@ -78,11 +80,14 @@
 	h := &Host{options: options, sink: eventlog.NewSink(clockwork.NewRealClock()), metrics: telemetry.NewRegistry()}
 	h.log = &log.Logger{Handler: jsonlog.New(h.sink), Level: log.InfoLevel}
 	entry := h.log.WithField("host", options.Self.ID)
+	h.linker = &linker{self: options.Self, log: entry}
 	h.loop = fleet.NewLoop(fleet.Options{
-		DataCentre: options.Self.DataCentre,
-		Repeats:    options.Repeats,
-		Clock:      boottime.Now,
-		Log:        entry,
+		Self:     options.Self,
+		Repeats:  options.Repeats,
+		Clock:    boottime.Now,
+		Log:      entry,
+		Send:     h.linker.Send,
+		SetPeers: h.linker.SetPeers,
 	})
 	handler := gateway.New(gateway.Options{
 		Desk:        h.loop,
@@ -107,9 +112,13 @@
 func (h *Host) start(life context.Context) error {
 	h.running.Go(func() { h.loop.Run(life) })
 	h.running.Go(func() { h.options.Follow(life, h.loop, h.log) })
+	h.running.Go(func() { h.link(life) })
 	if err := h.listen(h.options.Callers, h.callers); err != nil {
 		return err
 	}
+	if err := h.listenOther(h.options.Self.PeerAddress, h.linker); err != nil {
+		return err
+	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+h.options.ReadyPath, h.ready)
 	if err := h.listenOther(h.options.Ready, ready); err != nil {
@@ -123,6 +132,16 @@
 	return h.listenOther(h.options.Metrics, metrics)
 }
 
+// link joins the other hosts and links with them.
+func (h *Host) link(life context.Context) {
+	key, err := h.options.Join(life, h.log)
+	if err != nil {
+		h.log.WithError(err).Info("host ended before it joined the others")
+		return
+	}
+	h.linker.run(life, key, h.loop)
+}
+
 func (h *Host) listenOther(address string, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	h.others = append(h.others, server)
@@ -168,8 +187,11 @@
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were still running at the end of the grace")
 	}
-	closeAll := append([]*http.Server{h.callers}, h.others...)
-	for _, server := range closeAll {
+}
+
+// closeAll closes all listeners and connections.
+func (h *Host) closeAll() {
+	for _, server := range append([]*http.Server{h.callers}, h.others...) {
 		if err := server.Close(); err != nil {
 			h.log.WithError(err).Warn("listener could not be closed")
 		}
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -20,8 +20,11 @@
 	Ready     string // address that answers whether the host takes new callers
 	ReadyPath string
 	Metrics   string // address of the metrics; empty for none
-	Codec     gateway.Codec
-	Mover     gateway.Mover
+	// Join enters this host into the list of hosts, and returns the key that they share. It
+	// tries until it succeeds or the context ends.
+	Join  func(ctx context.Context, log log.Interface) ([]byte, error)
+	Codec gateway.Codec
+	Mover gateway.Mover
 	// Follow keeps the control goroutine informed until the context ends.
 	Follow      func(ctx context.Context, loop *fleet.Loop, log log.Interface)
 	Repeats     spend.Limits
--- /dev/null
+++ b/internal/fleet/asker_side.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/hub"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/message"
+)
+
+const (
+	// placeTimeout bounds the wait for the hub's placement; then the host chooses by what
+	// it knows itself.
+	placeTimeout = 60 * time.Millisecond
+	// workPeriod is the time after which the hub is told of the host's work though nothing
+	// has changed.
+	workPeriod = time.Second
+)
+
+// steer chooses the hub, asks it if that is due, and says whether the host reads the
+// store by itself.
+func (s *state) steer() {
+	now := s.now()
+	age, known := s.age(now)
+	plan := s.chooser.Next(now, age, known)
+	if plan.Hub != s.hub {
+		s.log.WithField("hub", plan.Hub).WithField("former", s.hub).WithField("knowledge_age_ms", age.Milliseconds()).
+			Info("hub chosen")
+		s.hub, s.loadChanged = plan.Hub, true
+	}
+	if plan.Ask {
+		s.options.Send(plan.Hub, message.HubAsk{SentAt: now, Received: s.received[plan.Hub]})
+	}
+	if plan.ReadStore != s.view.ReadStore {
+		s.view.ReadStore, s.changed = plan.ReadStore, true
+	}
+}
+
+// takeAnswer renews the proof of this host's knowledge by that of its hub. The hub
+// answered after the question was sent, so its knowledge was at most that old then.
+func (s *state) takeAnswer(from core.HostID, m message.HubAnswer) {
+	complete := m.Known && m.Sent == s.received[from] && m.Sent > 0
+	s.chooser.Answered(from, m.SentAt, m.Age, complete)
+	if m.Sent != s.received[from] {
+		s.received[from] = 0 // something was lost; the next question asks for all
+	}
+	if complete {
+		s.view.ConfigProof = s.view.ConfigProof.Renew(m.SentAt - m.Age)
+		s.registryProof = s.registryProof.Renew(m.SentAt - m.Age)
+		s.changed = true
+	}
+	s.steer()
+}
+
+// takeKnowledge takes over what a hub passes on.
+func (s *state) takeKnowledge(from core.HostID, m message.HubKnowledge) {
+	if !m.Whole && m.Number != s.received[from]+1 {
+		s.received[from] = 0
+		return
+	}
+	s.received[from] = m.Number
+	if len(m.Hosts) > 0 {
+		s.takeHosts(m.Hosts)
+	}
+	knowledge := Knowledge{SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, WholeRegistry: m.Whole}
+	if m.NewEvacuated {
+		knowledge.Evacuated = make(map[core.DataCentreID]bool, len(m.Evacuated))
+		for _, id := range m.Evacuated {
+			knowledge.Evacuated[id] = true
+		}
+	}
+	knowledgeEvent{Knowledge: knowledge}.apply(s)
+}
+
+// takeHosts takes over the list of hosts.
+func (s *state) takeHosts(hosts []core.Host) {
+	if len(hosts) < len(s.hosts) {
+		return // hosts are added only; an older list came later
+	}
+	s.hosts, s.hostsChanged, s.changed = hosts, true, true
+	candidates := hub.Candidates(s.options.Self, hosts)
+	s.chooser.SetCandidates(candidates)
+	s.options.SetPeers(candidates)
+}
+
+// sendWork tells the hub of this host's work.
+func (s *state) sendWork() {
+	now := s.now()
+	if s.hub == "" || !s.loadChanged && now-s.workSentAt < workPeriod {
+		return
+	}
+	m := message.HostWork{Granted: s.resolved()}
+	for id, load := range s.book.Own() {
+		m.Targets = append(m.Targets, message.TargetWork{Target: id, Requests: load.Requests, Memory: load.Memory, Copies: load.Copies})
+	}
+	if s.options.Send(s.hub, m) {
+		s.loadChanged, s.workSentAt = false, now
+	}
+}
+
+// resolved returns the number up to which all placements are either counted as this
+// host's work or given up.
+func (s *state) resolved() uint64 {
+	up := s.placements
+	for number := range s.pending {
+		up = min(up, number-1)
+	}
+	return up
+}
+
+// askHub asks the hub for a placement. It is false if there is no hub to ask.
+func (s *state) askHub(e placeEvent) bool {
+	if s.hub == "" {
+		return false
+	}
+	s.placements++
+	number, need := s.placements, e.placing.Need
+	sent := s.options.Send(s.hub, message.PlaceAsk{
+		Number: number, Pool: e.placing.Pool, Request: need.Request, DataCentre: s.options.Self.DataCentre,
+		Memory: need.Memory, WantsCopy: need.WantsCopy, Avoid: need.Avoid, Running: e.placing.Running,
+	})
+	if sent {
+		timer := time.AfterFunc(placeTimeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
+		s.pending[number] = pendingPlace{placeEvent: e, timer: timer}
+	}
+	return sent
+}
+
+// takePlacement answers a request with the hub's placement, or with one of this host's
+// own if the hub found none or named a target that is not known here yet.
+func (s *state) takePlacement(m message.PlaceAnswer) {
+	waiting, ok := s.pending[m.Number]
+	if !ok {
+		return
+	}
+	delete(s.pending, m.Number)
+	waiting.timer.Stop()
+	choice := placement.Choice{Target: s.candidate(m.Target)}
+	if m.Copy != "" && s.view.Usable(m.Copy) {
+		choice.Copy = s.candidate(m.Copy)
+	}
+	usable := m.Target != "" && (s.view.Usable(m.Target) || m.Target == waiting.placing.Running)
+	if !usable || s.book.Avoided(m.Target, s.now()) && waiting.placing.Running == "" {
+		waiting.placeHere(s)
+		return
+	}
+	waiting.reply <- s.add(choice, waiting.placing.Need)
+}
--- /dev/null
+++ b/internal/fleet/hub_side.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/registry"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// answerAsker sends what the asker lacks, and then how old this host's knowledge is.
+func (s *state) answerAsker(from core.HostID, m message.HubAsk) {
+	now := s.now()
+	s.chooser.Asked(from, now)
+	known := s.askers[from]
+	if known == nil {
+		known = &asker{lost: true}
+		s.askers[from] = known
+	}
+	if known.lost || m.Received == 0 {
+		s.sendTo(from, known, s.wholeKnowledge(now))
+	}
+	age, proved := s.age(now)
+	s.options.Send(from, message.HubAnswer{SentAt: m.SentAt, Known: proved && !known.lost, Age: age, Sent: known.sent})
+	s.steer()
+}
+
+// age returns how old the knowledge of configuration and registry may be at most.
+func (s *state) age(now time.Duration) (time.Duration, bool) {
+	config, configKnown := s.view.ConfigProof.Age(now)
+	registry, registryKnown := s.registryProof.Age(now)
+	return max(config, registry), configKnown && registryKnown && s.view.Table != nil
+}
+
+// sendTo numbers knowledge for one asker and sends it.
+func (s *state) sendTo(to core.HostID, known *asker, m message.HubKnowledge) {
+	known.sent++
+	m.Number = known.sent
+	known.lost = !s.options.Send(to, m)
+}
+
+func (s *state) wholeKnowledge(now time.Duration) message.HubKnowledge {
+	m := message.HubKnowledge{Whole: true, NewEvacuated: true, Hosts: s.hosts}
+	if s.view.Table != nil {
+		m.Config = s.view.Table.Config
+	}
+	for id := range s.view.Evacuated {
+		m.Evacuated = append(m.Evacuated, id)
+	}
+	for _, member := range s.registry.Members() {
+		m.Registrations = append(m.Registrations, registrationAt(member, now))
+	}
+	return m
+}
+
+// registrationAt returns a member's registration as it would read now.
+func registrationAt(member registry.Member, now time.Duration) core.Registration {
+	registration := member.Registration
+	registration.ColdLeft = max(member.ColdUntil-now, 0)
+	return registration
+}
+
+// passOn tells the askers what has changed between two views.
+func (s *state) passOn(before, after *View) {
+	if len(s.askers) == 0 {
+		return
+	}
+	m := message.HubKnowledge{}
+	if after.Table != before.Table {
+		m.Config = after.Table.Config
+	}
+	if !sameSet(before.Evacuated, after.Evacuated) {
+		m.NewEvacuated = true
+		for id := range after.Evacuated {
+			m.Evacuated = append(m.Evacuated, id)
+		}
+	}
+	now := s.now()
+	for id, member := range after.Members {
+		if known, ok := before.Members[id]; !ok || changed(known.Registration, member.Registration) {
+			m.Registrations = append(m.Registrations, registrationAt(member, now))
+		}
+	}
+	for id := range before.Members {
+		if _, ok := after.Members[id]; !ok {
+			m.Removed = append(m.Removed, id)
+		}
+	}
+	if s.hostsChanged {
+		m.Hosts, s.hostsChanged = s.hosts, false
+	}
+	if m.Config == nil && !m.NewEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts) == 0 {
+		return
+	}
+	for id, known := range s.askers {
+		s.sendTo(id, known, m)
+	}
+}
+
+// changed reports whether an entry says something new; each write of a target raises the
+// revision, most of them with nothing else.
+func changed(before, after core.Registration) bool {
+	before.Revision, before.ColdLeft = after.Revision, after.ColdLeft
+	return before != after
+}
+
+func sameSet(a, b map[core.DataCentreID]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id := range a {
+		if !b[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// takeWork notes what an asker has at targets.
+func (s *state) takeWork(from core.HostID, m message.HostWork) {
+	loads := make(map[core.TargetID]placement.Load, len(m.Targets))
+	for _, work := range m.Targets {
+		loads[work.Target] = placement.Load{Requests: work.Requests, Memory: work.Memory, Copies: work.Copies}
+	}
+	s.book.Peer(from, loads, m.Granted, s.now())
+}
+
+// placeFor chooses a target for a request of an asker.
+func (s *state) placeFor(from core.HostID, m message.PlaceAsk) {
+	placing := Placing{Pool: m.Pool, Running: m.Running, Need: placement.Need{
+		Request: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, WantsCopy: m.WantsCopy, Avoid: m.Avoid,
+	}}
+	answer := message.PlaceAnswer{Number: m.Number}
+	if choice, ok := s.choose(placing); ok {
+		answer.Target, answer.Copy = choice.Target.Target, choice.Copy.Target
+		loads := map[core.TargetID]placement.Load{answer.Target: {Requests: 1, Memory: m.Memory}}
+		if choice.HasCopy() {
+			loads[answer.Copy] = placement.Load{Copies: m.Memory}
+		}
+		s.book.Grant(from, m.Number, loads, s.now())
+	}
+	s.options.Send(from, answer)
+}
--- a/internal/fleet/knowledge.go
+++ b/internal/fleet/knowledge.go
@@ -20,6 +20,10 @@
 	Registrations []core.Registration
 	// Removed are entries that are gone.
 	Removed []core.TargetID
+	// Hosts is the list of hosts; nil means no news.
+	Hosts []core.Host
+	// ProvesRegistry says that the read covers the registry.
+	ProvesRegistry bool
 	// WholeRegistry says that Registrations is the whole registry.
 	WholeRegistry bool
 }
--- a/internal/fleet/knowledge_event.go
+++ b/internal/fleet/knowledge_event.go
@@ -24,6 +24,12 @@
 		s.view.ConfigProof = s.view.ConfigProof.Renew(e.SentAt)
 		s.changed = true
 	}
+	if e.ProvesRegistry {
+		s.registryProof = s.registryProof.Renew(e.SentAt)
+	}
+	if e.Hosts != nil {
+		s.takeHosts(e.Hosts)
+	}
 	s.applyRegistry(e.Knowledge)
 }
 
--- /dev/null
+++ b/internal/fleet/link_event.go
@@ -0,0 +1,22 @@
+package fleet
+
+import "siskintide.example/siskintide/internal/core"
+
+// linkEvent notes that the link to another host came up or ended.
+type linkEvent struct {
+	host core.HostID
+	up   bool
+}
+
+func (e linkEvent) apply(s *state) {
+	s.chooser.Link(e.host, e.up)
+	delete(s.received, e.host)
+	delete(s.askers, e.host)
+	if !e.up {
+		s.log.WithField("peer", e.host).Warn("lost the link to a host")
+		s.book.ForgetPeer(e.host)
+	} else {
+		s.log.WithField("peer", e.host).Info("linked with a host")
+	}
+	s.steer()
+}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -7,13 +7,14 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/message"
 )
 
 const (
 	// queuedEvents bounds the events that wait for the control goroutine.
 	queuedEvents = 512
 	// tickPeriod is the time between looks at what time alone changes.
-	tickPeriod = 200 * time.Millisecond
+	tickPeriod = 100 * time.Millisecond
 )
 
 // Loop is the control goroutine and the way to reach it. Its methods are safe for
@@ -28,6 +29,7 @@
 // NewLoop returns a loop that knows nothing. Run makes it work.
 func NewLoop(options Options) *Loop {
 	l := &Loop{options: options, events: make(chan event, queuedEvents), done: make(chan struct{})}
+	l.options.post = func(e event) { l.post(context.Background(), e) }
 	l.view.Store(&View{Changed: make(chan struct{})})
 	return l
 }
@@ -58,7 +60,9 @@
 			former := changed
 			changed = make(chan struct{})
 			s.view.Changed = changed
+			before := l.View()
 			l.publish(s)
+			s.passOn(before, l.View())
 			close(former)
 			s.changed = false
 		}
@@ -76,10 +80,9 @@
 		s.log.Info("targets that did not register again after the outage are gone")
 		s.membersChanged = true
 	}
-	if s.loadChanged && s.options.Share != nil {
-		s.options.Share(s.book.Own())
-		s.loadChanged = false
-	}
+	s.book.Expire(s.now())
+	s.steer()
+	s.sendWork()
 }
 
 // View returns what the host knows now.
@@ -105,12 +108,14 @@
 // HandleStore notes whether the store answers.
 func (l *Loop) HandleStore(up bool) { l.post(context.Background(), storeEvent{up: up}) }
 
-// HandleHosts notes how many hosts share the bounds of the deployment.
-func (l *Loop) HandleHosts(count int) { l.post(context.Background(), hostsEvent{count: count}) }
+// HandleLink notes that the link to another host came up or ended.
+func (l *Loop) HandleLink(host core.HostID, up bool) {
+	l.post(context.Background(), linkEvent{host: host, up: up})
+}
 
-// HandlePeerLoad takes over another host's account of its work.
-func (l *Loop) HandlePeerLoad(host core.HostID, loads map[core.TargetID]placement.Load) {
-	l.post(context.Background(), peerLoadEvent{host: host, loads: loads})
+// HandleMessage takes in a message of another host.
+func (l *Loop) HandleMessage(from core.HostID, m message.Message) {
+	l.post(context.Background(), messageEvent{from: from, message: m})
 }
 
 // Leave notes that this host shuts down.
--- /dev/null
+++ b/internal/fleet/message_event.go
@@ -0,0 +1,29 @@
+package fleet
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// messageEvent brings a message of another host.
+type messageEvent struct {
+	from    core.HostID
+	message message.Message
+}
+
+func (e messageEvent) apply(s *state) {
+	switch m := e.message.(type) {
+	case message.HubAsk:
+		s.answerAsker(e.from, m)
+	case message.HubAnswer:
+		s.takeAnswer(e.from, m)
+	case message.HubKnowledge:
+		s.takeKnowledge(e.from, m)
+	case message.HostWork:
+		s.takeWork(e.from, m)
+	case message.PlaceAsk:
+		s.placeFor(e.from, m)
+	case message.PlaceAnswer:
+		s.takePlacement(m)
+	}
+}
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -5,16 +5,21 @@
 
 	"siskintide.example/siskintide/internal/boottime"
 	"siskintide.example/siskintide/internal/core"
-	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/spend"
+	"siskintide.example/siskintide/internal/message"
 )
 
-// Options configures a Loop. All fields but Share are required.
+// Options configures a Loop. All fields are required.
 type Options struct {
-	DataCentre core.DataCentreID // where this host stands
-	Repeats    spend.Limits      // bound on second sends of all hosts
-	Clock      boottime.Clock
-	Log        log.Interface
-	// Share tells the other hosts of this host's work. It must not wait.
-	Share func(map[core.TargetID]placement.Load)
+	Self    core.Host
+	Repeats spend.Limits // bound on second sends of all hosts
+	Clock   boottime.Clock
+	Log     log.Interface
+	// Send queues a message for another host. It must not wait, and reports whether there
+	// is a link to the host.
+	Send func(to core.HostID, m message.Message) bool
+	// SetPeers names the hosts to stay linked with. It must not wait.
+	SetPeers func(hosts []core.Host)
+
+	post func(event) // queues an event for the control goroutine
 }
--- a/internal/fleet/place_event.go
+++ b/internal/fleet/place_event.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
 )
 
@@ -15,41 +16,46 @@
 		e.reply <- Use{}
 		return
 	}
-	need := e.placing.Need
-	need.DataCentre = s.options.DataCentre
-	candidates := s.candidates(e.placing.Pool)
-	if e.placing.Running != "" {
-		e.reply <- s.placeResumed(candidates, need, e.placing)
+	spec := s.view.Table.Pool(e.placing.Pool)
+	if spec != nil && spec.Engine != nil && s.askHub(e) {
 		return
 	}
-	choice, ok := s.book.Choose(candidates, need, s.now())
+	e.placeHere(s)
+}
+
+// placeHere answers with what this host knows itself.
+func (e placeEvent) placeHere(s *state) {
+	e.placing.Need.DataCentre = s.options.Self.DataCentre
+	choice, ok := s.choose(e.placing)
 	if !ok {
 		e.reply <- Use{}
 		return
 	}
-	e.reply <- s.add(choice, need)
+	e.reply <- s.add(choice, e.placing.Need)
 }
 
-// placeResumed counts a generation that goes on at a target that is given, and chooses
-// who keeps its next copy.
-func (s *state) placeResumed(candidates []placement.Candidate, need placement.Need, placing Placing) Use {
-	choice := placement.Choice{Target: s.candidate(placing)}
-	if need.WantsCopy {
-		if holder, ok := s.book.ChooseCopy(candidates, need, placing.Running, s.now()); ok {
+// choose places a request by what this host knows.
+func (s *state) choose(placing Placing) (placement.Choice, bool) {
+	if s.view.Table == nil {
+		return placement.Choice{}, false
+	}
+	candidates := s.candidates(placing.Pool)
+	if placing.Running == "" {
+		return s.book.Choose(candidates, placing.Need, s.now())
+	}
+	choice := placement.Choice{Target: s.candidate(placing.Running)}
+	if placing.Need.WantsCopy {
+		if holder, ok := s.book.ChooseCopy(candidates, placing.Need, placing.Running, s.now()); ok {
 			choice.Copy = holder
 		}
 	}
-	return s.add(choice, need)
+	return choice, true
 }
 
-func (s *state) candidate(placing Placing) placement.Candidate {
-	member := s.view.Members[placing.Running]
-	return placement.Candidate{
-		Target:     placing.Running,
-		Address:    member.Address,
-		DataCentre: member.DataCentre,
-		Slots:      member.Slots,
-	}
+// candidate describes a target that is given.
+func (s *state) candidate(id core.TargetID) placement.Candidate {
+	member := s.view.Members[id]
+	return placement.Candidate{Target: id, Address: member.Address, DataCentre: member.DataCentre, Slots: member.Slots}
 }
 
 func (s *state) add(choice placement.Choice, need placement.Need) Use {
--- a/internal/fleet/placing.go
+++ b/internal/fleet/placing.go
@@ -9,7 +9,7 @@
 type Placing struct {
 	Pool core.PoolID
 	Need placement.Need
-	// Running is set when only a target for a copy is asked for: the one that runs the
-	// generation.
+	// Running is set if the generation goes on at a target that is given, so that only one
+	// for its next copy is chosen.
 	Running core.TargetID
 }
--- a/internal/fleet/spend_event.go
+++ b/internal/fleet/spend_event.go
@@ -9,9 +9,9 @@
 }
 
 func (e spendEvent) apply(s *state) {
-	granted := s.ledger(e.pool).Spend(s.now(), s.hosts)
+	granted := s.ledger(e.pool).Spend(s.now(), len(s.hosts))
 	if !granted {
-		s.log.WithField("pool", e.pool).WithField("hosts", s.hosts).Warn("share of second sends is used up")
+		s.log.WithField("pool", e.pool).WithField("hosts", len(s.hosts)).Warn("share of second sends is used up")
 	}
 	e.reply <- granted
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -6,6 +6,8 @@
 	"github.com/apex/log"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/freshness"
+	"siskintide.example/siskintide/internal/decide/hub"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/spend"
@@ -21,9 +23,19 @@
 	registry       *registry.Registry
 	book           *placement.Book
 	repeats        map[core.PoolID]*spend.Ledger
-	hosts          int // hosts that share bounds, this one included
+	hosts          []core.Host // that share bounds, this one included
+	hostsChanged   bool
 	storeAway      bool
-	loadChanged    bool
+	registryProof  freshness.Proof
+
+	chooser     *hub.Chooser
+	hub         core.HostID            // that placements are asked of; empty for none
+	received    map[core.HostID]uint64 // number of the last knowledge received
+	askers      map[core.HostID]*asker
+	pending     map[uint64]pendingPlace
+	placements  uint64 // number of the last placement asked for
+	loadChanged bool
+	workSentAt  time.Duration
 }
 
 func newState(options *Options) *state {
@@ -33,7 +45,11 @@
 		registry: registry.New(),
 		book:     placement.NewBook(),
 		repeats:  map[core.PoolID]*spend.Ledger{},
-		hosts:    1,
+		hosts:    []core.Host{options.Self},
+		chooser:  hub.NewChooser(),
+		received: map[core.HostID]uint64{},
+		askers:   map[core.HostID]*asker{},
+		pending:  map[uint64]pendingPlace{},
 	}
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -17,6 +17,7 @@
 	Members     map[core.TargetID]registry.Member
 	Evacuated   map[core.DataCentreID]bool
 	Leaving     bool            // this host shuts down
+	ReadStore   bool            // the host reads the platform's store by itself
 	Changed     <-chan struct{} // closed when a newer view is in force
 }
 
--- /dev/null
+++ b/internal/message/host_work.go
@@ -0,0 +1,10 @@
+package message
+
+// HostWork tells a hub of all work that a host has at targets.
+type HostWork struct {
+	Targets []TargetWork `cbor:"1,keyasint"`
+	Granted uint64       `cbor:"2,keyasint"` // number of the last placement received; Targets includes it
+}
+
+// MessageKind implements Message.
+func (HostWork) MessageKind() Kind { return KindHostWork }
--- /dev/null
+++ b/internal/message/hub_answer.go
@@ -0,0 +1,15 @@
+package message
+
+import "time"
+
+// HubAnswer tells how old the hub's knowledge was at most when it answered. All that the
+// hub knew then has been sent before, on the same link, up to the number Sent.
+type HubAnswer struct {
+	SentAt time.Duration `cbor:"1,keyasint"` // of the question, on the asker's clock
+	Known  bool          `cbor:"2,keyasint"` // the hub has any proof of its knowledge's age
+	Age    time.Duration `cbor:"3,keyasint"`
+	Sent   uint64        `cbor:"4,keyasint"`
+}
+
+// MessageKind implements Message.
+func (HubAnswer) MessageKind() Kind { return KindHubAnswer }
--- a/internal/message/kind.go
+++ b/internal/message/kind.go
@@ -18,4 +18,10 @@
 	KindTicketRevoked Kind = 12
 	KindTicketCheck   Kind = 13
 	KindTargetLoads   Kind = 14
+	KindHubAsk        Kind = 15
+	KindHubAnswer     Kind = 16
+	KindHubKnowledge  Kind = 17
+	KindHostWork      Kind = 18
+	KindPlaceAsk      Kind = 19
+	KindPlaceAnswer   Kind = 20
 )
--- /dev/null
+++ b/internal/message/place_answer.go
@@ -0,0 +1,13 @@
+package message
+
+import "siskintide.example/siskintide/internal/core"
+
+// PlaceAnswer names the targets that a hub chose; empty names mean none.
+type PlaceAnswer struct {
+	Number uint64        `cbor:"1,keyasint"`
+	Target core.TargetID `cbor:"2,keyasint,omitempty"`
+	Copy   core.TargetID `cbor:"3,keyasint,omitempty"`
+}
+
+// MessageKind implements Message.
+func (PlaceAnswer) MessageKind() Kind { return KindPlaceAnswer }
--- /dev/null
+++ b/internal/message/place_ask.go
@@ -0,0 +1,18 @@
+package message
+
+import "siskintide.example/siskintide/internal/core"
+
+// PlaceAsk asks a hub for a target.
+type PlaceAsk struct {
+	Number     uint64            `cbor:"1,keyasint"` // grows with each question on a link
+	Pool       core.PoolID       `cbor:"2,keyasint"`
+	Request    string            `cbor:"3,keyasint"`
+	DataCentre core.DataCentreID `cbor:"4,keyasint"`
+	Memory     core.Tokens       `cbor:"5,keyasint"`
+	WantsCopy  bool              `cbor:"6,keyasint,omitempty"`
+	Avoid      []core.TargetID   `cbor:"7,keyasint,omitempty"`
+	Running    core.TargetID     `cbor:"8,keyasint,omitempty"` // set if only a place for a copy is asked for
+}
+
+// MessageKind implements Message.
+func (PlaceAsk) MessageKind() Kind { return KindPlaceAsk }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -30,6 +30,12 @@
 	message.KindTicketRevoked: decodeBody[message.TicketRevoked],
 	message.KindTicketCheck:   decodeBody[message.TicketCheck],
 	message.KindTargetLoads:   decodeBody[message.TargetLoads],
+	message.KindHubAsk:        decodeBody[message.HubAsk],
+	message.KindHubAnswer:     decodeBody[message.HubAnswer],
+	message.KindHubKnowledge:  decodeBody[message.HubKnowledge],
+	message.KindHostWork:      decodeBody[message.HostWork],
+	message.KindPlaceAsk:      decodeBody[message.PlaceAsk],
+	message.KindPlaceAnswer:   decodeBody[message.PlaceAnswer],
 }
 
 func mustEncoder() cbor.EncMode {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -32,6 +32,16 @@
 	message.TicketRevoked{Generation: generation, Target: "t1"},
 	message.TicketCheck{Held: []core.GenerationID{generation}},
 	message.TargetLoads{Targets: []message.TargetLoad{{Target: "manus-1", Limit: 8, Streams: 3, Memory: 900, Forecast: 1200}}},
+	message.HubAsk{SentAt: 5 * time.Second, Received: 3},
+	message.HubAnswer{SentAt: 5 * time.Second, Known: true, Age: 40 * time.Millisecond, Sent: 4},
+	message.HubKnowledge{Number: 4, Whole: true, Config: &core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
+		Splits: []core.Split{{Pool: "p", Weight: 90}}, Timeout: time.Second}}, Pools: []core.PoolSpec{{ID: "p", Engine: &core.EngineSpec{Slots: 24}}},
+		Teams: []core.TeamKeys{{Team: "t", Keys: []string{"k"}}}}, NewEvacuated: true, Evacuated: []core.DataCentreID{"oslo-a"},
+		Registrations: []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
+		Removed:       []core.TargetID{"t2"}, Hosts: []core.Host{{ID: "h", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:8", Capacity: 0.4}}},
+	message.HostWork{Targets: []message.TargetWork{{Target: "t1", Requests: 2, Memory: 7000, Copies: 3000}}, Granted: 8},
+	message.PlaceAsk{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, Running: "t1"},
+	message.PlaceAnswer{Number: 8, Target: "t1", Copy: "t3"},
 }
 
 func TestRoundTripOfEveryKind(t *testing.T) {
