Place by prompts still to be read, and move generations when the links are free

Change: a prompt counts against its engine until its first event; an engine without room comes last; moves stay within the data centre, keep their room, and take the final step once a repeated copy is quick. Data centres whose targets fall silent are left out.

--- a/internal/decide/carry/stream.go
+++ b/internal/decide/carry/stream.go
@@ -18,6 +18,7 @@
 	broken   bool // the connection to the engine ended before the generation did
 	leaving  bool // the engine leaves
 	ahead    bool // the memory has been copied ahead of the final move
+	free     bool // the last move ahead found the links free
 	moved    bool // the generation was stopped and its memory moved
 	open     StepKind
 	since    time.Duration // notice that the engine leaves
@@ -44,6 +45,9 @@
 // CopyLost notes that the holder of the copy leaves or is gone.
 func (s *Stream) CopyLost() { s.copied = false }
 
+// Ahead reports whether the memory has been copied ahead to the engine chosen for a move.
+func (s *Stream) Ahead() bool { return s.ahead }
+
 // Copied reports whether a copy is believed to exist.
 func (s *Stream) Copied() bool { return s.copied }
 
@@ -112,31 +116,36 @@
 	return Step{Kind: Wait, At: due}
 }
 
-// withoutCopy moves a generation that has begun: ahead at once, and the rest at the time
-// at which a copy would be used.
+// withoutCopy moves a generation that has begun: ahead at once, then what is new until
+// that is quick, so that the final move, for which the generation stands still, does not
+// queue behind the moves of other generations.
 func (s *Stream) withoutCopy(now time.Duration) Step {
-	switch due := s.since + s.timing.SwitchAfter; {
+	switch due := s.since + s.timing.MoveAfter; {
 	case !s.begun:
 		return Step{Kind: Wait}
 	case !s.ahead:
 		return Step{Kind: MoveAhead}
-	case now >= due:
-		return Step{Kind: MoveFinal}
-	default:
+	case now < due:
 		return Step{Kind: Wait, At: due}
+	case !s.free && now < s.since+s.timing.MoveBy:
+		return Step{Kind: MoveAhead}
+	default:
+		return Step{Kind: MoveFinal}
 	}
 }
 
-// Moved notes how MoveAhead or MoveFinal ended.
-func (s *Stream) Moved(result Result) {
+// Moved notes how MoveAhead or MoveFinal ended, and how long it took.
+func (s *Stream) Moved(result Result, took time.Duration) {
 	step := s.open
 	s.open = 0
 	switch {
 	case step == MoveAhead && result == Done:
+		s.free = s.ahead && took <= s.timing.Quick
 		s.ahead = true
 	case step == MoveFinal && result == Done:
 		s.moved = true
 	default:
+		s.ahead, s.free = false, false // the next try goes to another engine
 		s.moves++
 	}
 }
@@ -152,6 +161,6 @@
 		return
 	}
 	s.switches++
-	s.copied, s.begun, s.broken, s.leaving, s.ahead = copied, false, false, false, false
+	s.copied, s.begun, s.broken, s.leaving, s.ahead, s.free = copied, false, false, false, false, false
 	s.moves, s.last = 0, now
 }
--- a/internal/decide/carry/timing.go
+++ b/internal/decide/carry/timing.go
@@ -9,6 +9,12 @@
 	SwitchAfter time.Duration
 	// StartWithin is the same for a generation without an event yet.
 	StartWithin time.Duration
+	// MoveAfter is the time from the notice to the first look whether the links are free for
+	// the final move, and MoveBy that at which it is made in any case.
+	MoveAfter time.Duration
+	MoveBy    time.Duration
+	// Quick is the time in which a repeated move ahead ends while the links are free.
+	Quick time.Duration
 	// Silence is the pause between events after which the engine counts as lost. Zero
 	// means that silence tells nothing.
 	Silence time.Duration
--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -12,8 +12,23 @@
 	// awayPenalty is what a target in another data centre must be less loaded by: bytes
 	// between data centres cost, and each call takes a little longer.
 	awayPenalty = 0.25
-	// awayMemoryPenalty is the same for generations, whose bytes are few for their worth.
-	awayMemoryPenalty = 0.02
+	// awayMemoryPenalty is the same for generations: a stream within its data centre goes on
+	// when that is cut off from the others.
+	awayMemoryPenalty = 0.15
+	// farMemoryPenalty is the same where memory has to get to the target first.
+	farMemoryPenalty = 0.5
+	// overfullPenalty ranks targets whose memory would not bear the request behind others.
+	overfullPenalty = 10.0
+	// fullMemory is the part of a target's memory from which it counts as full.
+	fullMemory = 0.97
+	// promptScale is the number of prompt tokens still to be read that weighs as much as a
+	// full memory: reading them takes most of a second, and slows all that runs beside.
+	promptScale = 12_000
+	// suspectTargets is the number of targets of one data centre that must fall silent
+	// within suspectPeriod for the data centre to count as cut off.
+	suspectTargets = 2
+	// suspectPeriod is how long that is remembered, without another sign of life.
+	suspectPeriod = 1500 * time.Millisecond
 	// failurePenalty weighs a failure rate against load.
 	failurePenalty = 2.0
 	// copyRoom is the part of a target's memory up to which copies are added, so that they
@@ -28,11 +43,12 @@
 	own     map[core.TargetID]Load
 	records map[core.TargetID]*record
 	peers   *peers
+	silent  map[core.DataCentreID]map[core.TargetID]time.Duration // targets that fell silent, and when
 }
 
 // NewBook returns a book without load.
 func NewBook() *Book {
-	return &Book{own: map[core.TargetID]Load{}, records: map[core.TargetID]*record{}, peers: newPeers()}
+	return &Book{own: map[core.TargetID]Load{}, records: map[core.TargetID]*record{}, peers: newPeers(), silent: map[core.DataCentreID]map[core.TargetID]time.Duration{}}
 }
 
 // Add counts work that this host gives a target.
@@ -74,12 +90,32 @@
 // Expire drops hosts that have not reported for a while.
 func (b *Book) Expire(now time.Duration) { b.peers.expire(now) }
 
-// Note takes over how a send ended.
-func (b *Book) Note(id core.TargetID, outcome Outcome, now time.Duration) {
-	if b.records[id] == nil {
-		b.records[id] = &record{}
+// Note takes over how a send to a target ended.
+func (b *Book) Note(c Candidate, outcome Outcome, now time.Duration) {
+	if b.records[c.Target] == nil {
+		b.records[c.Target] = &record{}
 	}
-	b.records[id].note(outcome, now)
+	b.records[c.Target].note(outcome, now)
+	switch outcome {
+	case Unreachable:
+		if b.silent[c.DataCentre] == nil {
+			b.silent[c.DataCentre] = map[core.TargetID]time.Duration{}
+		}
+		b.silent[c.DataCentre][c.Target] = now
+	case Answered, Full:
+		delete(b.silent, c.DataCentre)
+	}
+}
+
+// CutOff reports whether a data centre seems to be cut off from this host.
+func (b *Book) CutOff(id core.DataCentreID, now time.Duration) bool {
+	recent := 0
+	for _, at := range b.silent[id] {
+		if now-at < suspectPeriod {
+			recent++
+		}
+	}
+	return recent >= suspectTargets
 }
 
 // Forget drops what is known of a target that is gone or has started again.
@@ -141,7 +177,12 @@
 	load := b.load(c.Target)
 	value := float64(load.Requests) / float64(max(c.Slots, 1))
 	if c.Memory > 0 {
-		value = max(value, float64(load.Memory+load.Copies+need.Memory)/float64(c.Memory))
+		share := float64(load.Memory+load.Copies+need.Memory) / float64(c.Memory)
+		value = max(value, share)
+		if share > fullMemory {
+			value += overfullPenalty
+		}
+		value += float64(load.Starting) / promptScale
 	}
 	return value + b.penalty(c, need, now)
 }
@@ -154,11 +195,18 @@
 
 func (b *Book) penalty(c *Candidate, need Need, now time.Duration) float64 {
 	value := 0.0
-	if c.DataCentre != need.DataCentre && c.Memory > 0 {
+	switch {
+	case c.DataCentre == need.DataCentre:
+	case need.Near:
+		value += farMemoryPenalty
+	case c.Memory > 0:
 		value += awayMemoryPenalty
-	} else if c.DataCentre != need.DataCentre {
+	default:
 		value += awayPenalty
 	}
+	if b.CutOff(c.DataCentre, now) {
+		value += avoidPenalty / 2
+	}
 	if record := b.records[c.Target]; record != nil {
 		value += failurePenalty * record.failureRate
 	}
--- a/internal/decide/placement/load.go
+++ b/internal/decide/placement/load.go
@@ -7,12 +7,13 @@
 	Requests int         // requests sent and not answered in full
 	Memory   core.Tokens // forecast memory of running generations at their end
 	Copies   core.Tokens // forecast memory of copies of generations that run elsewhere
+	Starting core.Tokens // prompts of requests without a first event
 }
 
 func (l Load) plus(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Memory: l.Memory + other.Memory, Copies: l.Copies + other.Copies}
+	return Load{Requests: l.Requests + other.Requests, Memory: l.Memory + other.Memory, Copies: l.Copies + other.Copies, Starting: l.Starting + other.Starting}
 }
 
 func (l Load) minus(other Load) Load {
-	return Load{Requests: l.Requests - other.Requests, Memory: l.Memory - other.Memory, Copies: l.Copies - other.Copies}
+	return Load{Requests: l.Requests - other.Requests, Memory: l.Memory - other.Memory, Copies: l.Copies - other.Copies, Starting: l.Starting - other.Starting}
 }
--- a/internal/decide/placement/need.go
+++ b/internal/decide/placement/need.go
@@ -7,7 +7,9 @@
 	Request    string // id of the request; spreads requests over equal targets
 	DataCentre core.DataCentreID
 	Memory     core.Tokens // forecast memory at the generation's end; zero for calls
+	Prompt     core.Tokens // that has to be read before the first event; zero for calls
 	WantsCopy  bool        // a second target shall keep a copy
+	Near       bool        // memory has to get there from DataCentre, which takes twice as long to others
 	Avoid      []core.TargetID
 }
 
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -92,7 +92,7 @@
 	}
 	m := message.HostWork{Granted: s.resolved()}
 	for id, load := range s.book.Own() {
-		m.Targets = append(m.Targets, message.TargetWork{Target: id, Requests: load.Requests, Memory: load.Memory, Copies: load.Copies})
+		m.Targets = append(m.Targets, message.TargetWork{Target: id, Requests: load.Requests, Memory: load.Memory, Copies: load.Copies, Starting: load.Starting})
 	}
 	if s.options.Send(s.hub, m) {
 		s.loadChanged, s.workSentAt = false, now
@@ -116,9 +116,11 @@
 	}
 	s.placements++
 	number, need := s.placements, e.placing.Need
+	avoid := append(s.avoided(e.placing.Pool), need.Avoid...)
 	sent := s.options.Send(s.hub, message.PlaceAsk{
-		Number: number, Pool: e.placing.Pool, Request: need.Request, DataCentre: s.options.Self.DataCentre,
-		Memory: need.Memory, WantsCopy: need.WantsCopy, Avoid: need.Avoid, Running: e.placing.Running,
+		Number: number, Pool: e.placing.Pool, Request: need.Request, DataCentre: need.DataCentre,
+		Memory: need.Memory, Prompt: need.Prompt, WantsCopy: need.WantsCopy, Near: need.Near, Avoid: avoid,
+		Running: e.placing.Running,
 	})
 	if sent {
 		timer := time.AfterFunc(placeTimeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
@@ -127,6 +129,18 @@
 	return sent
 }
 
+// avoided lists the targets of a pool that this host could not reach a short time ago.
+func (s *state) avoided(pool core.PoolID) []core.TargetID {
+	var ids []core.TargetID
+	now := s.now()
+	for id, member := range s.view.Members {
+		if member.Pool == pool && (s.book.Avoided(id, now) || s.book.CutOff(member.DataCentre, now)) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // takePlacement answers a request with the hub's placement, or with one of this host's
 // own if the hub found none or named a target that is not known here yet.
 func (s *state) takePlacement(m message.PlaceAnswer) {
--- a/internal/fleet/end_event.go
+++ b/internal/fleet/end_event.go
@@ -16,7 +16,7 @@
 	}
 	s.loadChanged = true
 	if e.outcome != placement.Withdrawn {
-		s.book.Note(target, e.outcome, s.now())
+		s.book.Note(e.use.Target, e.outcome, s.now())
 	}
 	if e.outcome == placement.Unreachable || e.outcome == placement.Misplaced {
 		s.log.WithField("target", target).WithField("misplaced", e.outcome == placement.Misplaced).
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -121,7 +121,7 @@
 func (s *state) takeWork(from core.HostID, m message.HostWork) {
 	loads := make(map[core.TargetID]placement.Load, len(m.Targets))
 	for _, work := range m.Targets {
-		loads[work.Target] = placement.Load{Requests: work.Requests, Memory: work.Memory, Copies: work.Copies}
+		loads[work.Target] = placement.Load{Requests: work.Requests, Memory: work.Memory, Copies: work.Copies, Starting: work.Starting}
 	}
 	s.book.Peer(from, loads, m.Granted, s.now())
 }
@@ -129,12 +129,13 @@
 // placeFor chooses a target for a request of an asker.
 func (s *state) placeFor(from core.HostID, m message.PlaceAsk) {
 	placing := Placing{Pool: m.Pool, Running: m.Running, Need: placement.Need{
-		Request: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, WantsCopy: m.WantsCopy, Avoid: m.Avoid,
+		Request: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
+		WantsCopy: m.WantsCopy, Near: m.Near, Avoid: m.Avoid,
 	}}
 	answer := message.PlaceAnswer{Number: m.Number}
 	if choice, ok := s.choose(placing); ok {
 		answer.Target, answer.Copy = choice.Target.Target, choice.Copy.Target
-		loads := map[core.TargetID]placement.Load{answer.Target: {Requests: 1, Memory: m.Memory}}
+		loads := map[core.TargetID]placement.Load{answer.Target: {Requests: 1, Memory: m.Memory, Starting: m.Prompt}}
 		if choice.HasCopy() {
 			loads[answer.Copy] = placement.Load{Copies: m.Memory}
 		}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// Started notes that the prompt of a use has been read, and returns the use as it is now.
+func (l *Loop) Started(use Use) Use {
+	if use.load.Starting > 0 {
+		l.post(context.Background(), startedEvent{use: use})
+		use.load.Starting = 0
+	}
+	return use
+}
+
 // End notes that a use is over, and how it ended.
 func (l *Loop) End(use Use, outcome placement.Outcome) {
 	l.post(context.Background(), endEvent{use: use, outcome: outcome})
--- a/internal/fleet/place_event.go
+++ b/internal/fleet/place_event.go
@@ -16,6 +16,9 @@
 		e.reply <- Use{}
 		return
 	}
+	if e.placing.Need.DataCentre == "" {
+		e.placing.Need.DataCentre = s.options.Self.DataCentre
+	}
 	spec := s.view.Table.Pool(e.placing.Pool)
 	if spec != nil && spec.Engine != nil && s.askHub(e) {
 		return
@@ -25,7 +28,6 @@
 
 // placeHere answers with what this host knows itself.
 func (e placeEvent) placeHere(s *state) {
-	e.placing.Need.DataCentre = s.options.Self.DataCentre
 	choice, ok := s.choose(e.placing)
 	if !ok {
 		e.reply <- Use{}
@@ -59,7 +61,7 @@
 }
 
 func (s *state) add(choice placement.Choice, need placement.Need) Use {
-	use := Use{Choice: choice, load: placement.Load{Requests: 1, Memory: need.Memory}}
+	use := Use{Choice: choice, load: placement.Load{Requests: 1, Memory: need.Memory, Starting: need.Prompt}}
 	s.book.Add(choice.Target.Target, use.load)
 	if choice.HasCopy() {
 		use.copy = placement.Load{Copies: need.Memory}
--- /dev/null
+++ b/internal/fleet/started_event.go
@@ -0,0 +1,13 @@
+package fleet
+
+import "siskintide.example/siskintide/internal/decide/placement"
+
+// startedEvent notes that the first event of a use's generation has arrived.
+type startedEvent struct {
+	use Use
+}
+
+func (e startedEvent) apply(s *state) {
+	s.book.Remove(e.use.Target.Target, placement.Load{Starting: e.use.load.Starting})
+	s.loadChanged = true
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// maxTries bounds the targets that are tried for one request, sent or not.
-	maxTries = 4
+	// maxSends bounds the targets that a request is sent to, run or not.
+	maxSends = 4
+	// maxTries bounds the targets that are tried for one request, reached or not; after an
+	// outage of the registry many that it names may be gone.
+	maxTries = 12
 	// patienceGoals is how many times the answer's goal a repeatable call waits for its
 	// first target, if the time left allows it.
 	patienceGoals = 2
@@ -31,7 +34,7 @@
 	defer cancel()
 	var avoid []core.TargetID
 	var fallback *wholeAnswer
-	for try := 0; try < maxTries && ctx.Err() == nil; try++ {
+	for try := 0; try < maxTries && j.sends < maxSends && ctx.Err() == nil; try++ {
 		if j.sends > 0 && !j.gateway.options.Desk.Spend(ctx, j.pool) {
 			break
 		}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -13,6 +13,7 @@
 	View() *fleet.View
 	Count(pool core.PoolID)
 	Place(ctx context.Context, placing fleet.Placing) (fleet.Use, bool)
+	Started(use fleet.Use) fleet.Use
 	End(use fleet.Use, outcome placement.Outcome)
 	Spend(ctx context.Context, pool core.PoolID) bool
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -64,6 +64,7 @@
 	need := placement.Need{Request: j.request.ID, Avoid: avoid}
 	if j.spec != nil && j.spec.Engine != nil {
 		need.Memory = j.request.PromptTokens + j.request.Output()
+		need.Prompt = j.request.PromptTokens
 	}
 	return need
 }
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -17,6 +17,13 @@
 	switchAfter = 900 * time.Millisecond
 	// startWithin is the same for a generation without an event.
 	startWithin = 1100 * time.Millisecond
+	// moveAfter and moveBy bound the final move of a generation without a copy: a gigabyte
+	// takes 0.2 s to another engine, and an engine that leaves has some of them.
+	moveAfter = 600 * time.Millisecond
+	moveBy    = 1150 * time.Millisecond
+	// quickMove is the time in which what is new since the last move is copied while no
+	// other move is queued before it.
+	quickMove = 50 * time.Millisecond
 	// silencePart is the part of the pause that still earns full credit after which a
 	// silent engine counts as lost: the rest is left for going on elsewhere.
 	silencePart = 0.75
@@ -38,11 +45,14 @@
 	next       *source // that is to take over; nil if no switch is open
 	commitAt   time.Duration
 	moves      chan moveResult
-	moveTo     placement.Candidate // engine that the memory is moved to
-	handle     Handle              // of the moved memory
-	started    bool                // the caller has the header
+	moveUse    *fleet.Use      // room that is kept at the engine that the memory is moved to
+	movedFrom  []core.TargetID // engines that are not moved to: the current one, and those without room
+	handle     Handle          // of the moved memory
+	started    bool            // the caller has the header
 	firstAt    time.Duration
 	lastAt     time.Duration
+	worstGap   time.Duration // longest pause between two events
+	worstAfter int64         // event before that pause
 	lastID     int64
 	hasLast    bool
 	switches   int
@@ -106,7 +116,7 @@
 
 // placeFirst chooses an engine that has not been tried.
 func (s *streamRelay) placeFirst() (fleet.Use, bool) {
-	if len(s.tried) >= maxTries || s.sends > 0 && !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
+	if len(s.tried) >= maxTries || s.sends >= maxSends || s.sends > 0 && !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
 		return fleet.Use{}, false
 	}
 	need := s.need(s.tried)
@@ -118,6 +128,9 @@
 	return carry.Timing{
 		SwitchAfter: switchAfter,
 		StartWithin: startWithin,
+		MoveAfter:   moveAfter,
+		MoveBy:      moveBy,
+		Quick:       quickMove,
 		Silence:     time.Duration(silencePart * float64(s.route.GapGoal)),
 	}
 }
@@ -159,7 +172,7 @@
 		use := s.source.use
 		s.switchTo(use.Copy, Handle{Address: use.Copy.Address, ID: s.request.ID})
 	case carry.SwitchToMoved:
-		s.switchTo(s.moveTo, s.handle)
+		s.switchTo(s.moveUse.Target, s.handle)
 	case carry.MoveAhead:
 		s.move(false)
 	case carry.MoveFinal:
@@ -179,6 +192,7 @@
 		return
 	}
 	need := s.need(nil)
+	need.Prompt = 0 // the memory is there
 	need.WantsCopy = s.wantsCopy()
 	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Running: to.Target})
 	if !ok {
@@ -194,37 +208,49 @@
 
 // move copies the generation's memory to another engine on a goroutine of its own.
 func (s *streamRelay) move(final bool) {
-	if !final || s.moveTo.Target == "" {
-		holder := s.chooseMoveTarget()
-		if holder.Target == "" {
-			s.machine.Moved(carry.NotDone)
-			return
-		}
-		s.moveTo = holder
+	if !s.machine.Ahead() && !s.chooseMoveTarget() {
+		s.machine.Moved(carry.NotDone, 0)
+		return
 	}
-	from, to, id := s.source.use.Target.Address, s.moveTo.Address, s.request.ID
-	s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveTo.Target).
-		WithField("final", final).Info("generation's memory moves")
+	from, to, id := s.source.use.Target.Address, s.moveUse.Target.Address, s.request.ID
 	moves, mover, ctx := s.moves, s.gateway.options.Mover, s.ctx
+	entry := s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveUse.Target.Target).WithField("final", final)
+	entry.Info("generation's memory moves")
+	started, clock := s.now(), s.gateway.options.Clock
 	go func() {
 		handle, err := mover.Move(ctx, from, id, to, final)
 		result := carry.Done
 		if err != nil {
 			result = carry.NotDone
+			entry.WithError(err).Info("move failed")
 		}
-		moves <- moveResult{result: result, handle: handle}
+		moves <- moveResult{result: result, handle: handle, took: clock() - started}
 	}()
 }
 
-// chooseMoveTarget picks the engine that a generation moves to.
-func (s *streamRelay) chooseMoveTarget() placement.Candidate {
-	need := s.need([]core.TargetID{s.source.use.Target.Target})
+// chooseMoveTarget picks the engine that a generation moves to, and keeps room there. It
+// is false if there is none.
+func (s *streamRelay) chooseMoveTarget() bool {
+	s.movedFrom = append(s.movedFrom, s.source.use.Target.Target)
+	if s.moveUse != nil {
+		s.movedFrom = append(s.movedFrom, s.moveUse.Target.Target)
+	}
+	s.dropMove()
+	need := s.need(s.movedFrom)
+	need.Prompt, need.Near, need.DataCentre = 0, true, s.source.use.Target.DataCentre
 	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
-	if !ok {
-		return placement.Candidate{}
+	if ok {
+		s.moveUse = &use
+	}
+	return ok
+}
+
+// dropMove gives back the room that was kept for a move.
+func (s *streamRelay) dropMove() {
+	if s.moveUse != nil {
+		s.gateway.options.Desk.End(*s.moveUse, placement.Withdrawn)
+		s.moveUse = nil
 	}
-	s.gateway.options.Desk.End(use, placement.Withdrawn)
-	return use.Target
 }
 
 // wait blocks until something happens, and takes it in.
@@ -244,7 +270,7 @@
 		return s.fromNext(told)
 	case moved := <-s.moves:
 		s.handle = moved.handle
-		s.machine.Moved(moved.result)
+		s.machine.Moved(moved.result, moved.took)
 	case <-view.Changed:
 	case <-timer.C:
 		if s.next != nil && s.now() >= s.commitAt {
--- a/internal/gateway/stream_signals.go
+++ b/internal/gateway/stream_signals.go
@@ -86,11 +86,15 @@
 	}
 	s.flush()
 	now := s.now()
+	s.source.use = s.gateway.options.Desk.Started(s.source.use)
 	if s.firstAt == 0 {
 		s.firstAt = now
 		s.gateway.options.Metrics.FirstToken(s.teamID(), s.class(), now-s.arrived)
 	} else {
 		s.gateway.options.Metrics.TokenGap(s.teamID(), s.class(), now-s.lastAt)
+		if now-s.lastAt > s.worstGap {
+			s.worstGap, s.worstAfter = now-s.lastAt, s.lastID
+		}
 	}
 	s.lastAt = now
 	if event.hasID {
@@ -111,6 +115,8 @@
 
 func (s *streamRelay) fields(fields log.Fields) log.Fields {
 	fields["switches"] = s.switches
+	fields["worst_gap_ms"] = s.worstGap.Milliseconds()
+	fields["worst_gap_after"] = s.worstAfter
 	fields["last_event"] = s.lastID
 	if s.firstAt > 0 {
 		fields["first_event_ms"] = (s.firstAt - s.arrived).Milliseconds()
@@ -146,6 +152,8 @@
 		s.source.stop()
 		s.source, s.next = s.next, nil
 		s.switches++
+		s.dropMove()
+		s.movedFrom = nil
 		s.machine.Switched(carry.Done, s.source.use.HasCopy(), s.now())
 		if !s.started {
 			s.sendHeader()
@@ -207,6 +215,7 @@
 
 // stopAll ends the exchanges that are open.
 func (s *streamRelay) stopAll() {
+	s.dropMove()
 	for _, open := range []*source{s.source, s.next} {
 		if open != nil {
 			open.stop()
--- a/internal/message/place_ask.go
+++ b/internal/message/place_ask.go
@@ -12,6 +12,8 @@
 	WantsCopy  bool              `cbor:"6,keyasint,omitempty"`
 	Avoid      []core.TargetID   `cbor:"7,keyasint,omitempty"`
 	Running    core.TargetID     `cbor:"8,keyasint,omitempty"` // set if only a place for a copy is asked for
+	Prompt     core.Tokens       `cbor:"9,keyasint,omitempty"`
+	Near       bool              `cbor:"10,keyasint,omitempty"` // see placement.Need
 }
 
 // MessageKind implements Message.
--- a/internal/message/target_work.go
+++ b/internal/message/target_work.go
@@ -8,4 +8,5 @@
 	Requests int           `cbor:"2,keyasint"`
 	Memory   core.Tokens   `cbor:"3,keyasint,omitempty"` // forecast of running generations at their end
 	Copies   core.Tokens   `cbor:"4,keyasint,omitempty"` // forecast of copies of generations that run elsewhere
+	Starting core.Tokens   `cbor:"5,keyasint,omitempty"` // prompts of requests without a first event
 }
