Test hosts, hubs and the path of a call on stand-ins of the platform; tell of the first view's end

Cause: a follower that took the view of a loop before its first turn waited for a change that was never told, so the host knew nothing for good: one of five test hosts in a run of platform's tests. TestFirstViewTellsOfTheNext fails without the fix.

--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -24,13 +24,15 @@
 	events  chan event
 	view    atomic.Pointer[View]
 	done    chan struct{}
+	first   chan struct{} // closed when the first view is replaced
 }
 
 // NewLoop returns a loop that knows nothing. Run makes it work.
 func NewLoop(options Options) *Loop {
 	l := &Loop{options: options, events: make(chan event, queuedEvents), done: make(chan struct{})}
 	l.options.post = func(e event) { l.post(context.Background(), e) }
-	l.view.Store(&View{Changed: make(chan struct{})})
+	l.first = make(chan struct{})
+	l.view.Store(&View{Changed: l.first})
 	return l
 }
 
@@ -41,6 +43,7 @@
 	changed := make(chan struct{})
 	s.view.Changed = changed
 	l.publish(s)
+	close(l.first)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/fleet/loop_test.go
@@ -0,0 +1,236 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/spend"
+	"siskintide.example/siskintide/internal/message"
+)
+
+const stepTimeout = 10 * time.Second // bounds each wait; it is no assertion on speed
+
+// testClock is set by hand, and moves on by itself too, so that waits end.
+type testClock struct {
+	mu     sync.Mutex
+	offset time.Duration
+	start  time.Time
+}
+
+func newTestClock() *testClock { return &testClock{start: time.Now(), offset: time.Hour} }
+
+func (c *testClock) now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.offset + time.Since(c.start)
+}
+
+func (c *testClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offset += d
+}
+
+// network carries messages between loops, and loses those of cut hosts.
+type network struct {
+	mu    sync.Mutex
+	loops map[core.HostID]*Loop
+	cut   map[core.HostID]bool
+}
+
+func (n *network) send(from core.HostID) func(core.HostID, message.Message) bool {
+	return func(to core.HostID, m message.Message) bool {
+		n.mu.Lock()
+		loop, lost := n.loops[to], n.cut[from] || n.cut[to]
+		n.mu.Unlock()
+		if loop == nil {
+			return false
+		}
+		if !lost {
+			go loop.HandleMessage(from, m)
+		}
+		return true
+	}
+}
+
+func (n *network) setCut(id core.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+func host(id string) core.Host {
+	return core.Host{ID: core.HostID(id), DataCentre: "a", Capacity: 1 / float64(len(id))}
+}
+
+// startLoops runs loops of hosts that are linked with each other.
+func startLoops(t *testing.T, ids ...string) (*network, *testClock) {
+	clock, net := newTestClock(), &network{loops: map[core.HostID]*Loop{}, cut: map[core.HostID]bool{}}
+	var hosts []core.Host
+	for _, id := range ids {
+		hosts = append(hosts, host(id))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { stop(); running.Wait() })
+	for _, h := range hosts {
+		loop := NewLoop(Options{
+			Self: h, Repeats: spend.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Clock: clock.now,
+			Log: &log.Logger{Handler: discard.New()}, Send: net.send(h.ID), SetPeers: func([]core.Host) {},
+		})
+		net.mu.Lock()
+		net.loops[h.ID] = loop
+		net.mu.Unlock()
+		running.Go(func() { loop.Run(ctx) })
+	}
+	for _, loop := range net.loops {
+		loop.HandleKnowledge(Knowledge{Hosts: hosts})
+		for _, h := range hosts {
+			loop.HandleLink(h.ID, true)
+		}
+	}
+	return net, clock
+}
+
+func engineConfig(revision core.Revision) *core.RoutingConfig {
+	return &core.RoutingConfig{Revision: revision, Pools: []core.PoolSpec{{ID: "llm", Engine: &core.EngineSpec{MemoryTokens: 30_000, Copies: true}}}}
+}
+
+func engines(count int) []core.Registration {
+	var all []core.Registration
+	for i := range count {
+		all = append(all, core.Registration{
+			Target: core.TargetID(fmt.Sprintf("e%d", i)), Pool: "llm", DataCentre: "a", Address: "127.0.0.1:1", Slots: 8, Revision: uint64(i + 1),
+		})
+	}
+	return all
+}
+
+// learn gives a host what a read of the store would tell.
+func learn(loop *Loop, clock *testClock, config *core.RoutingConfig, all []core.Registration) {
+	loop.HandleKnowledge(Knowledge{
+		SentAt: clock.now(), Config: config, ProvesConfig: true, ProvesRegistry: true, Registrations: all, WholeRegistry: all != nil,
+		Evacuated: map[core.DataCentreID]bool{},
+	})
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	require.Eventually(t, holds, stepTimeout, 5*time.Millisecond, what)
+}
+
+// A reader that took the first view before the loop ran must hear of the next one.
+func TestFirstViewTellsOfTheNext(t *testing.T) {
+	clock := newTestClock()
+	loop := NewLoop(Options{Self: host("h"), Clock: clock.now, Log: &log.Logger{Handler: discard.New()},
+		Send: func(core.HostID, message.Message) bool { return false }, SetPeers: func([]core.Host) {}})
+	before := loop.View()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); loop.Run(ctx) }()
+	select {
+	case <-before.Changed:
+	case <-time.After(stepTimeout):
+		t.Error("the first view was replaced without a word")
+	}
+	stop()
+	<-done
+}
+
+// One host reads the store; the others learn all from it, with a proof that is not
+// younger than that of the reader.
+func TestHostsLearnFromTheirHub(t *testing.T) {
+	net, clock := startLoops(t, "h", "host", "hosts")
+	hub, asker := net.loops["h"], net.loops["hosts"]
+	learn(hub, clock, engineConfig(3), engines(4))
+	eventually(t, "learnt", func() bool {
+		view := asker.View()
+		return view.Table != nil && len(view.Members) == 4 && !view.ReadStore
+	})
+	clock.advance(time.Second) // the hub's knowledge grows old, and the asker's with it
+	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
+	age, _ := asker.View().ConfigProof.Age(clock.now())
+	require.GreaterOrEqual(t, age, time.Second)
+
+	learn(hub, clock, engineConfig(9), nil)
+	eventually(t, "newer revision", func() bool { return asker.View().Table.Config.Revision == 9 })
+	learn(hub, clock, engineConfig(4), nil)
+	hub.HandleKnowledge(Knowledge{SentAt: clock.now(), Removed: []core.TargetID{"e0"}})
+	eventually(t, "target gone", func() bool { return !asker.View().Usable("e0") })
+	require.Equal(t, core.Revision(9), asker.View().Table.Config.Revision, "a version went back")
+}
+
+// A host whose hub is silent reads the store by itself, and asks its hub again later.
+func TestSilentHub(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	asker := net.loops["host"]
+	learn(net.loops["h"], clock, engineConfig(3), engines(4))
+	eventually(t, "learnt", func() bool { return asker.View().Table != nil && !asker.View().ReadStore })
+	net.setCut("h", true)
+	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
+	net.setCut("h", false)
+	clock.advance(3 * time.Second)
+	learn(net.loops["h"], clock, engineConfig(5), nil)
+	eventually(t, "learns from the hub again", func() bool {
+		learn(net.loops["h"], clock, nil, nil)
+		return asker.View().Table.Config.Revision == 5 && !asker.View().ReadStore
+	})
+}
+
+// Two hosts that place through their hub spread generations over the engines as one.
+func TestPlacementsOfAllHostsCount(t *testing.T) {
+	net, clock := startLoops(t, "h", "host", "hosts")
+	learn(net.loops["h"], clock, engineConfig(3), engines(4))
+	for _, loop := range net.loops {
+		eventually(t, "learnt", func() bool { return loop.View().Table != nil })
+	}
+	counts := map[core.TargetID]int{}
+	for i := range 16 {
+		loop := net.loops[[]core.HostID{"host", "hosts"}[i%2]]
+		eventually(t, "has a hub", func() bool { learn(net.loops["h"], clock, nil, nil); return !loop.View().ReadStore })
+		use, ok := loop.Place(context.Background(), Placing{Pool: "llm", Need: placement.Need{Request: fmt.Sprint(i), Memory: 3000, Prompt: 3000}})
+		require.True(t, ok)
+		loop.Started(use)
+		counts[use.Target.Target]++
+	}
+	for id, count := range counts {
+		require.Equal(t, 4, count, "of 16 at %s", id)
+	}
+}
+
+// A hub that does not answer costs a placement a short wait only.
+func TestPlacementWithoutTheHub(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	asker := net.loops["host"]
+	learn(net.loops["h"], clock, engineConfig(3), engines(4))
+	eventually(t, "learnt", func() bool { return asker.View().Table != nil && !asker.View().ReadStore })
+	net.setCut("h", true)
+	_, ok := asker.Place(context.Background(), Placing{Pool: "llm", Need: placement.Need{Request: "r", Memory: 3000}})
+	require.True(t, ok)
+	_, ok = asker.Place(context.Background(), Placing{Pool: "nothing", Need: placement.Need{Request: "r"}})
+	require.False(t, ok)
+}
+
+// All hosts share the bound on second sends.
+func TestSecondSendsAreShared(t *testing.T) {
+	net, _ := startLoops(t, "h", "host", "hosts")
+	granted := 0
+	for _, loop := range net.loops {
+		for range 100 {
+			if loop.Spend(context.Background(), "llm") {
+				granted++
+			}
+		}
+	}
+	require.LessOrEqual(t, granted, 50)
+	require.GreaterOrEqual(t, granted, 36)
+}
