Let a hub that cannot read the store learn from its askers, and take knowledge from the hub alone

With a reserve to ask, a host that knew nothing sent an empty registry as whole, and the asker dropped all targets (TestHubThatKnowsNothing); and a host that had been chosen for a moment went on sending changes older than those of the real hub.

--- a/internal/decide/hub/candidates.go
+++ b/internal/decide/hub/candidates.go
@@ -9,10 +9,14 @@
 	"siskintide.example/siskintide/internal/core"
 )
 
+// maxCandidates bounds the hosts that a host stays linked with to learn from.
+const maxCandidates = 3
+
 // Candidates lists the hosts that may be the hub of a host, best first: the first of all
-// hosts, the first of the own data centre, in case that is cut off, and the second of all
-// hosts. The list ends before the host itself, which then reads the store by itself.
-func Candidates(self core.Host, hosts []core.Host) []core.Host {
+// hosts, the first of the own data centre, in case that is cut off, and the first of
+// another one. Hosts that rank behind the host itself come as a reserve, for when it
+// cannot read the store by itself.
+func Candidates(self core.Host, hosts []core.Host) (before, reserve []core.Host) {
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b core.Host) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity),
@@ -30,8 +34,12 @@
 	add(func(core.Host) bool { return true })
 	add(func(h core.Host) bool { return h.DataCentre == self.DataCentre })
 	add(func(h core.Host) bool { return h.DataCentre != self.DataCentre })
-	if at := slices.IndexFunc(chosen, func(h core.Host) bool { return h.ID == self.ID }); at >= 0 {
-		chosen = chosen[:at]
+	at := slices.IndexFunc(chosen, func(h core.Host) bool { return h.ID == self.ID })
+	if at < 0 {
+		return chosen, nil
+	}
+	for len(chosen) <= maxCandidates && len(chosen) < len(ranked) {
+		add(func(core.Host) bool { return true })
 	}
-	return chosen
+	return chosen[:at], chosen[at+1:]
 }
--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -24,6 +25,7 @@
 // Chooser is the state of the choice. Only one goroutine uses it.
 type Chooser struct {
 	candidates []core.HostID
+	reserve    []core.HostID // asked only while the host cannot read the store by itself
 	peers      map[core.HostID]*peer
 	current    core.HostID
 	askers     map[core.HostID]time.Duration // last question of each
@@ -34,12 +36,17 @@
 	return &Chooser{peers: map[core.HostID]*peer{}, askers: map[core.HostID]time.Duration{}}
 }
 
-// SetCandidates replaces the candidates, best first.
-func (c *Chooser) SetCandidates(hosts []core.Host) {
-	c.candidates = c.candidates[:0]
+// SetCandidates replaces the candidates and the reserve, best first.
+func (c *Chooser) SetCandidates(hosts, reserve []core.Host) {
+	c.candidates, c.reserve = idsOf(hosts), idsOf(reserve)
+}
+
+func idsOf(hosts []core.Host) []core.HostID {
+	ids := make([]core.HostID, 0, len(hosts))
 	for _, host := range hosts {
-		c.candidates = append(c.candidates, host.ID)
+		ids = append(ids, host.ID)
 	}
+	return ids
 }
 
 func (c *Chooser) peer(id core.HostID) *peer {
@@ -73,11 +80,11 @@
 	}
 }
 
-// Next returns what to do now, given how old the host's knowledge is by proof. A question
-// that is due counts as sent.
-func (c *Chooser) Next(now, age time.Duration, known bool) Plan {
+// Next returns what to do now, given how old the host's knowledge is by proof, and
+// whether it can read the store by itself. A question that is due counts as sent.
+func (c *Chooser) Next(now, age time.Duration, known, reads bool) Plan {
 	c.dropSilent(now)
-	if best := c.best(now); best != c.current {
+	if best := c.best(now, reads); best != c.current {
 		c.current = best
 		c.peer(best).askedAt = now - AskPeriod
 	}
@@ -110,15 +117,23 @@
 	}
 }
 
-// fits reports whether a candidate may be the hub.
+// fits reports whether a candidate may be the hub. One that still owes an answer from
+// when it was the hub before may not.
 func (c *Chooser) fits(id core.HostID, now time.Duration) bool {
 	p := c.peer(id)
+	if p.waiting && now-p.asked > answerTimeout {
+		p.avoidUntil, p.waiting, p.proven = now+avoidPeriod, false, false
+	}
 	return p.linked && now >= p.avoidUntil
 }
 
 // best returns the first candidate that may be the hub, or none.
-func (c *Chooser) best(now time.Duration) core.HostID {
-	for _, id := range c.candidates {
+func (c *Chooser) best(now time.Duration, reads bool) core.HostID {
+	all := c.candidates
+	if !reads {
+		all = slices.Concat(c.candidates, c.reserve)
+	}
+	for _, id := range all {
 		if c.fits(id, now) {
 			return id
 		}
--- a/internal/decide/hub/chooser_test.go
+++ b/internal/decide/hub/chooser_test.go
@@ -32,21 +32,25 @@
 
 func TestCandidates(t *testing.T) {
 	members := []core.Host{sized("big", "a", 0.8), sized("a2", "a", 0.4), sized("b1", "b", 0.6), sized("b2", "b", 0.4), sized("c1", "c", 0.3)}
-	for self, want := range map[core.Host][]core.HostID{
-		host("big", "a"): nil,
-		host("a2", "a"):  {"big"},
-		host("b2", "b"):  {"big", "b1", "a2"},
-		host("b1", "b"):  {"big"},
-		host("c1", "c"):  {"big"},
-		host("new", "c"): {"big", "c1", "b1"},
+	for self, want := range map[core.Host][2][]core.HostID{
+		members[0]:       {nil, {"a2", "b1", "b2"}},
+		members[1]:       {{"big"}, {"b1", "b2"}},
+		members[3]:       {{"big", "b1", "a2"}, nil},
+		members[2]:       {{"big"}, {"a2", "b2"}},
+		members[4]:       {{"big"}, {"b1", "b2"}},
+		host("new", "c"): {{"big", "c1", "b1"}, nil},
 	} {
-		t.Run(string(self.ID), func(t *testing.T) { require.Equal(t, want, ids(Candidates(self, members))) })
+		t.Run(string(self.ID), func(t *testing.T) {
+			before, reserve := Candidates(self, members)
+			require.Equal(t, want[0], ids(before))
+			require.Equal(t, want[1], ids(reserve))
+		})
 	}
 }
 
 func twoCandidates() *Chooser {
 	c := NewChooser()
-	c.SetCandidates([]core.Host{host("x", "a"), host("y", "a")})
+	c.SetCandidates([]core.Host{host("x", "a"), host("y", "a")}, nil)
 	c.Link("x", true)
 	c.Link("y", true)
 	return c
@@ -54,35 +58,44 @@
 
 func TestSilentHubIsReplaced(t *testing.T) {
 	c := twoCandidates()
-	require.Equal(t, Plan{Hub: "x", Ask: true, ReadStore: true}, c.Next(1000*ms, 0, false))
+	require.Equal(t, Plan{Hub: "x", Ask: true, ReadStore: true}, c.Next(1000*ms, 0, false, true))
 	c.Answered("x", 1000*ms, 100*ms, true)
-	require.Equal(t, Plan{Hub: "x"}, c.Next(1100*ms, 200*ms, true))
-	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1400*ms, 500*ms, true))
-	require.Equal(t, Plan{Hub: "y", Ask: true}, c.Next(1800*ms, 900*ms, true))
-	require.Equal(t, Plan{Hub: "y", ReadStore: true}, c.Next(2110*ms, 1210*ms, true))
+	require.Equal(t, Plan{Hub: "x"}, c.Next(1100*ms, 200*ms, true, true))
+	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1400*ms, 500*ms, true, true))
+	require.Equal(t, Plan{Hub: "y", Ask: true}, c.Next(1800*ms, 900*ms, true, true))
+	require.Equal(t, Plan{Hub: "y", ReadStore: true}, c.Next(2110*ms, 1210*ms, true, true))
 }
 
 func TestHubWithOldKnowledgeIsReplaced(t *testing.T) {
 	c := twoCandidates()
-	c.Next(1000*ms, 0, true)
+	c.Next(1000*ms, 0, true, true)
 	c.Answered("x", 1000*ms, 1300*ms, true)
-	require.Equal(t, core.HostID("y"), c.Next(1010*ms, 0, true).Hub)
+	require.Equal(t, core.HostID("y"), c.Next(1010*ms, 0, true, true).Hub)
+}
+
+func TestReserveIsAskedWhenTheStoreCannotBeRead(t *testing.T) {
+	c := NewChooser()
+	c.SetCandidates(nil, []core.Host{host("z", "a")})
+	c.Link("z", true)
+	require.Empty(t, c.Next(1000*ms, 0, true, true).Hub)
+	require.Equal(t, Plan{Hub: "z", Ask: true, ReadStore: true}, c.Next(3000*ms, 2000*ms, true, false))
+	require.Empty(t, c.Next(3100*ms, 0, true, true).Hub)
 }
 
 func TestBetterHubIsTakenWhenItIsBack(t *testing.T) {
 	c := twoCandidates()
 	c.Link("x", false)
-	require.Equal(t, core.HostID("y"), c.Next(1000*ms, 0, true).Hub)
+	require.Equal(t, core.HostID("y"), c.Next(1000*ms, 0, true, true).Hub)
 	c.Link("x", true)
-	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1010*ms, 0, true))
+	require.Equal(t, Plan{Hub: "x", Ask: true}, c.Next(1010*ms, 0, true, true))
 }
 
 func TestHubOfOthersReadsTheStore(t *testing.T) {
 	c := twoCandidates()
-	require.False(t, c.Next(1010*ms, 0, true).ReadStore)
+	require.False(t, c.Next(1010*ms, 0, true, true).ReadStore)
 	c.Asked("z", 1020*ms)
-	require.True(t, c.Next(1030*ms, 0, true).ReadStore)
-	require.False(t, c.Next(2700*ms, 0, true).ReadStore)
+	require.True(t, c.Next(1030*ms, 0, true, true).ReadStore)
+	require.False(t, c.Next(2700*ms, 0, true, true).ReadStore)
 }
 
 // Whatever links and hubs do, a host reads the store by itself while its knowledge is old
@@ -103,7 +116,7 @@
 				delete(open, id)
 			default:
 				age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "own age")) * ms
-				plan := c.Next(now, age, true)
+				plan := c.Next(now, age, true, true)
 				require.True(t, plan.ReadStore || plan.Hub != "" && age <= staleAfter)
 				for asked, at := range open {
 					require.False(t, plan.Hub == asked && now-at > answerTimeout && now-at < answerTimeout+avoidPeriod, "a silent hub is kept")
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -13,6 +14,9 @@
 	// placeTimeout bounds the wait for the hub's placement; then the host chooses by what
 	// it knows itself.
 	placeTimeout = 60 * time.Millisecond
+	// ownReadsBound is how long after its last read of the store a host counts as able to
+	// read it.
+	ownReadsBound = 1200 * time.Millisecond
 	// workPeriod is the time after which the hub is told of the host's work though nothing
 	// has changed.
 	workPeriod = time.Second
@@ -23,11 +27,12 @@
 func (s *state) steer() {
 	now := s.now()
 	age, known := s.age(now)
-	plan := s.chooser.Next(now, age, known)
+	plan := s.chooser.Next(now, age, known, s.ownReads.Within(now, ownReadsBound))
 	if plan.Hub != s.hub {
 		s.log.WithField("hub", plan.Hub).WithField("former", s.hub).WithField("knowledge_age_ms", age.Milliseconds()).
 			Info("hub chosen")
 		s.hub, s.loadChanged = plan.Hub, true
+		s.received[plan.Hub] = 0
 	}
 	if plan.Ask {
 		s.options.Send(plan.Hub, message.HubAsk{SentAt: now, Received: s.received[plan.Hub]})
@@ -53,9 +58,10 @@
 	s.steer()
 }
 
-// takeKnowledge takes over what a hub passes on.
+// takeKnowledge takes over what the hub passes on. What another host says, such as a
+// former hub, may be older than what is known here.
 func (s *state) takeKnowledge(from core.HostID, m message.HubKnowledge) {
-	if !m.Whole && m.Number != s.received[from]+1 {
+	if from != s.hub || !m.Whole && m.Number != s.received[from]+1 {
 		s.received[from] = 0
 		return
 	}
@@ -63,7 +69,7 @@
 	if len(m.Hosts) > 0 {
 		s.takeHosts(m.Hosts)
 	}
-	knowledge := Knowledge{SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, WholeRegistry: m.Whole}
+	knowledge := Knowledge{SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, WholeRegistry: m.NewRegistry}
 	if m.NewEvacuated {
 		knowledge.Evacuated = make(map[core.DataCentreID]bool, len(m.Evacuated))
 		for _, id := range m.Evacuated {
@@ -79,9 +85,9 @@
 		return // hosts are added only; an older list came later
 	}
 	s.hosts, s.hostsChanged, s.changed = hosts, true, true
-	candidates := hub.Candidates(s.options.Self, hosts)
-	s.chooser.SetCandidates(candidates)
-	s.options.SetPeers(candidates)
+	candidates, reserve := hub.Candidates(s.options.Self, hosts)
+	s.chooser.SetCandidates(candidates, reserve)
+	s.options.SetPeers(slices.Concat(candidates, reserve))
 }
 
 // sendWork tells the hub of this host's work.
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -18,7 +18,7 @@
 		known = &asker{lost: true}
 		s.askers[from] = known
 	}
-	if known.lost || m.Received == 0 {
+	if known.lost || m.Received == 0 || m.Received > known.sent {
 		s.sendTo(from, known, s.wholeKnowledge(now))
 	}
 	age, proved := s.age(now)
@@ -41,9 +41,9 @@
 }
 
 func (s *state) wholeKnowledge(now time.Duration) message.HubKnowledge {
-	m := message.HubKnowledge{Whole: true, NewEvacuated: true, Hosts: s.hosts}
+	m := message.HubKnowledge{Whole: true, NewRegistry: s.view.Registered, Hosts: s.hosts}
 	if s.view.Table != nil {
-		m.Config = s.view.Table.Config
+		m.Config, m.NewEvacuated = s.view.Table.Config, true
 	}
 	for id := range s.view.Evacuated {
 		m.Evacuated = append(m.Evacuated, id)
@@ -93,8 +93,10 @@
 	if m.Config == nil && !m.NewEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts) == 0 {
 		return
 	}
-	for id, known := range s.askers {
-		s.sendTo(id, known, m)
+	for _, id := range s.chooser.Askers() {
+		if known := s.askers[id]; known != nil {
+			s.sendTo(id, known, m)
+		}
 	}
 }
 
--- a/internal/fleet/knowledge_event.go
+++ b/internal/fleet/knowledge_event.go
@@ -26,6 +26,7 @@
 	}
 	if e.ProvesRegistry {
 		s.registryProof = s.registryProof.Renew(e.SentAt)
+		s.ownReads = s.ownReads.Renew(e.SentAt)
 	}
 	if e.Hosts != nil {
 		s.takeHosts(e.Hosts)
--- a/internal/fleet/loop_test.go
+++ b/internal/fleet/loop_test.go
@@ -40,23 +40,38 @@
 	c.offset += d
 }
 
-// network carries messages between loops, and loses those of cut hosts.
+// network carries messages between loops in order, and loses those of cut hosts.
 type network struct {
 	mu    sync.Mutex
 	loops map[core.HostID]*Loop
 	cut   map[core.HostID]bool
+	lines map[[2]core.HostID]chan message.Message
+}
+
+// line returns the queue from one host to another.
+func (n *network) line(from, to core.HostID) chan message.Message {
+	key := [2]core.HostID{from, to}
+	if n.lines[key] == nil {
+		line, loop := make(chan message.Message, 1000), n.loops[to]
+		n.lines[key] = line
+		go func() {
+			for m := range line {
+				loop.HandleMessage(from, m)
+			}
+		}()
+	}
+	return n.lines[key]
 }
 
 func (n *network) send(from core.HostID) func(core.HostID, message.Message) bool {
 	return func(to core.HostID, m message.Message) bool {
 		n.mu.Lock()
-		loop, lost := n.loops[to], n.cut[from] || n.cut[to]
-		n.mu.Unlock()
-		if loop == nil {
+		defer n.mu.Unlock()
+		if n.loops[to] == nil {
 			return false
 		}
-		if !lost {
-			go loop.HandleMessage(from, m)
+		if !n.cut[from] && !n.cut[to] {
+			n.line(from, to) <- m
 		}
 		return true
 	}
@@ -74,14 +89,22 @@
 
 // startLoops runs loops of hosts that are linked with each other.
 func startLoops(t *testing.T, ids ...string) (*network, *testClock) {
-	clock, net := newTestClock(), &network{loops: map[core.HostID]*Loop{}, cut: map[core.HostID]bool{}}
+	clock, net := newTestClock(), &network{loops: map[core.HostID]*Loop{}, cut: map[core.HostID]bool{}, lines: map[[2]core.HostID]chan message.Message{}}
 	var hosts []core.Host
 	for _, id := range ids {
 		hosts = append(hosts, host(id))
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	t.Cleanup(func() { stop(); running.Wait() })
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		for _, line := range net.lines {
+			close(line)
+		}
+	})
 	for _, h := range hosts {
 		loop := NewLoop(Options{
 			Self: h, Repeats: spend.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Clock: clock.now,
@@ -123,6 +146,28 @@
 	})
 }
 
+// startReader has a host read the store, with the same result, until it is stopped.
+func startReader(t *testing.T, loop *Loop, clock *testClock) (stop func()) {
+	end, ended, once := make(chan struct{}), make(chan struct{}), sync.Once{}
+	learn(loop, clock, engineConfig(3), engines(4))
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(50 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				learn(loop, clock, nil, nil)
+			case <-end:
+				return
+			}
+		}
+	}()
+	stop = func() { once.Do(func() { close(end) }); <-ended }
+	t.Cleanup(stop)
+	return stop
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	require.Eventually(t, holds, stepTimeout, 5*time.Millisecond, what)
@@ -151,52 +196,83 @@
 func TestHostsLearnFromTheirHub(t *testing.T) {
 	net, clock := startLoops(t, "h", "host", "hosts")
 	hub, asker := net.loops["h"], net.loops["hosts"]
-	learn(hub, clock, engineConfig(3), engines(4))
+	stop := startReader(t, hub, clock)
 	eventually(t, "learnt", func() bool {
 		view := asker.View()
 		return view.Table != nil && len(view.Members) == 4 && !view.ReadStore
 	})
-	clock.advance(time.Second) // the hub's knowledge grows old, and the asker's with it
-	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
-	age, _ := asker.View().ConfigProof.Age(clock.now())
-	require.GreaterOrEqual(t, age, time.Second)
-
 	learn(hub, clock, engineConfig(9), nil)
 	eventually(t, "newer revision", func() bool { return asker.View().Table.Config.Revision == 9 })
 	learn(hub, clock, engineConfig(4), nil)
 	hub.HandleKnowledge(Knowledge{SentAt: clock.now(), Removed: []core.TargetID{"e0"}})
 	eventually(t, "target gone", func() bool { return !asker.View().Usable("e0") })
 	require.Equal(t, core.Revision(9), asker.View().Table.Config.Revision, "a version went back")
+
+	stop() // the hub's knowledge grows old, and the asker's with it
+	last := clock.now()
+	eventually(t, "reads by itself", func() bool {
+		age, _ := asker.View().ConfigProof.Age(clock.now())
+		require.GreaterOrEqual(t, age, clock.now()-last-time.Millisecond)
+		return age > 1300*time.Millisecond && asker.View().ReadStore
+	})
 }
 
 // A host whose hub is silent reads the store by itself, and asks its hub again later.
 func TestSilentHub(t *testing.T) {
 	net, clock := startLoops(t, "h", "host")
 	asker := net.loops["host"]
-	learn(net.loops["h"], clock, engineConfig(3), engines(4))
+	startReader(t, net.loops["h"], clock)
 	eventually(t, "learnt", func() bool { return asker.View().Table != nil && !asker.View().ReadStore })
 	net.setCut("h", true)
 	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
 	net.setCut("h", false)
-	clock.advance(3 * time.Second)
 	learn(net.loops["h"], clock, engineConfig(5), nil)
 	eventually(t, "learns from the hub again", func() bool {
-		learn(net.loops["h"], clock, nil, nil)
 		return asker.View().Table.Config.Revision == 5 && !asker.View().ReadStore
 	})
 }
 
+// A host that knows nothing does not take from others what they know.
+func TestHubThatKnowsNothing(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	startReader(t, net.loops["host"], clock)
+	eventually(t, "knows", func() bool { return len(net.loops["host"].View().Members) == 4 })
+	end := clock.now() + 2*time.Second
+	eventually(t, "goes on knowing", func() bool {
+		require.Len(t, net.loops["host"].View().Members, 4)
+		return clock.now() > end
+	})
+}
+
+// A hub that cannot read the store learns from one of its askers.
+func TestHubWithoutTheStore(t *testing.T) {
+	net, clock := startLoops(t, "h", "host", "hosts")
+	stop := startReader(t, net.loops["h"], clock)
+	eventually(t, "learnt", func() bool { return len(net.loops["host"].View().Members) == 4 })
+	stop()
+	startReader(t, net.loops["host"], clock)
+	startReader(t, net.loops["hosts"], clock)
+	end := clock.now() + 3*time.Second
+	eventually(t, "stays informed", func() bool {
+		age, _ := net.loops["h"].View().ConfigProof.Age(clock.now())
+		require.Less(t, age, 2500*time.Millisecond)
+		return clock.now() > end
+	})
+}
+
 // Two hosts that place through their hub spread generations over the engines as one.
 func TestPlacementsOfAllHostsCount(t *testing.T) {
 	net, clock := startLoops(t, "h", "host", "hosts")
-	learn(net.loops["h"], clock, engineConfig(3), engines(4))
+	startReader(t, net.loops["h"], clock)
 	for _, loop := range net.loops {
-		eventually(t, "learnt", func() bool { return loop.View().Table != nil })
+		eventually(t, "learnt", func() bool { return len(loop.View().Members) == 4 })
+	}
+	for _, id := range []core.HostID{"host", "hosts"} {
+		eventually(t, "has a hub", func() bool { return !net.loops[id].View().ReadStore })
 	}
 	counts := map[core.TargetID]int{}
 	for i := range 16 {
 		loop := net.loops[[]core.HostID{"host", "hosts"}[i%2]]
-		eventually(t, "has a hub", func() bool { learn(net.loops["h"], clock, nil, nil); return !loop.View().ReadStore })
 		use, ok := loop.Place(context.Background(), Placing{Pool: "llm", Need: placement.Need{Request: fmt.Sprint(i), Memory: 3000, Prompt: 3000}})
 		require.True(t, ok)
 		loop.Started(use)
@@ -211,8 +287,8 @@
 func TestPlacementWithoutTheHub(t *testing.T) {
 	net, clock := startLoops(t, "h", "host")
 	asker := net.loops["host"]
-	learn(net.loops["h"], clock, engineConfig(3), engines(4))
-	eventually(t, "learnt", func() bool { return asker.View().Table != nil && !asker.View().ReadStore })
+	startReader(t, net.loops["h"], clock)
+	eventually(t, "learnt", func() bool { return len(asker.View().Members) == 4 && !asker.View().ReadStore })
 	net.setCut("h", true)
 	_, ok := asker.Place(context.Background(), Placing{Pool: "llm", Need: placement.Need{Request: "r", Memory: 3000}})
 	require.True(t, ok)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -27,6 +27,7 @@
 	hostsChanged   bool
 	storeAway      bool
 	registryProof  freshness.Proof
+	ownReads       freshness.Proof // last read of the store by this host itself
 
 	chooser     *hub.Chooser
 	hub         core.HostID            // that placements are asked of; empty for none
--- a/internal/message/hub_knowledge.go
+++ b/internal/message/hub_knowledge.go
@@ -11,6 +11,7 @@
 	Evacuated     []core.DataCentreID `cbor:"5,keyasint,omitempty"`
 	Registrations []core.Registration `cbor:"6,keyasint,omitempty"`
 	Removed       []core.TargetID     `cbor:"7,keyasint,omitempty"`
+	NewRegistry   bool                `cbor:"9,keyasint,omitempty"` // Registrations is the whole registry
 	Hosts         []core.Host         `cbor:"8,keyasint,omitempty"` // that share the deployment's bounds; empty for no news
 }
 
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -34,7 +34,7 @@
 	message.TargetLoads{Targets: []message.TargetLoad{{Target: "manus-1", Limit: 8, Streams: 3, Memory: 900, Forecast: 1200}}},
 	message.HubAsk{SentAt: 5 * time.Second, Received: 3},
 	message.HubAnswer{SentAt: 5 * time.Second, Known: true, Age: 40 * time.Millisecond, Sent: 4},
-	message.HubKnowledge{Number: 4, Whole: true, Config: &core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
+	message.HubKnowledge{Number: 4, Whole: true, NewRegistry: true, Config: &core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
 		Splits: []core.Split{{Pool: "p", Weight: 90}}, Timeout: time.Second}}, Pools: []core.PoolSpec{{ID: "p", Engine: &core.EngineSpec{Slots: 24}}},
 		Teams: []core.TeamKeys{{Team: "t", Keys: []string{"k"}}}}, NewEvacuated: true, Evacuated: []core.DataCentreID{"oslo-a"},
 		Registrations: []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
