Grant second sends where a host's own share is used up

The first of all hosts now grants half of the constant part on demand, after a whole window without grants since its start.

--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -87,6 +87,7 @@
 	s.hosts, s.hostsChanged, s.changed = hosts, true, true
 	candidates, reserve := hub.Candidates(s.options.Self, hosts)
 	s.chooser.SetCandidates(candidates, reserve)
+	s.first = len(candidates) == 0 && len(hosts) > 1
 	s.options.SetPeers(slices.Concat(candidates, reserve))
 }
 
@@ -115,8 +116,9 @@
 	return up
 }
 
-// askHub asks the hub for a placement. It is false if there is no hub to ask.
-func (s *state) askHub(e placeEvent) bool {
+// askHub asks the hub for a placement, and for the grant of a second send if this host's
+// share does not cover it. It is false if there is no hub to ask.
+func (s *state) askHub(e placeEvent, grant bool) bool {
 	if s.hub == "" {
 		return false
 	}
@@ -126,11 +128,11 @@
 	sent := s.options.Send(s.hub, message.PlaceAsk{
 		Number: number, Pool: e.placing.Pool, Request: need.Request, DataCentre: need.DataCentre,
 		Memory: need.Memory, Prompt: need.Prompt, WantsCopy: need.WantsCopy, Near: need.Near, Avoid: avoid,
-		Running: e.placing.Running,
+		Running: e.placing.Running, Grant: grant,
 	})
 	if sent {
 		timer := time.AfterFunc(placeTimeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
-		s.pending[number] = pendingPlace{placeEvent: e, timer: timer}
+		s.pending[number] = pendingPlace{placeEvent: e, uncovered: grant, timer: timer}
 	}
 	return sent
 }
@@ -161,6 +163,10 @@
 		choice.Copy = s.candidate(m.Copy)
 	}
 	usable := m.Target != "" && (s.view.Usable(m.Target) || m.Target == waiting.placing.Running)
+	if waiting.uncovered && m.Target == "" {
+		waiting.deny(s)
+		return
+	}
 	if !usable || s.book.Avoided(m.Target, s.now()) && waiting.placing.Running == "" {
 		waiting.placeHere(s)
 		return
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -6,9 +6,14 @@
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/registry"
+	"siskintide.example/siskintide/internal/decide/spend"
 	"siskintide.example/siskintide/internal/message"
 )
 
+// grantedPart is the part of the constant bound on second sends that the first of all
+// hosts grants on demand; the hosts share the rest evenly.
+const grantedPart = 0.5
+
 // answerAsker sends what the asker lacks, and then how old this host's knowledge is.
 func (s *state) answerAsker(from core.HostID, m message.HubAsk) {
 	now := s.now()
@@ -119,6 +124,19 @@
 	return true
 }
 
+// grant covers a second send of an asker from the part of the bound that the hosts' own
+// shares leave. Only the first of all hosts grants, and not until sends that it granted
+// before a restart are out of the window.
+func (s *state) grant(pool core.PoolID) bool {
+	if !s.first || s.now() < s.startedAt+s.options.Repeats.Window {
+		return false
+	}
+	if s.grants[pool] == nil {
+		s.grants[pool] = spend.NewLedger(spend.Limits{Slack: s.options.Repeats.Slack * grantedPart, Window: s.options.Repeats.Window})
+	}
+	return s.grants[pool].Spend(s.now(), 1)
+}
+
 // takeWork notes what an asker has at targets.
 func (s *state) takeWork(from core.HostID, m message.HostWork) {
 	loads := make(map[core.TargetID]placement.Load, len(m.Targets))
@@ -135,6 +153,10 @@
 		WantsCopy: m.WantsCopy, Near: m.Near, Avoid: m.Avoid,
 	}}
 	answer := message.PlaceAnswer{Number: m.Number}
+	if m.Grant && !s.grant(m.Pool) {
+		s.options.Send(from, answer)
+		return
+	}
 	if choice, ok := s.choose(placing); ok {
 		answer.Target, answer.Copy = choice.Target.Target, choice.Copy.Target
 		loads := map[core.TargetID]placement.Load{answer.Target: {Requests: 1, Memory: m.Memory, Starting: m.Prompt}}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -40,6 +40,7 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	s := newState(&l.options)
+	s.startedAt = s.now()
 	changed := make(chan struct{})
 	s.view.Changed = changed
 	l.publish(s)
@@ -155,17 +156,3 @@
 func (l *Loop) End(use Use, outcome placement.Outcome) {
 	l.post(context.Background(), endEvent{use: use, outcome: outcome})
 }
-
-// Spend asks whether the host's share of second sends covers one more to a pool.
-func (l *Loop) Spend(ctx context.Context, pool core.PoolID) bool {
-	reply := make(chan bool, 1)
-	if !l.post(ctx, spendEvent{pool: pool, reply: reply}) {
-		return false
-	}
-	select {
-	case granted := <-reply:
-		return granted
-	case <-l.done:
-		return false
-	}
-}
--- a/internal/fleet/pending_place.go
+++ b/internal/fleet/pending_place.go
@@ -3,5 +3,6 @@
 // pendingPlace is a placement that the hub has been asked for.
 type pendingPlace struct {
 	placeEvent
-	timer interface{ Stop() bool }
+	uncovered bool // the hub's grant is needed for the send
+	timer     interface{ Stop() bool }
 }
--- a/internal/fleet/place_event.go
+++ b/internal/fleet/place_event.go
@@ -19,13 +19,25 @@
 	if e.placing.Need.DataCentre == "" {
 		e.placing.Need.DataCentre = s.options.Self.DataCentre
 	}
+	covered := !e.placing.Repeat || s.ledger(e.placing.Pool).Spend(s.now(), len(s.hosts))
 	spec := s.view.Table.Pool(e.placing.Pool)
-	if spec != nil && spec.Engine != nil && s.askHub(e) {
+	if spec != nil && spec.Engine != nil && s.askHub(e, !covered) {
+		return
+	}
+	if !covered {
+		e.deny(s)
 		return
 	}
 	e.placeHere(s)
 }
 
+// deny refuses a second send.
+func (e placeEvent) deny(s *state) {
+	s.log.WithField("pool", e.placing.Pool).WithField("request", e.placing.Need.Request).WithField("hosts", len(s.hosts)).
+		Warn("second send is not covered by the bound")
+	e.reply <- Use{}
+}
+
 // placeHere answers with what this host knows itself.
 func (e placeEvent) placeHere(s *state) {
 	choice, ok := s.choose(e.placing)
--- a/internal/fleet/place_timeout_event.go
+++ b/internal/fleet/place_timeout_event.go
@@ -12,5 +12,9 @@
 	}
 	delete(s.pending, e.number)
 	s.log.WithField("hub", s.hub).WithField("request", waiting.placing.Need.Request).Info("hub did not place in time")
+	if waiting.uncovered {
+		waiting.deny(s)
+		return
+	}
 	waiting.placeHere(s)
 }
--- a/internal/fleet/placing.go
+++ b/internal/fleet/placing.go
@@ -9,6 +9,9 @@
 type Placing struct {
 	Pool core.PoolID
 	Need placement.Need
+	// Repeat says that the request was sent before, so that this send has to be covered by
+	// the bound on second sends.
+	Repeat bool
 	// Running is set if the generation goes on at a target that is given, so that only one
 	// for its next copy is chosen.
 	Running core.TargetID
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -22,7 +22,10 @@
 	membersChanged bool
 	registry       *registry.Registry
 	book           *placement.Book
-	repeats        map[core.PoolID]*spend.Ledger
+	repeats        map[core.PoolID]*spend.Ledger // this host's share of second sends
+	grants         map[core.PoolID]*spend.Ledger // second sends granted to other hosts
+	first          bool                          // this host ranks before all others
+	startedAt      time.Duration
 	hosts          []core.Host // that share bounds, this one included
 	hostsChanged   bool
 	storeAway      bool
@@ -46,6 +49,7 @@
 		registry: registry.New(),
 		book:     placement.NewBook(),
 		repeats:  map[core.PoolID]*spend.Ledger{},
+		grants:   map[core.PoolID]*spend.Ledger{},
 		hosts:    []core.Host{options.Self},
 		chooser:  hub.NewChooser(),
 		received: map[core.HostID]uint64{},
@@ -59,7 +63,9 @@
 // ledger returns the count of second sends of a pool.
 func (s *state) ledger(pool core.PoolID) *spend.Ledger {
 	if s.repeats[pool] == nil {
-		s.repeats[pool] = spend.NewLedger(s.options.Repeats)
+		own := s.options.Repeats
+		own.Slack *= 1 - grantedPart
+		s.repeats[pool] = spend.NewLedger(own)
 	}
 	return s.repeats[pool]
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,10 +35,7 @@
 	var avoid []core.TargetID
 	var fallback *wholeAnswer
 	for try := 0; try < maxTries && j.sends < maxSends && ctx.Err() == nil; try++ {
-		if j.sends > 0 && !j.gateway.options.Desk.Spend(ctx, j.pool) {
-			break
-		}
-		use, ok := j.gateway.options.Desk.Place(ctx, fleet.Placing{Pool: j.pool, Need: j.need(avoid)})
+		use, ok := j.gateway.options.Desk.Place(ctx, fleet.Placing{Pool: j.pool, Need: j.need(avoid), Repeat: j.sends > 0})
 		if !ok {
 			break
 		}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -15,7 +15,6 @@
 	Place(ctx context.Context, placing fleet.Placing) (fleet.Use, bool)
 	Started(use fleet.Use) fleet.Use
 	End(use fleet.Use, outcome placement.Outcome)
-	Spend(ctx context.Context, pool core.PoolID) bool
 }
 
 var _ Desk = (*fleet.Loop)(nil)
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -116,12 +116,12 @@
 
 // placeFirst chooses an engine that has not been tried.
 func (s *streamRelay) placeFirst() (fleet.Use, bool) {
-	if len(s.tried) >= maxTries || s.sends >= maxSends || s.sends > 0 && !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
+	if len(s.tried) >= maxTries || s.sends >= maxSends {
 		return fleet.Use{}, false
 	}
 	need := s.need(s.tried)
 	need.WantsCopy = s.wantsCopy()
-	return s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
+	return s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Repeat: s.sends > 0})
 }
 
 func (s *streamRelay) timing() carry.Timing {
@@ -187,14 +187,10 @@
 
 // switchTo sends the request to the engine that has the generation's memory.
 func (s *streamRelay) switchTo(to placement.Candidate, handle Handle) {
-	if !s.gateway.options.Desk.Spend(s.ctx, s.pool) {
-		s.machine.Switched(carry.NotDone, false, s.now())
-		return
-	}
 	need := s.need(nil)
 	need.Prompt = 0 // the memory is there
 	need.WantsCopy = s.wantsCopy()
-	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Running: to.Target})
+	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Running: to.Target, Repeat: true})
 	if !ok {
 		s.machine.Switched(carry.NotDone, false, s.now())
 		return
