--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -17,10 +17,16 @@
 	awayMemoryPenalty = 0.15
 	// farMemoryPenalty is the same where memory has to get to the target first.
 	farMemoryPenalty = 0.5
+	// togetherPenalty is what a copy's holder in the data centre of the generation must be
+	// less loaded by: targets of one data centre fail together.
+	togetherPenalty = 0.2
 	// overfullPenalty ranks targets whose memory would not bear the request behind others.
 	overfullPenalty = 10.0
 	// fullMemory is the part of a target's memory from which it counts as full.
 	fullMemory = 0.97
+	// crowdedMemory is the part of a target's memory that forecasts may reach before a
+	// request waits. Forecasts count generations at their end, so that less is in use.
+	crowdedMemory = 1.08
 	// promptScale is the number of prompt tokens still to be read that weighs as much as a
 	// full memory: reading them takes most of a second, and slows all that runs beside.
 	promptScale = 12_000
@@ -126,6 +132,12 @@
 	return b.own[id].plus(b.peers.totals[id])
 }
 
+// Crowded reports whether a target has no room for the request's forecast memory.
+func (b *Book) Crowded(c Candidate, need Need) bool {
+	load := b.load(c.Target)
+	return c.Memory > 0 && float64(load.Memory+load.Copies+need.Memory) > crowdedMemory*float64(c.Memory)
+}
+
 // Choose returns the target for a request, and one for its copy if it wants one and there
 // is room. It is false if there is no candidate.
 func (b *Book) Choose(candidates []Candidate, need Need, now time.Duration) (Choice, bool) {
@@ -145,6 +157,11 @@
 // ChooseCopy returns a target that may keep a copy of a generation that runs elsewhere.
 func (b *Book) ChooseCopy(candidates []Candidate, need Need, running core.TargetID, now time.Duration) (Candidate, bool) {
 	need.Avoid = append([]core.TargetID{running}, need.Avoid...)
+	for _, candidate := range candidates {
+		if candidate.Target == running {
+			need.Apart = candidate.DataCentre
+		}
+	}
 	holder := b.best(candidates, need, now, b.copyScore)
 	if holder == nil {
 		return Candidate{}, false
@@ -184,26 +201,36 @@
 		}
 		value += float64(load.Starting) / promptScale
 	}
-	return value + b.penalty(c, need, now)
+	return value + distance(c, need) + b.doubt(c, now)
 }
 
-// copyScore prefers room over nearness.
+// copyScore is low for a target with room that does not fail together with the engine.
 func (b *Book) copyScore(c *Candidate, need Need, now time.Duration) float64 {
 	load := b.load(c.Target)
-	return float64(load.Memory+load.Copies)/float64(max(c.Memory, 1)) + b.penalty(c, need, now)
+	value := float64(load.Memory+load.Copies)/float64(max(c.Memory, 1)) + b.doubt(c, now)
+	if c.DataCentre == need.Apart {
+		value += togetherPenalty
+	}
+	return value
 }
 
-func (b *Book) penalty(c *Candidate, need Need, now time.Duration) float64 {
-	value := 0.0
+// distance weighs that a target is in another data centre.
+func distance(c *Candidate, need Need) float64 {
 	switch {
 	case c.DataCentre == need.DataCentre:
+		return 0
 	case need.Near:
-		value += farMemoryPenalty
+		return farMemoryPenalty
 	case c.Memory > 0:
-		value += awayMemoryPenalty
+		return awayMemoryPenalty
 	default:
-		value += awayPenalty
+		return awayPenalty
 	}
+}
+
+// doubt weighs what speaks against a target being sound.
+func (b *Book) doubt(c *Candidate, now time.Duration) float64 {
+	value := 0.0
 	if b.CutOff(c.DataCentre, now) {
 		value += avoidPenalty / 2
 	}
--- a/internal/decide/placement/book_test.go
+++ b/internal/decide/placement/book_test.go
@@ -145,3 +145,20 @@
 	book.Note(far[0], Answered, time.Second)
 	require.False(t, book.CutOff("b", time.Second))
 }
+
+func TestCrowdedTarget(t *testing.T) {
+	book, x := NewBook(), engines("x")[0]
+	book.Add("x", Load{Memory: 30_000, Copies: 3_000})
+	require.False(t, book.Crowded(x, Need{Memory: 3_000}))
+	require.True(t, book.Crowded(x, Need{Memory: 5_000}))
+	require.False(t, book.Crowded(Candidate{Target: "call"}, Need{}), "plain services have no memory")
+}
+
+func TestCopyIsKeptInAnotherDataCentre(t *testing.T) {
+	book, candidates := NewBook(), engines("x", "y", "z")
+	candidates[2].DataCentre = "b"
+	book.Add("z", Load{Memory: 3_000})
+	holder, ok := book.ChooseCopy(candidates, Need{Request: "r", DataCentre: "a", Memory: 3_000}, "x", 0)
+	require.True(t, ok)
+	require.Equal(t, core.TargetID("z"), holder.Target)
+}
--- a/internal/decide/placement/need.go
+++ b/internal/decide/placement/need.go
@@ -11,6 +11,7 @@
 	WantsCopy  bool        // a second target shall keep a copy
 	Near       bool        // memory has to get there from DataCentre, which takes twice as long to others
 	Avoid      []core.TargetID
+	Apart      core.DataCentreID // where a copy is better not kept
 }
 
 func (n Need) avoids(id core.TargetID) bool {
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -128,7 +128,7 @@
 	sent := s.options.Send(s.hub, message.PlaceAsk{
 		Number: number, Pool: e.placing.Pool, Request: need.Request, DataCentre: need.DataCentre,
 		Memory: need.Memory, Prompt: need.Prompt, WantsCopy: need.WantsCopy, Near: need.Near, Avoid: avoid,
-		Running: e.placing.Running, Grant: grant,
+		Running: e.placing.Running, Grant: grant, MayWait: e.placing.MayWait,
 	})
 	if sent {
 		timer := time.AfterFunc(placeTimeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
@@ -158,6 +158,10 @@
 	}
 	delete(s.pending, m.Number)
 	waiting.timer.Stop()
+	if m.Full {
+		waiting.reply <- Use{Full: true}
+		return
+	}
 	choice := placement.Choice{Target: s.candidate(m.Target)}
 	if m.Copy != "" && s.view.Usable(m.Copy) {
 		choice.Copy = s.candidate(m.Copy)
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -148,7 +148,7 @@
 
 // placeFor chooses a target for a request of an asker.
 func (s *state) placeFor(from core.HostID, m message.PlaceAsk) {
-	placing := Placing{Pool: m.Pool, Running: m.Running, Need: placement.Need{
+	placing := Placing{Pool: m.Pool, Running: m.Running, MayWait: m.MayWait, Need: placement.Need{
 		Request: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
 		WantsCopy: m.WantsCopy, Near: m.Near, Avoid: m.Avoid,
 	}}
@@ -157,7 +157,10 @@
 		s.options.Send(from, answer)
 		return
 	}
-	if choice, ok := s.choose(placing); ok {
+	choice, ok := s.choose(placing)
+	if ok && s.crowded(choice, placing) {
+		answer.Full = true
+	} else if ok {
 		answer.Target, answer.Copy = choice.Target.Target, choice.Copy.Target
 		loads := map[core.TargetID]placement.Load{answer.Target: {Requests: 1, Memory: m.Memory, Starting: m.Prompt}}
 		if choice.HasCopy() {
--- a/internal/fleet/place_event.go
+++ b/internal/fleet/place_event.go
@@ -45,9 +45,18 @@
 		e.reply <- Use{}
 		return
 	}
+	if s.crowded(choice, e.placing) {
+		e.reply <- Use{Full: true}
+		return
+	}
 	e.reply <- s.add(choice, e.placing.Need)
 }
 
+// crowded reports whether a request that may wait should.
+func (s *state) crowded(choice placement.Choice, placing Placing) bool {
+	return placing.MayWait && placing.Running == "" && s.book.Crowded(choice.Target, placing.Need)
+}
+
 // choose places a request by what this host knows.
 func (s *state) choose(placing Placing) (placement.Choice, bool) {
 	if s.view.Table == nil {
--- a/internal/fleet/placing.go
+++ b/internal/fleet/placing.go
@@ -12,6 +12,8 @@
 	// Repeat says that the request was sent before, so that this send has to be covered by
 	// the bound on second sends.
 	Repeat bool
+	// MayWait says that the request can wait while all targets are crowded.
+	MayWait bool
 	// Running is set if the generation goes on at a target that is given, so that only one
 	// for its next copy is chosen.
 	Running core.TargetID
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -30,6 +30,14 @@
 	// commitAfter bounds the wait for the answer to a switch while the former engine still
 	// works: two engines may not work on one generation for 400 ms.
 	commitAfter = 300 * time.Millisecond
+	// roomPart is the part of the first event's goal for which a request waits for room; the
+	// prompt takes much of the rest.
+	roomPart = 0.6
+	// roomPause is the time between two tries; a generation ends every few milliseconds.
+	roomPause = 60 * time.Millisecond
+	// retryCrowded tells a caller to come back when some generations have ended; they take
+	// some seconds each.
+	retryCrowded = time.Second
 	// copyEvents is the number of events from which a generation is worth a copy.
 	copyEvents = 12
 )
@@ -104,6 +112,10 @@
 // begin sends the request to a first engine. It answers the caller if there is none.
 func (s *streamRelay) begin() bool {
 	use, ok := s.placeFirst()
+	if use.Full && s.ctx.Err() == nil {
+		s.refuse(notRun(core.RefusedQueueFull, "all engines are crowded", retryCrowded))
+		return false
+	}
 	if !ok {
 		s.endCall(s.ctx, nil)
 		return false
@@ -121,7 +133,28 @@
 	}
 	need := s.need(s.tried)
 	need.WantsCopy = s.wantsCopy()
-	return s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need, Repeat: s.sends > 0})
+	placing := fleet.Placing{Pool: s.pool, Need: need, Repeat: s.sends > 0, MayWait: s.sends == 0}
+	for {
+		use, ok := s.gateway.options.Desk.Place(s.ctx, placing)
+		if !use.Full || !s.waitForRoom() {
+			return use, ok
+		}
+	}
+}
+
+// waitForRoom waits a moment, unless the first event would come too late to be of use.
+func (s *streamRelay) waitForRoom() bool {
+	if s.now()-s.arrived > time.Duration(roomPart*float64(s.route.AnswerGoal)) {
+		return false
+	}
+	timer := time.NewTimer(roomPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
 }
 
 func (s *streamRelay) timing() carry.Timing {
--- a/internal/message/place_answer.go
+++ b/internal/message/place_answer.go
@@ -7,6 +7,7 @@
 	Number uint64        `cbor:"1,keyasint"`
 	Target core.TargetID `cbor:"2,keyasint,omitempty"`
 	Copy   core.TargetID `cbor:"3,keyasint,omitempty"`
+	Full   bool          `cbor:"4,keyasint,omitempty"` // all targets are crowded
 }
 
 // MessageKind implements Message.
--- a/internal/message/place_ask.go
+++ b/internal/message/place_ask.go
@@ -14,6 +14,7 @@
 	Running    core.TargetID     `cbor:"8,keyasint,omitempty"` // set if only a place for a copy is asked for
 	Prompt     core.Tokens       `cbor:"9,keyasint,omitempty"`
 	Grant      bool              `cbor:"11,keyasint,omitempty"` // the asker's own share of second sends is used up
+	MayWait    bool              `cbor:"12,keyasint,omitempty"` // no placement is wanted while all targets are crowded
 	Near       bool              `cbor:"10,keyasint,omitempty"` // see placement.Need
 }
 
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -40,8 +40,8 @@
 		Registrations: []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
 		Removed:       []core.TargetID{"t2"}, Hosts: []core.Host{{ID: "h", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:8", Capacity: 0.4}}},
 	message.HostWork{Targets: []message.TargetWork{{Target: "t1", Requests: 2, Memory: 7000, Copies: 3000, Starting: 2000}}, Granted: 8},
-	message.PlaceAsk{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, Running: "t1", Prompt: 3000, Near: true, Grant: true},
-	message.PlaceAnswer{Number: 8, Target: "t1", Copy: "t3"},
+	message.PlaceAsk{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, Running: "t1", Prompt: 3000, Near: true, Grant: true, MayWait: true},
+	message.PlaceAnswer{Number: 8, Target: "t1", Copy: "t3", Full: true},
 }
 
 func TestRoundTripOfEveryKind(t *testing.T) {
--- /dev/null
+++ b/tools/soak/faults.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"siskintide.example/siskintide/platform/platformtest"
+)
+
+// pick draws the next fault.
+func (w *world) pick(r *rand.Rand) fault {
+	h, t := w.hosts[r.IntN(len(w.hosts))], w.live(r)
+	long := time.Duration(500+r.IntN(3000)) * time.Millisecond
+	modes := []proxyMode{proxyDelay, proxySilent, proxyDropsIn, proxyDropsOut}
+	mode := modes[r.IntN(len(modes))]
+	storeModes := []platformtest.StoreMode{platformtest.StoreBusy, platformtest.StoreSilent, platformtest.StoreSlow, platformtest.StoreLosesAnswers}
+	storeMode := storeModes[r.IntN(len(storeModes))]
+	switch r.IntN(14) {
+	case 0:
+		return fault{name: "kill " + h.boot.Node, begin: func() { h.signal(syscall.SIGKILL) }}
+	case 1:
+		return fault{name: "stop " + h.boot.Node, begin: func() { h.signal(syscall.SIGTERM) }}
+	case 2:
+		return fault{name: "pause " + h.boot.Node, begin: func() { h.signal(syscall.SIGSTOP) }, end: func() { h.signal(syscall.SIGCONT) }, long: long, blinds: true}
+	case 3:
+		return fault{name: fmt.Sprintf("store of %s: mode %d", h.boot.Node, mode), begin: func() { h.store.set(mode) }, end: func() { h.store.set(proxyPass) }, long: long, blinds: true}
+	case 4:
+		return fault{name: "store of " + h.boot.Node + " reset", begin: h.store.reset, blinds: true}
+	case 5:
+		return fault{name: fmt.Sprintf("store: mode %d", storeMode), begin: func() { w.store.SetMode(storeMode) }, end: func() { w.store.SetMode(platformtest.StoreWorks) }, long: long, blinds: true}
+	case 6:
+		return fault{name: "store forgets", begin: func() { w.store.SetMode(platformtest.StoreForgets) }, end: func() { w.store.SetMode(platformtest.StoreWorks) }, long: 300 * time.Millisecond}
+	case 7:
+		return fault{name: fmt.Sprintf("way to %s: mode %d", t.id, mode), begin: func() { t.proxy.set(mode) }, end: func() { t.proxy.set(proxyPass) }, long: long, blinds: true}
+	case 8:
+		return fault{name: "way to " + t.id + " reset", begin: t.proxy.reset}
+	case 9:
+		return fault{name: "crash of " + t.id, begin: func() { w.replace(t, t.die) }}
+	case 10, 11:
+		return fault{name: "notice to " + t.id, begin: func() { w.notice(t) }, end: func() { w.replace(t, t.die) }, long: 1700 * time.Millisecond}
+	case 12:
+		return fault{name: "keys change", begin: w.rotateKeys}
+	default:
+		zone := zones[r.IntN(len(zones))]
+		return fault{name: "zone " + zone + " emptied", begin: func() { w.evacuate(zone, true) }, end: func() { w.evacuate(zone, false) }, long: long}
+	}
+}
--- /dev/null
+++ b/tools/soak/options.go
@@ -0,0 +1,14 @@
+package main
+
+import "time"
+
+// options says what to run.
+type options struct {
+	Daemon   string
+	Dir      string
+	Seed     uint64
+	Duration time.Duration
+	Hosts    int
+	Engines  int
+	Services int
+}
--- /dev/null
+++ b/tools/soak/proxy.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// proxyDelayTime is how long a slow proxy holds each piece.
+const proxyDelayTime = 80 * time.Millisecond
+
+// proxy passes connections on to a server, and harms them on demand.
+type proxy struct {
+	listener net.Listener
+	server   string
+	mode     atomic.Int32
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+func newProxy(server string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, server: server, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(mode proxyMode) { p.mode.Store(int32(mode)) }
+
+// reset breaks all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// close ends the proxy as a server that is gone.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		caller, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", p.server)
+		if err != nil {
+			_ = caller.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns[caller], p.conns[server] = true, true
+		p.mu.Unlock()
+		go p.copy(server, caller, proxyDropsIn)
+		go p.copy(caller, server, proxyDropsOut)
+	}
+}
+
+// copy passes one direction on.
+func (p *proxy) copy(to, from net.Conn, dropped proxyMode) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		mode := proxyMode(p.mode.Load())
+		if mode == proxyDelay {
+			<-time.After(proxyDelayTime)
+		}
+		if n > 0 && mode != proxySilent && mode != dropped {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	for _, conn := range []net.Conn{to, from} {
+		_ = conn.Close()
+		p.mu.Lock()
+		delete(p.conns, conn)
+		p.mu.Unlock()
+	}
+}
