--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -29,8 +29,7 @@
 	age, known := s.age(now)
 	plan := s.chooser.Next(now, age, known, s.ownReads.Within(now, ownReadsBound))
 	if plan.Hub != s.hub {
-		s.log.WithField("hub", plan.Hub).WithField("former", s.hub).WithField("knowledge_age_ms", age.Milliseconds()).
-			Info("hub chosen")
+		s.logHub(plan.Hub, age, known)
 		s.hub, s.loadChanged = plan.Hub, true
 		s.received[plan.Hub] = 0
 	}
@@ -42,6 +41,15 @@
 	}
 }
 
+// logHub logs a change of the hub; an empty name means that the host has none.
+func (s *state) logHub(chosen core.HostID, age time.Duration, known bool) {
+	entry := s.log.WithField("hub", chosen).WithField("former", s.hub)
+	if known {
+		entry = entry.WithField("knowledge_age_ms", age.Milliseconds())
+	}
+	entry.Info("hub chosen")
+}
+
 // takeAnswer renews the proof of this host's knowledge by that of its hub. The hub
 // answered after the question was sent, so its knowledge was at most that old then.
 func (s *state) takeAnswer(from core.HostID, m message.HubAnswer) {
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -124,7 +124,7 @@
 	return true
 }
 
-// grant covers a second send of an asker from the part of the bound that the hosts' own
+// grant covers a second send of this host or an asker from the part of the bound that the hosts' own
 // shares leave. Only the first of all hosts grants, and not until sends that it granted
 // before a restart are out of the window.
 func (s *state) grant(pool core.PoolID) bool {
--- a/internal/fleet/loop_test.go
+++ b/internal/fleet/loop_test.go
@@ -299,7 +299,7 @@
 // All hosts together stay under the bound on second sends, and one host that needs them
 // all gets most of them.
 func TestSecondSendsAreShared(t *testing.T) {
-	for name, askers := range map[string][]core.HostID{"one host": {"host"}, "all hosts": {"h", "host", "hosts"}} {
+	for name, askers := range map[string][]core.HostID{"one host": {"host"}, "the first host": {"h"}, "all hosts": {"h", "host", "hosts"}} {
 		t.Run(name, func(t *testing.T) {
 			net, clock := startLoops(t, "h", "host", "hosts")
 			startReader(t, net.loops["h"], clock)
--- a/internal/fleet/place_event.go
+++ b/internal/fleet/place_event.go
@@ -19,7 +19,7 @@
 	if e.placing.Need.DataCentre == "" {
 		e.placing.Need.DataCentre = s.options.Self.DataCentre
 	}
-	covered := !e.placing.Repeat || s.ledger(e.placing.Pool).Spend(s.now(), len(s.hosts))
+	covered := !e.placing.Repeat || s.ledger(e.placing.Pool).Spend(s.now(), len(s.hosts)) || s.grant(e.placing.Pool)
 	spec := s.view.Table.Pool(e.placing.Pool)
 	if spec != nil && spec.Engine != nil && s.askHub(e, !covered) {
 		return
--- /dev/null
+++ b/internal/gateway/event_reader_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func readAll(body io.Reader) (events []streamEvent, err error) {
+	reader := newEventReader(body)
+	for {
+		event, err := reader.next()
+		if len(event.bytes) > 0 {
+			events = append(events, event)
+		}
+		if err != nil {
+			return events, err
+		}
+	}
+}
+
+func TestEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want []streamEvent
+	}{
+		"nothing":          {"", nil},
+		"id and data":      {"id: 7\ndata: x\n\n", []streamEvent{{[]byte("id: 7\ndata: x\n\n"), 7, true}}},
+		"carriage returns": {"id:8\r\ndata: x\r\n\r\n", []streamEvent{{[]byte("id:8\r\ndata: x\r\n\r\n"), 8, true}}},
+		"no id":            {"data: x\n\n", []streamEvent{{[]byte("data: x\n\n"), 0, false}}},
+		"id is no number":  {"id: x\n\n", []streamEvent{{[]byte("id: x\n\n"), 0, false}}},
+		"rest at the end":  {"id: 1\n\ndata", []streamEvent{{[]byte("id: 1\n\n"), 1, true}, {[]byte("data"), 0, false}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, err := readAll(strings.NewReader(c.text))
+			require.ErrorIs(t, err, io.EOF)
+			require.Equal(t, c.want, events)
+		})
+	}
+}
+
+// However a stream is cut into reads, the events together are its bytes; an event that a
+// failure cuts off is not given.
+func TestEventsKeepEveryByte(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOf(rapid.SampledFrom([]rune("id: 12\n\r\ndatx\n\n"))).Draw(t, "text")
+		events, err := readAll(iotest.OneByteReader(strings.NewReader(text)))
+		require.ErrorIs(t, err, io.EOF)
+		got := ""
+		for _, event := range events {
+			got += string(event.bytes)
+		}
+		require.Equal(t, text, got)
+
+		cause := errors.New("reset")
+		events, err = readAll(io.MultiReader(strings.NewReader(text), iotest.ErrReader(cause)))
+		require.ErrorIs(t, err, cause)
+		for _, event := range events {
+			require.True(t, strings.HasSuffix(strings.ReplaceAll(string(event.bytes), "\r", ""), "\n"))
+		}
+	})
+}
+
+func TestLongEvent(t *testing.T) {
+	_, err := readAll(strings.NewReader(strings.Repeat("x", maxEventBytes+1)))
+	var large *TooLargeError
+	require.ErrorAs(t, err, &large)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,9 @@
 	x.release = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.roundTrip(request); err != nil {
 		x.close()
+		if ctx.Err() != nil {
+			err = ctx.Err() // the end of the context closed the connection
+		}
 		return nil, &BrokenError{Address: address, Doing: "request", Cause: err}
 	}
 	return x, nil
--- /dev/null
+++ b/internal/gateway/exchange_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// server answers each connection with fixed bytes once it has read a header, and closes it.
+func server(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buffer, read := make([]byte, 4096), ""
+				for !strings.Contains(read, "\r\n\r\n") {
+					n, err := conn.Read(buffer)
+					if err != nil {
+						return
+					}
+					read += string(buffer[:n])
+				}
+				if answer == "" {
+					_, _ = io.Copy(io.Discard, conn) // silent until the other end leaves
+					return
+				}
+				_, _ = io.WriteString(conn, answer)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func requestTo(address string) *http.Request {
+	return &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Opaque: "/x"}, Host: "front", Header: http.Header{}}
+}
+
+func TestExchange(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		broken string // what was being done when it broke; empty for a whole answer
+	}{
+		"with a length": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""},
+		"in chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		"to the end":    {"HTTP/1.1 200 OK\r\n\r\nok", ""},
+		"and more":      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", ""},
+		"cut off":       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", "answer"},
+		"chunk cut off": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "answer"},
+		"no answer":     {"nonsense", "request"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := server(t, c.answer)
+			x, err := open(context.Background(), address, requestTo(address))
+			var whole *wholeAnswer
+			if err == nil {
+				defer x.close()
+				whole, err = x.readWhole(Answer{})
+			}
+			if c.broken == "" {
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(whole.body))
+				return
+			}
+			var broken *BrokenError
+			require.ErrorAs(t, err, &broken)
+			require.Equal(t, c.broken, broken.Doing)
+		})
+	}
+}
+
+func TestExchangeThatIsNotMade(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = open(context.Background(), address, requestTo(address))
+	var unsent *UnsentError
+	require.ErrorAs(t, err, &unsent)
+}
+
+// The cause of an exchange that its context ended is the end of the context.
+func TestExchangeThatTakesTooLong(t *testing.T) {
+	address := server(t, "")
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := open(ctx, address, requestTo(address))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
