--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN ?= bin
 SEED ?= 20261204
 
-.PHONY: build test lint demo soak soak-short test-fresh clean
+.PHONY: build test lint demo soak soak-short replay test-fresh clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./tools/...
@@ -31,5 +31,10 @@
 demo: build
 	$(BIN)/demo -bin $(BIN)
 
+# Kept seeds of the soak.
+replay: build
+	@grep -v '^#' tools/soak/seeds.txt | while read -r seed duration; do \
+		$(BIN)/soak -daemon $(BIN)/siskintided -seed $$seed -duration $$duration || exit 1; done
+
 clean:
 	rm -rf $(BIN)
--- a/tools/soak/host.go
+++ b/tools/soak/host.go
@@ -32,7 +32,7 @@
 func (h *host) front() string { return fmt.Sprintf("%s:%d", h.boot.IP, h.boot.Front) }
 
 func (h *host) ready() string {
-	return fmt.Sprintf("http://%s:%d/siskintide/ready", h.boot.IP, h.boot.Ready)
+	return fmt.Sprintf("http://%s:%d%s", h.boot.IP, h.boot.Ready, platformtest.ReadyPath)
 }
 
 // keep runs the process, again and again, until the host is closed.
@@ -59,7 +59,7 @@
 // once runs the process to its end. It is false when the host is closed.
 func (h *host) once(settings string, output *os.File) bool {
 	command := exec.Command(h.daemon, "platform")
-	command.Env = append(os.Environ(), "SISKINTIDE_BOOT="+settings)
+	command.Env = append(os.Environ(), platformtest.BootVariable+"="+settings)
 	command.Stdout, command.Stderr = output, output
 	h.mu.Lock()
 	if h.closed {
