--- a/internal/decide/carry/stream.go
+++ b/internal/decide/carry/stream.go
@@ -5,8 +5,13 @@
 // maxSwitches bounds how often one generation goes on elsewhere.
 const maxSwitches = 8
 
-// maxMoves bounds the tries to move one generation off one engine.
-const maxMoves = 3
+const (
+	// maxMoves bounds the tries to move one generation off one engine.
+	maxMoves = 12
+	// movePause is the time after a move that found no room; where all engines are full, a
+	// generation ends every few milliseconds.
+	movePause = 100 * time.Millisecond
+)
 
 // Stream is the state of one generation that is being relayed. Only the goroutine that
 // relays it uses it.
@@ -25,6 +30,7 @@
 	last     time.Duration // last event
 	switches int
 	moves    int
+	retryAt  time.Duration // next move after one that found no room
 }
 
 // New returns a stream that has just been sent to an engine.
@@ -123,6 +129,8 @@
 	switch due := s.since + s.timing.MoveAfter; {
 	case !s.begun:
 		return Step{Kind: Wait}
+	case !s.ahead && now < s.retryAt:
+		return Step{Kind: Wait, At: s.retryAt}
 	case !s.ahead:
 		return Step{Kind: MoveAhead}
 	case now < due:
@@ -135,7 +143,7 @@
 }
 
 // Moved notes how MoveAhead or MoveFinal ended, and how long it took.
-func (s *Stream) Moved(result Result, took time.Duration) {
+func (s *Stream) Moved(result Result, took, now time.Duration) {
 	step := s.open
 	s.open = 0
 	switch {
@@ -147,6 +155,7 @@
 	default:
 		s.ahead, s.free = false, false // the next try goes to another engine
 		s.moves++
+		s.retryAt = now + movePause
 	}
 }
 
@@ -162,5 +171,5 @@
 	}
 	s.switches++
 	s.copied, s.begun, s.broken, s.leaving, s.ahead, s.free = copied, false, false, false, false, false
-	s.moves, s.last = 0, now
+	s.moves, s.retryAt, s.last = 0, 0, now
 }
--- a/internal/decide/carry/stream_test.go
+++ b/internal/decide/carry/stream_test.go
@@ -34,11 +34,12 @@
 		"engine cannot move":        {false, false, func(s *Stream) { s.Event(0); s.Leaving(0) }, 0, Step{Kind: Wait}},
 		"final move waits":          {true, false, movedAhead, 10 * ms, Step{Wait, 600 * ms}},
 		"looks for free links":      {true, false, movedAhead, 600 * ms, Step{Kind: MoveAhead}},
-		"links are free":            {true, false, func(s *Stream) { movedAhead(s); s.Next(600 * ms); s.Moved(Done, 10*ms) }, 610 * ms, Step{Kind: MoveFinal}},
-		"links are busy":            {true, false, func(s *Stream) { movedAhead(s); s.Next(600 * ms); s.Moved(Done, 80*ms) }, 680 * ms, Step{Kind: MoveAhead}},
+		"links are free":            {true, false, func(s *Stream) { movedAhead(s); s.Next(600 * ms); s.Moved(Done, 10*ms, 610*ms) }, 610 * ms, Step{Kind: MoveFinal}},
+		"links are busy":            {true, false, func(s *Stream) { movedAhead(s); s.Next(600 * ms); s.Moved(Done, 80*ms, 680*ms) }, 680 * ms, Step{Kind: MoveAhead}},
 		"no more time":              {true, false, movedAhead, 1100 * ms, Step{Kind: MoveFinal}},
-		"no room for the rest":      {true, false, func(s *Stream) { movedAhead(s); s.Next(1100 * ms); s.Moved(NotDone, 0) }, 1110 * ms, Step{Kind: MoveAhead}},
-		"goes on where it moved":    {true, false, func(s *Stream) { movedAhead(s); s.Next(1100 * ms); s.Moved(Done, 10*ms); s.Broken() }, 1110 * ms, Step{Kind: SwitchToMoved}},
+		"no room for the rest":      {true, false, func(s *Stream) { movedAhead(s); s.Next(1100 * ms); s.Moved(NotDone, 0, 1100*ms) }, 1200 * ms, Step{Kind: MoveAhead}},
+		"waits for room":            {true, false, func(s *Stream) { s.Event(0); s.Leaving(0); s.Next(0); s.Moved(NotDone, 0, 10*ms) }, 20 * ms, Step{Wait, 110 * ms}},
+		"goes on where it moved":    {true, false, func(s *Stream) { movedAhead(s); s.Next(1100 * ms); s.Moved(Done, 10*ms, 1110*ms); s.Broken() }, 1110 * ms, Step{Kind: SwitchToMoved}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			stream := New(timing, c.canMove, c.copied, 0)
@@ -52,7 +53,7 @@
 	s.Event(0)
 	s.Leaving(0)
 	s.Next(0)
-	s.Moved(Done, 300*time.Millisecond)
+	s.Moved(Done, 300*time.Millisecond, 0)
 }
 
 // Whatever happens, at most one step is open at a time, a copy is used at most once, and
@@ -89,7 +90,7 @@
 						copies = 1
 					}
 				case MoveAhead, MoveFinal:
-					stream.Moved(result, time.Duration(rapid.IntRange(0, 100).Draw(t, "took"))*time.Millisecond)
+					stream.Moved(result, time.Duration(rapid.IntRange(0, 100).Draw(t, "took"))*time.Millisecond, now)
 				}
 				open = 0
 			default:
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -24,6 +24,8 @@
 	// quickMove is the time in which what is new since the last move is copied while no
 	// other move is queued before it.
 	quickMove = 50 * time.Millisecond
+	// mostAvoided bounds the engines that are not moved to again, as they had no room.
+	mostAvoided = 6
 	// silencePart is the part of the pause that still earns full credit after which a
 	// silent engine counts as lost: the rest is left for going on elsewhere.
 	silencePart = 0.75
@@ -238,7 +240,7 @@
 // move copies the generation's memory to another engine on a goroutine of its own.
 func (s *streamRelay) move(final bool) {
 	if !s.machine.Ahead() && !s.chooseMoveTarget() {
-		s.machine.Moved(carry.NotDone, 0)
+		s.machine.Moved(carry.NotDone, 0, s.now())
 		return
 	}
 	from, to, id := s.source.use.Target.Address, s.moveUse.Target.Address, s.request.ID
@@ -265,6 +267,9 @@
 		s.movedFrom = append(s.movedFrom, s.moveUse.Target.Target)
 	}
 	s.dropMove()
+	if len(s.movedFrom) > mostAvoided {
+		s.movedFrom = []core.TargetID{s.source.use.Target.Target} // room may have come up meanwhile
+	}
 	need := s.need(s.movedFrom)
 	need.Prompt, need.Near, need.DataCentre = 0, true, s.source.use.Target.DataCentre
 	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
@@ -299,7 +304,7 @@
 		return s.fromNext(told)
 	case moved := <-s.moves:
 		s.handle = moved.handle
-		s.machine.Moved(moved.result, moved.took)
+		s.machine.Moved(moved.result, moved.took, s.now())
 	case <-view.Changed:
 	case <-timer.C:
 		if s.next != nil && s.now() >= s.commitAt {
