--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -103,7 +103,6 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          nil,
 	}
 	return h
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -73,7 +73,6 @@
 // candidates lists the targets of a pool that may take new work.
 func (s *state) candidates(pool core.PoolID) []placement.Candidate {
 	var all []placement.Candidate
-	now := s.now()
 	spec := s.view.Table.Pool(pool)
 	for id, member := range s.view.Members {
 		if member.Pool != pool || !s.view.Usable(id) {
@@ -84,7 +83,6 @@
 			Address:    member.Address,
 			DataCentre: member.DataCentre,
 			Slots:      member.Slots,
-			Cold:       now < member.ColdUntil,
 		}
 		if spec != nil && spec.Engine != nil {
 			candidate.Memory = spec.Engine.MemoryTokens
--- /dev/null
+++ b/internal/gateway/stream_move.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/carry"
+	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/fleet"
+)
+
+// move copies the generation's memory to another engine on a goroutine of its own.
+func (s *streamRelay) move(final bool) {
+	if !s.machine.Ahead() && !s.chooseMoveTarget() {
+		s.machine.Moved(carry.NotDone, 0, s.now())
+		return
+	}
+	from, to, id := s.source.use.Target.Address, s.moveUse.Target.Address, s.request.ID
+	moves, mover, ctx := s.moves, s.gateway.options.Mover, s.ctx
+	entry := s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveUse.Target.Target).WithField("final", final)
+	entry.Info("generation's memory moves")
+	started, clock := s.now(), s.gateway.options.Clock
+	go func() {
+		handle, err := mover.Move(ctx, from, id, to, final)
+		result := carry.Done
+		if err != nil {
+			result = carry.NotDone
+			entry.WithError(err).Info("move failed")
+		}
+		moves <- moveResult{result: result, handle: handle, took: clock() - started}
+	}()
+}
+
+// chooseMoveTarget picks the engine that a generation moves to, and keeps room there. It
+// is false if there is none.
+func (s *streamRelay) chooseMoveTarget() bool {
+	s.movedFrom = append(s.movedFrom, s.source.use.Target.Target)
+	if s.moveUse != nil {
+		s.movedFrom = append(s.movedFrom, s.moveUse.Target.Target)
+	}
+	s.dropMove()
+	if len(s.movedFrom) > mostAvoided {
+		s.movedFrom = []core.TargetID{s.source.use.Target.Target} // room may have come up meanwhile
+	}
+	need := s.need(s.movedFrom)
+	need.Prompt, need.Near, need.DataCentre = 0, true, s.source.use.Target.DataCentre
+	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
+	if ok {
+		s.moveUse = &use
+	}
+	return ok
+}
+
+// dropMove gives back the room that was kept for a move.
+func (s *streamRelay) dropMove() {
+	if s.moveUse != nil {
+		s.gateway.options.Desk.End(*s.moveUse, placement.Withdrawn)
+		s.moveUse = nil
+	}
+}
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -111,78 +111,6 @@
 	}
 }
 
-// begin sends the request to a first engine. It answers the caller if there is none.
-func (s *streamRelay) begin() bool {
-	use, ok := s.placeFirst()
-	if use.Full && s.ctx.Err() == nil {
-		s.refuse(notRun(core.RefusedQueueFull, "all engines are crowded", retryCrowded))
-		return false
-	}
-	if !ok {
-		s.endCall(s.ctx, nil)
-		return false
-	}
-	s.tried = append(s.tried, use.Target.Target)
-	s.machine = carry.New(s.timing(), s.canMove(), use.HasCopy(), s.now())
-	s.source = s.startSource(s.ctx, use, s.sendTo(use, nil))
-	return true
-}
-
-// placeFirst chooses an engine that has not been tried.
-func (s *streamRelay) placeFirst() (fleet.Use, bool) {
-	if len(s.tried) >= maxTries || s.sends >= maxSends {
-		return fleet.Use{}, false
-	}
-	need := s.need(s.tried)
-	need.WantsCopy = s.wantsCopy()
-	placing := fleet.Placing{Pool: s.pool, Need: need, Repeat: s.sends > 0, MayWait: s.sends == 0}
-	for {
-		use, ok := s.gateway.options.Desk.Place(s.ctx, placing)
-		if !use.Full || !s.waitForRoom() {
-			return use, ok
-		}
-	}
-}
-
-// waitForRoom waits a moment, unless the first event would come too late to be of use.
-func (s *streamRelay) waitForRoom() bool {
-	if s.now()-s.arrived > time.Duration(roomPart*float64(s.route.AnswerGoal)) {
-		return false
-	}
-	timer := time.NewTimer(roomPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
-}
-
-func (s *streamRelay) timing() carry.Timing {
-	return carry.Timing{
-		SwitchAfter: switchAfter,
-		StartWithin: startWithin,
-		MoveAfter:   moveAfter,
-		MoveBy:      moveBy,
-		Quick:       quickMove,
-		Silence:     time.Duration(silencePart * float64(s.route.GapGoal)),
-	}
-}
-
-func (s *streamRelay) canMove() bool {
-	return s.spec != nil && s.spec.Engine != nil && s.spec.Engine.Moves
-}
-
-// wantsCopy reports whether the rest of the generation is worth a copy.
-func (s *streamRelay) wantsCopy() bool {
-	if s.spec == nil || s.spec.Engine == nil || !s.spec.Engine.Copies {
-		return false
-	}
-	eventTokens := max(s.spec.Engine.EventTokens, 1)
-	return s.request.Output() >= core.Tokens(copyEvents*eventTokens)
-}
-
 func (s *streamRelay) sendTo(use fleet.Use, from *Handle) Send {
 	send := Send{Target: use.Target.Target, Priority: s.priority(), From: from}
 	if use.HasCopy() {
@@ -237,56 +165,6 @@
 	s.commitAt = s.now() + commitAfter
 }
 
-// move copies the generation's memory to another engine on a goroutine of its own.
-func (s *streamRelay) move(final bool) {
-	if !s.machine.Ahead() && !s.chooseMoveTarget() {
-		s.machine.Moved(carry.NotDone, 0, s.now())
-		return
-	}
-	from, to, id := s.source.use.Target.Address, s.moveUse.Target.Address, s.request.ID
-	moves, mover, ctx := s.moves, s.gateway.options.Mover, s.ctx
-	entry := s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveUse.Target.Target).WithField("final", final)
-	entry.Info("generation's memory moves")
-	started, clock := s.now(), s.gateway.options.Clock
-	go func() {
-		handle, err := mover.Move(ctx, from, id, to, final)
-		result := carry.Done
-		if err != nil {
-			result = carry.NotDone
-			entry.WithError(err).Info("move failed")
-		}
-		moves <- moveResult{result: result, handle: handle, took: clock() - started}
-	}()
-}
-
-// chooseMoveTarget picks the engine that a generation moves to, and keeps room there. It
-// is false if there is none.
-func (s *streamRelay) chooseMoveTarget() bool {
-	s.movedFrom = append(s.movedFrom, s.source.use.Target.Target)
-	if s.moveUse != nil {
-		s.movedFrom = append(s.movedFrom, s.moveUse.Target.Target)
-	}
-	s.dropMove()
-	if len(s.movedFrom) > mostAvoided {
-		s.movedFrom = []core.TargetID{s.source.use.Target.Target} // room may have come up meanwhile
-	}
-	need := s.need(s.movedFrom)
-	need.Prompt, need.Near, need.DataCentre = 0, true, s.source.use.Target.DataCentre
-	use, ok := s.gateway.options.Desk.Place(s.ctx, fleet.Placing{Pool: s.pool, Need: need})
-	if ok {
-		s.moveUse = &use
-	}
-	return ok
-}
-
-// dropMove gives back the room that was kept for a move.
-func (s *streamRelay) dropMove() {
-	if s.moveUse != nil {
-		s.gateway.options.Desk.End(*s.moveUse, placement.Withdrawn)
-		s.moveUse = nil
-	}
-}
-
 // wait blocks until something happens, and takes it in.
 func (s *streamRelay) wait(view *fleet.View) bool {
 	var current, next chan signal
