--- a/internal/gateway/stream_signals.go
+++ b/internal/gateway/stream_signals.go
@@ -199,7 +199,7 @@
 // expire ends a request whose caller has left or whose time is over.
 func (s *streamRelay) expire() {
 	if s.r.Context().Err() != nil {
-		s.finish("caller_left", s.fields(log.Fields{}))
+		s.finish("caller_left", s.fields(s.atTarget()))
 		return
 	}
 	if !s.started {
@@ -208,11 +208,19 @@
 		s.endCall(s.ctx, nil)
 		return
 	}
-	s.finish("timed_out", s.fields(log.Fields{}))
+	s.finish("timed_out", s.fields(s.atTarget()))
 	s.stopAll()
 	panic(http.ErrAbortHandler)
 }
 
+// atTarget names the engine that a stream was at.
+func (s *streamRelay) atTarget() log.Fields {
+	if s.source == nil {
+		return log.Fields{}
+	}
+	return log.Fields{"target": s.source.use.Target.Target}
+}
+
 // stopAll ends the exchanges that are open.
 func (s *streamRelay) stopAll() {
 	s.dropMove()
