Believe a hub at once that a target is gone, and let a hub that waits for targets not vouch

A host that had lost the store kept missing targets until it had read the store again; when it learnt from a hub from then on, it never did, and kept every target that its hub reported gone.

The list of hosts goes to askers at most once a second.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -40,7 +40,7 @@
 	if !ok {
 		return
 	}
-	if member.Leaving || !r.returning(now) {
+	if member.Leaving || !r.Returning(now) {
 		delete(r.members, id)
 		return
 	}
@@ -50,6 +50,24 @@
 	}
 }
 
+// Drop takes an entry out at once.
+func (r *Registry) Drop(id core.TargetID) { delete(r.members, id) }
+
+// Adopt takes over the whole registry from another host, which has waited for targets to
+// register again where that was due.
+func (r *Registry) Adopt(all []core.Registration, now time.Duration) {
+	listed := make(map[core.TargetID]bool, len(all))
+	for _, registration := range all {
+		listed[registration.Target] = true
+		r.Put(registration, now)
+	}
+	for id := range r.members {
+		if !listed[id] {
+			r.Drop(id)
+		}
+	}
+}
+
 // Replace takes over the whole registry as of one moment.
 func (r *Registry) Replace(all []core.Registration, now time.Duration) {
 	listed := make(map[core.TargetID]bool, len(all))
@@ -77,7 +95,7 @@
 // Expire drops targets that are still missing when the return period has passed, and
 // reports whether there were any.
 func (r *Registry) Expire(now time.Duration) bool {
-	if r.returning(now) {
+	if r.Returning(now) {
 		return false
 	}
 	dropped := false
@@ -90,8 +108,8 @@
 	return dropped
 }
 
-// returning reports whether absences are not believed yet.
-func (r *Registry) returning(now time.Duration) bool {
+// Returning reports whether absences are not believed yet.
+func (r *Registry) Returning(now time.Duration) bool {
 	return r.away || r.outage && now < r.returnedAt+returnPeriod
 }
 
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -77,7 +77,7 @@
 	if len(m.Hosts) > 0 {
 		s.takeHosts(m.Hosts)
 	}
-	knowledge := Knowledge{SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, WholeRegistry: m.NewRegistry}
+	knowledge := Knowledge{FromHub: true, SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, WholeRegistry: m.NewRegistry}
 	if m.NewEvacuated {
 		knowledge.Evacuated = make(map[core.DataCentreID]bool, len(m.Evacuated))
 		for _, id := range m.Evacuated {
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -14,6 +14,10 @@
 // hosts grants on demand; the hosts share the rest evenly.
 const grantedPart = 0.5
 
+// hostsPause is the time between two lists of hosts to the askers; when all hosts start,
+// the list grows with each.
+const hostsPause = time.Second
+
 // answerAsker sends what the asker lacks, and then how old this host's knowledge is.
 func (s *state) answerAsker(from core.HostID, m message.HubAsk) {
 	now := s.now()
@@ -27,7 +31,10 @@
 		s.sendTo(from, known, s.wholeKnowledge(now))
 	}
 	age, proved := s.age(now)
-	s.options.Send(from, message.HubAnswer{SentAt: m.SentAt, Known: proved && !known.lost, Age: age, Sent: known.sent})
+	// While targets are held back from being gone, askers that saw no outage must not rely
+	// on this host.
+	vouches := proved && !known.lost && !s.registry.Returning(now)
+	s.options.Send(from, message.HubAnswer{SentAt: m.SentAt, Known: vouches, Age: age, Sent: known.sent})
 	s.steer()
 }
 
@@ -92,8 +99,8 @@
 			m.Removed = append(m.Removed, id)
 		}
 	}
-	if s.hostsChanged {
-		m.Hosts, s.hostsChanged = s.hosts, false
+	if s.hostsChanged && s.now() >= s.hostsSentAt+hostsPause {
+		m.Hosts, s.hostsChanged, s.hostsSentAt = s.hosts, false, s.now()
 	}
 	if m.Config == nil && !m.NewEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts) == 0 {
 		return
--- a/internal/fleet/knowledge.go
+++ b/internal/fleet/knowledge.go
@@ -20,6 +20,8 @@
 	Registrations []core.Registration
 	// Removed are entries that are gone.
 	Removed []core.TargetID
+	// FromHub says that another host has told this, and not a read of the store.
+	FromHub bool
 	// Hosts is the list of hosts; nil means no news.
 	Hosts []core.Host
 	// ProvesRegistry says that the read covers the registry.
--- a/internal/fleet/knowledge_event.go
+++ b/internal/fleet/knowledge_event.go
@@ -58,17 +58,24 @@
 	for _, registration := range k.Registrations {
 		s.noteRegistration(registration)
 	}
-	if k.WholeRegistry {
+	switch {
+	case k.WholeRegistry && k.FromHub:
+		s.registry.Adopt(k.Registrations, now)
+	case k.WholeRegistry:
 		s.registry.Replace(k.Registrations, now)
-		s.view.Registered = true
-	} else {
+	default:
 		for _, registration := range k.Registrations {
 			s.registry.Put(registration, now)
 		}
 	}
+	s.view.Registered = s.view.Registered || k.WholeRegistry
 	for _, id := range k.Removed {
 		s.log.WithField("target", id).Info("target's entry removed")
-		s.registry.Remove(id, now)
+		if k.FromHub {
+			s.registry.Drop(id)
+		} else {
+			s.registry.Remove(id, now)
+		}
 		s.book.Forget(id)
 	}
 	s.membersChanged = true
--- a/internal/fleet/loop_test.go
+++ b/internal/fleet/loop_test.go
@@ -322,3 +322,28 @@
 		})
 	}
 }
+
+// A host that lost the store, and has learnt from its hub since, believes its hub at once
+// that a target is gone: it is the hub that waits for targets to come back.
+func TestRemovalAfterTheStoreWasLost(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	startReader(t, net.loops["h"], clock)
+	asker := net.loops["host"]
+	eventually(t, "learnt", func() bool { return len(asker.View().Members) == 4 && !asker.View().ReadStore })
+	asker.HandleStore(false)
+	net.loops["h"].HandleKnowledge(Knowledge{SentAt: clock.now(), Removed: []core.TargetID{"e0"}})
+	eventually(t, "target gone", func() bool { return !asker.View().Usable("e0") })
+}
+
+// A hub that holds targets back from being gone, after an outage, does not vouch for its
+// knowledge, so that hosts that saw no outage are not kept from the news.
+func TestHubAfterAnOutageDoesNotVouch(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	startReader(t, net.loops["h"], clock)
+	asker := net.loops["host"]
+	eventually(t, "learnt", func() bool { return len(asker.View().Members) == 4 && !asker.View().ReadStore })
+	net.loops["h"].HandleStore(false)
+	net.loops["h"].HandleStore(true)
+	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
+	eventually(t, "learns again", func() bool { return !asker.View().ReadStore })
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -28,6 +28,7 @@
 	startedAt      time.Duration
 	hosts          []core.Host // that share bounds, this one included
 	hostsChanged   bool
+	hostsSentAt    time.Duration
 	storeAway      bool
 	registryProof  freshness.Proof
 	ownReads       freshness.Proof // last read of the store by this host itself
--- a/tools/soak/client.go
+++ b/tools/soak/client.go
@@ -42,7 +42,7 @@
 	case 0, 1:
 		path, method = platformtest.BookPath, http.MethodPost
 	case 2:
-		path, method, events = platformtest.DraftPath, http.MethodPost, 20+r.IntN(120)
+		path, method, events = platformtest.DraftPath, http.MethodPost, 4+r.IntN(120)
 	}
 	key := w.key(r)
 	front := w.hosts[r.IntN(len(w.hosts))].front()
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -9,6 +9,9 @@
 	"siskintide.example/siskintide/platform/platformtest"
 )
 
+// revokedFor is longer than the bound on revoked keys, by more than a request takes.
+const revokedFor = (platformtest.BootRevokeMS + 2500) * time.Millisecond
+
 // pick draws the next fault.
 func (w *world) pick(r *rand.Rand) fault {
 	h, t := w.hosts[r.IntN(len(w.hosts))], w.live(r)
@@ -17,7 +20,10 @@
 	mode := modes[r.IntN(len(modes))]
 	storeModes := []platformtest.StoreMode{platformtest.StoreBusy, platformtest.StoreSilent, platformtest.StoreSlow, platformtest.StoreLosesAnswers}
 	storeMode := storeModes[r.IntN(len(storeModes))]
-	switch r.IntN(14) {
+	runnerModes := []platformtest.RunnerMode{platformtest.RunnerFull, platformtest.RunnerFails, platformtest.RunnerLosesAnswers,
+		platformtest.RunnerTruncates, platformtest.RunnerForeign, platformtest.RunnerTalksOn, platformtest.RunnerUnframed}
+	runnerMode := runnerModes[r.IntN(len(runnerModes))]
+	switch r.IntN(20) {
 	case 0:
 		return fault{name: "kill " + h.boot.Node, begin: func() { h.signal(syscall.SIGKILL) }}
 	case 1:
@@ -40,7 +46,13 @@
 		return fault{name: "crash of " + t.id, begin: func() { w.replace(t, t.die) }}
 	case 10, 11:
 		return fault{name: "notice to " + t.id, begin: func() { w.notice(t) }, end: func() { w.replace(t, t.die) }, long: 1700 * time.Millisecond}
-	case 12:
+	case 12, 13, 14, 15:
+		return fault{name: fmt.Sprintf("%s: mode %d", t.id, runnerMode), begin: func() { t.SetMode(runnerMode) }, end: func() { t.SetMode(platformtest.RunnerWorks) }, long: long}
+	case 16, 17:
+		// A key is taken away from hosts that cannot hear of it, for longer than they may serve it.
+		return fault{name: "store away while keys change", begin: func() { w.store.SetMode(storeMode); w.rotateKeys() },
+			end: func() { w.store.SetMode(platformtest.StoreWorks) }, long: revokedFor, blinds: true}
+	case 18:
 		return fault{name: "keys change", begin: w.rotateKeys}
 	default:
 		zone := zones[r.IntN(len(zones))]
