Give a hub time to read, and forget failures with time

(1) A host that was cut off asked a host that had relied on it, got knowledge of 1.2 s, and left it for two seconds before that one could have read the store; keys were refused meanwhile (TestHostThatIsCutOffLearnsFromOthers). (2) Since deadlines count as failures, a target that had failed a few times was never asked again while another one was sound, so that its rate never fell (TestFaultsOfRunners, by the order of its cases).

A hub that was just chosen has a second to read, in which its asker reads too; failure rates halve in two seconds.

--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -16,6 +16,9 @@
 	// staleAfter is the age of a hub's knowledge from which another source is used. It
 	// leaves most of the two seconds in which a leaving target must get no more work.
 	staleAfter = 1200 * time.Millisecond
+	// settleTime is how long a hub that was just chosen may have old knowledge: the question
+	// makes it read the store.
+	settleTime = time.Second
 	// avoidPeriod keeps a hub that did not answer, or knew nothing recent, from being chosen.
 	avoidPeriod = 2 * time.Second
 	// subscriberTTL is the time without a question after which an asker counts as gone.
@@ -28,6 +31,7 @@
 	reserve    []core.HostID // asked only while the host cannot read the store by itself
 	peers      map[core.HostID]*peer
 	current    core.HostID
+	since      time.Duration                 // when current was chosen
 	askers     map[core.HostID]time.Duration // last question of each
 }
 
@@ -85,7 +89,7 @@
 func (c *Chooser) Next(now, age time.Duration, known, reads bool) Plan {
 	c.dropSilent(now)
 	if best := c.best(now, reads); best != c.current {
-		c.current = best
+		c.current, c.since = best, now
 		c.peer(best).askedAt = now - AskPeriod
 	}
 	plan := Plan{Hub: c.current, ReadStore: c.hasAskers(now) || !known || age > staleAfter}
@@ -110,7 +114,7 @@
 	}
 	p := c.peer(c.current)
 	overdue := p.waiting && now-p.asked > answerTimeout
-	stale := p.proven && now-p.provenAt > staleAfter
+	stale := p.proven && now-p.provenAt > staleAfter && now-c.since > settleTime
 	if overdue || stale {
 		p.avoidUntil, p.waiting, p.proven = now+avoidPeriod, false, false
 		c.current = ""
--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -235,7 +235,7 @@
 		value += avoidPenalty / 2
 	}
 	if record := b.records[c.Target]; record != nil {
-		value += failurePenalty * record.failureRate
+		value += failurePenalty * record.failures(now)
 	}
 	if b.Avoided(c.Target, now) {
 		value += avoidPenalty
--- a/internal/decide/placement/book_test.go
+++ b/internal/decide/placement/book_test.go
@@ -162,3 +162,16 @@
 	require.True(t, ok)
 	require.Equal(t, core.TargetID("z"), holder.Target)
 }
+
+// A target that failed is tried again after a while, though others never fail.
+func TestFailuresAreForgottenWithTime(t *testing.T) {
+	book := NewBook()
+	candidates := []Candidate{{Target: "near", DataCentre: "a", Slots: 6}, {Target: "far", DataCentre: "b", Slots: 6}}
+	for range 5 {
+		book.Note(candidates[0], Failed, 0)
+	}
+	choice, _ := book.Choose(candidates, Need{DataCentre: "a"}, time.Second)
+	require.Equal(t, core.TargetID("far"), choice.Target.Target)
+	choice, _ = book.Choose(candidates, Need{DataCentre: "a"}, 10*time.Second)
+	require.Equal(t, core.TargetID("near"), choice.Target.Target)
+}
--- a/internal/fleet/loop_test.go
+++ b/internal/fleet/loop_test.go
@@ -347,3 +347,22 @@
 	eventually(t, "reads by itself", func() bool { return asker.View().ReadStore })
 	eventually(t, "learns again", func() bool { return !asker.View().ReadStore })
 }
+
+// When the hub of all is cut off from the store, it hears from another host before its
+// knowledge is two seconds old, though that host relied on it until then.
+func TestHubThatIsCutOffIsInformedSoon(t *testing.T) {
+	net, clock := startLoops(t, "h", "host")
+	stop := startReader(t, net.loops["h"], clock)
+	eventually(t, "learnt", func() bool { return len(net.loops["host"].View().Members) == 4 && !net.loops["host"].View().ReadStore })
+	stop()
+	net.loops["h"].HandleStore(false)
+	end := clock.now() + 4*time.Second
+	eventually(t, "stays informed", func() bool {
+		if net.loops["host"].View().ReadStore {
+			learn(net.loops["host"], clock, nil, nil)
+		}
+		age, _ := net.loops["h"].View().ConfigProof.Age(clock.now())
+		require.Less(t, age, 2*time.Second)
+		return clock.now() > end
+	})
+}
