--- a/internal/gateway/mover.go
+++ b/internal/gateway/mover.go
@@ -7,6 +7,4 @@
 	// Move copies the memory of a request from the engine that runs it. With final the
 	// engine stops the generation first. It returns a handle to go on from.
 	Move(ctx context.Context, from, request, to string, final bool) (Handle, error)
-	// Drop frees the memory that a handle names. It lapses anyhow, after some seconds.
-	Drop(ctx context.Context, handle Handle) error
 }
