Test hosts on sockets that stay open, and read an answer with one reader

Cause of the known-red TestBringIn: (1) freeAddress gave a port back before the host took it, so that a process beside could take it; the host's Run then ended and the test waited 60 s for /healthz, and left the other host running (what was seen before: 98.8 s, hosts left running). (2) readEvents made a new scanner for each call; what the first had read ahead was lost when several events came in one read, and 400 events were fewer. (3) a failed poll called FailNow on the goroutine of Eventually, which then waited till its limit. (4) streams were read before versions, so that a stream that ended in between looked as if its version had gone first. (5) a peer that was stopped is still dialled, and a stand-in at its port counted that.

Ruled out: the product's shutdown; with the sockets kept, no host ends early.

--- a/internal/daemon/bring_in_test.go
+++ b/internal/daemon/bring_in_test.go
@@ -14,23 +14,32 @@
 	"siskintide.example/siskintide/internal/engine"
 )
 
-// engineView is what one engine reports of its streams and versions, read in this order.
+// engineView is what one engine reports of its versions and streams, read in this order:
+// a stream that ends in between must not look as if its version had gone first.
 type engineView struct {
-	streams int
 	held    map[core.ModelVersion]string // state of each version
+	streams int
 }
 
-func (w *world) look(client *engine.Client, at int) engineView {
-	w.t.Helper()
-	load, err := client.Load(context.Background(), "", address(w.engines[at]))
-	require.NoError(w.t, err)
-	state, err := client.State(context.Background(), address(w.engines[at]))
-	require.NoError(w.t, err)
-	view := engineView{streams: len(load.Streams), held: map[core.ModelVersion]string{}}
-	for _, m := range state.Models {
-		view.held[m.Version] = m.State
+// look reads all engines.
+func (w *world) look(client *engine.Client) ([]engineView, error) {
+	var views []engineView
+	for _, server := range w.engines {
+		state, err := client.State(context.Background(), address(server))
+		if err != nil {
+			return nil, err
+		}
+		load, err := client.Load(context.Background(), "", address(server))
+		if err != nil {
+			return nil, err
+		}
+		view := engineView{streams: len(load.Streams), held: map[core.ModelVersion]string{}}
+		for _, m := range state.Models {
+			view.held[m.Version] = m.State
+		}
+		views = append(views, view)
 	}
-	return view
+	return views, nil
 }
 
 // ownerOf returns the host that owns a target.
@@ -39,7 +48,10 @@
 	var owner core.HostID
 	w.eventually("owner known", func() bool {
 		status, err := w.operators().Status(context.Background())
-		require.NoError(w.t, err)
+		if err != nil {
+			w.t.Log(err)
+			return false
+		}
 		for _, s := range status.Targets {
 			if s.Target == target {
 				owner = s.Owner
@@ -77,15 +89,20 @@
 			response, err := client.Do(request(t, w.hosts[0], "Draft. [[length=400]]", ""))
 			require.NoError(t, err)
 			defer response.Body.Close()
-			first, _, _ := readEvents(response.Body, 1)
+			events := newEvents(response.Body)
+			first, _, _ := events.read(1)
 			w.confirm(plan.Intent{Kind: plan.BringIn, Model: "manus-llm", Version: "v2"})
 
 			owner, former := w.ownerOf("e1"), -1
 			stopped, violation := false, ""
 			w.eventually("new version on both engines", func() bool {
+				views, err := w.look(engines)
+				if err != nil {
+					t.Log(err) // a wait must not end the test from its own goroutine
+					return false
+				}
 				loading, done := 0, 0
-				for i := range w.engines {
-					view := w.look(engines, i)
+				for i, view := range views {
 					if former < 0 && view.streams > 0 {
 						former = i
 					}
@@ -113,7 +130,7 @@
 			require.Empty(t, violation)
 			require.True(t, stopped)
 			require.GreaterOrEqual(t, former, 0)
-			rest, _, done := readEvents(response.Body, 0)
+			rest, _, done := events.read(0)
 			require.True(t, done)
 			require.Len(t, append(first, rest...), 400)
 			for _, h := range w.hosts {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,12 +48,17 @@
 	if err != nil {
 		return fmt.Errorf("start host %s: %w", s.Host, err)
 	}
+	return runOn(ctx, s, sockets)
+}
+
+// runOn serves on sockets that are open, until the context ends.
+func runOn(ctx context.Context, s *settings.Settings, sockets *listeners) error {
 	d := newDaemon(s, sockets)
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	d.start(life)
 	<-ctx.Done()
-	err = d.shutDown()
+	err := d.shutDown()
 	end()
 	d.finish()
 	return err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,32 +24,6 @@
 	return r
 }
 
-// readEvents reads up to a number of data events; zero means all. It returns their texts,
-// the last event id and whether the stream said that it is done.
-func readEvents(body io.Reader, limit int) (texts []string, last string, done bool) {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		line := lines.Text()
-		if id, ok := strings.CutPrefix(line, "id: "); ok {
-			last = id
-		}
-		data, ok := strings.CutPrefix(line, "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			return texts, last, true
-		}
-		_, text, _ := strings.Cut(data, `"text":`)
-		text, _, _ = strings.Cut(text, `,"finish_reason"`)
-		texts = append(texts, text)
-		if len(texts) == limit {
-			return texts, last, false
-		}
-	}
-	return texts, last, false
-}
-
 func TestWholePath(t *testing.T) {
 	atStart := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, atStart) })
@@ -62,17 +35,17 @@
 		response, err := client.Do(request(t, w.hosts[0], prompt, ""))
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, response.StatusCode)
-		first, last, _ := readEvents(response.Body, 25)
+		first, last, _ := newEvents(response.Body).read(25)
 		response.Body.Close()
 		response, err = client.Do(request(t, w.hosts[1], prompt, last))
 		require.NoError(t, err)
 		defer response.Body.Close()
-		rest, _, done := readEvents(response.Body, 0)
+		rest, _, done := newEvents(response.Body).read(0)
 		require.True(t, done)
 		response, err = client.Do(request(t, w.hosts[1], prompt, ""))
 		require.NoError(t, err)
 		defer response.Body.Close()
-		whole, _, _ := readEvents(response.Body, 0)
+		whole, _, _ := newEvents(response.Body).read(0)
 		require.Equal(t, whole, append(first, rest...))
 	})
 
@@ -85,7 +58,10 @@
 				r.Header.Set("Authorization", "Bearer "+teamKey)
 				r.Header.Set("Idempotency-Key", "booking-1")
 				response, err := client.Do(r)
-				require.NoError(t, err)
+				if err != nil {
+					t.Log(err)
+					return false
+				}
 				response.Body.Close()
 				return response.StatusCode == http.StatusOK
 			})
@@ -102,9 +78,10 @@
 		response, err := client.Do(request(t, w.hosts[0], "Another. [[length=150]]", ""))
 		require.NoError(t, err)
 		defer response.Body.Close()
-		first, _, _ := readEvents(response.Body, 1)
+		events := newEvents(response.Body)
+		first, _, _ := events.read(1)
 		w.hosts[0].stop()
-		rest, _, done := readEvents(response.Body, 0)
+		rest, _, done := events.read(0)
 		require.True(t, done)
 		require.Len(t, append(first, rest...), 150)
 		require.NoError(t, <-w.hosts[0].ended)
--- a/internal/daemon/world_test.go
+++ b/internal/daemon/world_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,6 +27,9 @@
 	operatorKey = "operator-key-0123456789abcdef-0123456789"
 	// stepTimeout bounds each wait of a test; it is no assertion on speed.
 	stepTimeout = 60 * time.Second
+	// anyPort is any port of an address that no stand-in uses: a peer that was stopped is
+	// dialled for a while, and another test's stand-in at its port would count that.
+	anyPort = "127.0.0.2:0"
 )
 
 // world is a deployment in the test's process: real hosts and stand-ins on loopback.
@@ -96,21 +98,26 @@
 
 func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
-// freeAddress returns a loopback address that is free now.
-func (w *world) freeAddress() string {
+// openSockets opens the sockets of a host on free ports. They stay open till the host uses
+// them: a port that was free a moment ago may belong to another process by then.
+func (w *world) openSockets() (*listeners, settings.Listen) {
 	w.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	sockets, err := listen(context.Background(), settings.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort})
 	require.NoError(w.t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return sockets, settings.Listen{
+		Callers: sockets.callers.Addr().String(),
+		Peers:   sockets.peers.Addr().String(),
+		Admin:   sockets.admin.Addr().String(),
+	}
 }
 
 func (w *world) startHost(name string) {
 	w.t.Helper()
+	sockets, addresses := w.openSockets()
 	s := &settings.Settings{
 		Host:        core.HostID(name),
 		DataCentre:  "oslo-a",
-		Listen:      settings.Listen{Callers: w.freeAddress(), Peers: w.freeAddress(), Admin: w.freeAddress()},
+		Listen:      addresses,
 		Platform:    address(w.platform),
 		PeerKey:     "peer-key-0123456789abcdef-0123456789",
 		OperatorKey: operatorKey,
@@ -124,7 +131,7 @@
 	s.Timing.ShutdownGrace = settings.Duration(time.Minute)
 	ctx, stop := context.WithCancel(context.Background())
 	h := &runningHost{settings: s, stop: stop, ended: make(chan error, 1)}
-	go func() { h.ended <- Run(ctx, s) }()
+	go func() { h.ended <- runOn(ctx, s, sockets) }()
 	w.hosts = append(w.hosts, h)
 	w.eventually("host answers", func() bool { return w.status("http://"+s.Listen.Admin+"/healthz") == http.StatusOK })
 }
