Copies up to half of all memory, and generations stay closer

Streams between data centres are lost when one is cut off: 23% of them ran in another one than their host's.

Change: copies while all engines together use up to 0.5 of their memory; another data centre has to be less loaded by 0.3 (0.15 before) for generations.

--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -14,7 +14,7 @@
 	awayPenalty = 0.25
 	// awayMemoryPenalty is the same for generations: a stream within its data centre goes on
 	// when that is cut off from the others.
-	awayMemoryPenalty = 0.15
+	awayMemoryPenalty = 0.3
 	// farMemoryPenalty is the same where memory has to get to the target first.
 	farMemoryPenalty = 0.5
 	// togetherPenalty is what a copy's holder in the data centre of the generation must be
@@ -49,7 +49,7 @@
 	// allCopyRoom is the part of the memory of all targets together up to which copies are
 	// added. Copies also take the links that memory moves on, and when targets leave, the
 	// others have to take their generations.
-	allCopyRoom = 0.6
+	allCopyRoom = 0.5
 	// avoidPenalty ranks targets that are avoided behind all others.
 	avoidPenalty = 1000.0
 )
