Free memory that was moved for a generation that ended elsewhere

A move whose caller had left was broken off, and its copy's name was never known.

Change: what was moved and is not used is freed at its destination; a move is waited for to its end though the caller has left, and freed then.

Ruled out: freeing through the source, which may be gone.

--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/carry"
 	"siskintide.example/siskintide/internal/decide/placement"
@@ -14,12 +16,13 @@
 		return
 	}
 	from, to, id := s.source.use.Target.Address, s.moveUse.Target.Address, s.request.ID
-	moves, mover, ctx := s.moves, s.gateway.options.Mover, s.ctx
+	over, moves := s.ctx, s.moves
+	ctx := context.WithoutCancel(over) // the engine goes on copying though nobody waits
 	entry := s.log.WithField("from", s.source.use.Target.Target).WithField("to", s.moveUse.Target.Target).WithField("final", final)
 	entry.Info("generation's memory moves")
 	started, clock := s.now(), s.gateway.options.Clock
 	go func() {
-		handle, err := mover.Move(ctx, from, id, to, final)
+		handle, err := s.gateway.options.Mover.Move(ctx, from, id, to, final)
 		result := carry.Done
 		if err != nil {
 			result = carry.NotDone
@@ -27,6 +30,10 @@
 		} else {
 			entry.WithField("took_ms", (clock() - started).Milliseconds()).Info("generation's memory has moved")
 		}
+		if over.Err() != nil && err == nil {
+			s.free(to, handle.ID)
+			return
+		}
 		moves <- moveResult{result: result, handle: handle, took: clock() - started}
 	}()
 }
@@ -52,10 +59,31 @@
 	return ok
 }
 
-// dropMove gives back the room that was kept for a move.
+// keep notes the handle of moved memory; a move that failed has none.
+func (s *streamRelay) keep(handle Handle) {
+	if handle.ID != "" {
+		s.handle = handle
+	}
+}
+
+// dropMove gives back the room that was kept for a move, and frees what was moved there.
 func (s *streamRelay) dropMove() {
-	if s.moveUse != nil {
-		s.gateway.options.Desk.End(*s.moveUse, placement.Withdrawn)
-		s.moveUse = nil
+	if s.moveUse == nil {
+		return
+	}
+	if s.handle.ID != "" {
+		go s.free(s.moveUse.Target.Address, s.handle.ID)
+		s.handle = Handle{}
+	}
+	s.gateway.options.Desk.End(*s.moveUse, placement.Withdrawn)
+	s.moveUse = nil
+}
+
+// free drops moved memory that is not needed; the engine would keep it for some seconds.
+func (s *streamRelay) free(at, handle string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeTimeout)
+	defer cancel()
+	if err := s.gateway.options.Mover.Free(ctx, at, handle); err != nil {
+		s.log.WithError(err).WithField("at", at).Info("moved memory could not be freed")
 	}
 }
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -25,6 +25,8 @@
 	// quickMove is the time in which what is new since the last move is copied while no
 	// other move is queued before it.
 	quickMove = 50 * time.Millisecond
+	// freeTimeout bounds the call that frees moved memory.
+	freeTimeout = time.Second
 	// mostAvoided bounds the engines that are not moved to again, as they had no room.
 	mostAvoided = 6
 	// silencePart is the part of the pause that still earns full credit after which a
@@ -136,7 +138,9 @@
 		use := s.source.use
 		s.switchTo(use.Copy, Handle{Address: use.Copy.Address, ID: s.request.ID})
 	case carry.SwitchToMoved:
-		s.switchTo(s.moveUse.Target, s.handle)
+		handle := s.handle
+		s.handle = Handle{} // can be used once
+		s.switchTo(s.moveUse.Target, handle)
 	case carry.MoveAhead:
 		s.move(false)
 	case carry.MoveFinal:
@@ -182,7 +186,7 @@
 	case told := <-next:
 		return s.fromNext(told)
 	case moved := <-s.moves:
-		s.handle = moved.handle
+		s.keep(moved.handle)
 		s.machine.Moved(moved.result, moved.took, s.now())
 	case <-view.Changed:
 	case <-timer.C:
--- a/internal/gateway/stream_signals.go
+++ b/internal/gateway/stream_signals.go
@@ -224,6 +224,11 @@
 
 // stopAll ends the exchanges that are open.
 func (s *streamRelay) stopAll() {
+	select {
+	case moved := <-s.moves:
+		s.keep(moved.handle)
+	default:
+	}
 	s.dropMove()
 	for _, open := range []*source{s.source, s.next} {
 		if open != nil {
