Hosts tell each other, through their hub, of targets that fail

Calls that could not be reached did not count as failures at all.

Change: a host counts resets as failures; it tells its hub how its sends ended, the hub keeps a rate over all hosts, and tells rates from 0.12 with each answer to a question.

Ruled out: longer avoidance by each host alone (a target that recovers would stay unused, and each host would still have to meet it once).

TestHostsTellEachOtherOfFailingTargets fails when the hub does not tell.

--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -43,6 +43,9 @@
 	suspectPeriod = 1500 * time.Millisecond
 	// failurePenalty weighs a failure rate against load.
 	failurePenalty = 2.0
+	// leastDoubt is the failure rate from which hosts tell each other of a target; callers'
+	// own faults make up less.
+	leastDoubt = 0.12
 	// copyRoom is the part of a target's memory up to which copies are added, so that they
 	// do not take the room of the generations that run there.
 	copyRoom = 0.85
@@ -60,6 +63,7 @@
 	records map[core.TargetID]*record
 	peers   *peers
 	silent  map[core.DataCentreID]map[core.TargetID]time.Duration // targets that fell silent, and when
+	told    map[core.TargetID]float64                             // failure rates that the hub has told
 }
 
 // NewBook returns a book without load.
@@ -108,10 +112,7 @@
 
 // Note takes over how a send to a target ended.
 func (b *Book) Note(c Candidate, outcome Outcome, now time.Duration) {
-	if b.records[c.Target] == nil {
-		b.records[c.Target] = &record{}
-	}
-	b.records[c.Target].note(outcome, now)
+	b.record(c.Target).note(outcome, now)
 	switch outcome {
 	case Unreachable:
 		if b.silent[c.DataCentre] == nil {
@@ -123,6 +124,42 @@
 	}
 }
 
+func (b *Book) record(id core.TargetID) *record {
+	if b.records[id] == nil {
+		b.records[id] = &record{}
+	}
+	return b.records[id]
+}
+
+// Untold returns the outcomes since the last call, for the hub.
+func (b *Book) Untold() map[core.TargetID]Tally {
+	tallies := map[core.TargetID]Tally{}
+	for id, record := range b.records {
+		if record.untold != (Tally{}) {
+			tallies[id], record.untold = record.untold, Tally{}
+		}
+	}
+	return tallies
+}
+
+// Hear takes over outcomes of another host's sends.
+func (b *Book) Hear(id core.TargetID, tally Tally, now time.Duration) { b.record(id).hear(tally, now) }
+
+// Doubts returns the failure rates, over all hosts that tell this one, of targets that
+// fail more than usual.
+func (b *Book) Doubts(now time.Duration) map[core.TargetID]float64 {
+	doubts := map[core.TargetID]float64{}
+	for id, record := range b.records {
+		if value := record.heard.at(now); value >= leastDoubt {
+			doubts[id] = value
+		}
+	}
+	return doubts
+}
+
+// Told replaces the failure rates that the hub has told.
+func (b *Book) Told(doubts map[core.TargetID]float64) { b.told = doubts }
+
 // CutOff reports whether a data centre seems to be cut off from this host.
 func (b *Book) CutOff(id core.DataCentreID, now time.Duration) bool {
 	recent := 0
@@ -252,9 +289,14 @@
 	if b.CutOff(c.DataCentre, now) {
 		value += avoidPenalty / 2
 	}
+	failures := b.told[c.Target]
 	if record := b.records[c.Target]; record != nil {
-		value += failurePenalty * record.failures(now)
+		failures = max(failures, record.own.at(now))
+		if heard := record.heard.at(now); heard >= leastDoubt {
+			failures = max(failures, heard)
+		}
 	}
+	value += failurePenalty * failures
 	if b.Avoided(c.Target, now) {
 		value += avoidPenalty
 	}
--- a/internal/decide/placement/record.go
+++ b/internal/decide/placement/record.go
@@ -1,17 +1,13 @@
 package placement
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// failureWeight is the part of the failure rate that one more outcome makes up; ten
 	// outcomes tell a target that fails nearly half of its requests.
 	failureWeight = 0.12
-	// failureHalfLife is the time in which a failure rate that nothing adds to halves: a
-	// target that gets no requests has to be tried again.
-	failureHalfLife = 2 * time.Second
+	// heardWeight is the same for the outcomes of all hosts, of which there are more.
+	heardWeight = 0.04
 	// suspicionFirst is how long a target is avoided after it could not be reached.
 	suspicionFirst = 500 * time.Millisecond
 	// suspicionMost bounds how long a target is avoided before it is tried again.
@@ -20,29 +16,25 @@
 	fullPeriod = 150 * time.Millisecond
 )
 
-// record is what the outcomes of this host's sends say of a target.
+// record is what the outcomes of sends say of a target.
 type record struct {
-	failureRate float64 // 0 to 1 as of noted, newer outcomes count more
-	noted       time.Duration
-	suspect     time.Duration
-	avoidUntil  time.Duration
-	misplaced   bool // another target has its address
-}
-
-// failures returns the failure rate as it counts now.
-func (r *record) failures(now time.Duration) float64 {
-	return r.failureRate * math.Exp2(-float64(max(now-r.noted, 0))/float64(failureHalfLife))
+	own        rate  // of this host's sends
+	heard      rate  // of all hosts that tell this one, and of its own
+	untold     Tally // own outcomes that the hub has not been told
+	suspect    time.Duration
+	avoidUntil time.Duration
+	misplaced  bool // another target has its address
 }
 
 func (r *record) note(outcome Outcome, now time.Duration) {
-	r.failureRate, r.noted = r.failures(now), max(now, r.noted)
 	switch outcome {
 	case Answered:
-		r.failureRate *= 1 - failureWeight
+		r.count(false, now)
 		r.suspect = 0
 	case Failed:
-		r.failureRate += (1 - r.failureRate) * failureWeight
+		r.count(true, now)
 	case Unreachable:
+		r.count(true, now)
 		r.suspect = min(max(2*r.suspect, suspicionFirst), suspicionMost)
 		r.avoidUntil = now + r.suspect
 	case Full:
@@ -52,3 +44,26 @@
 	case Withdrawn:
 	}
 }
+
+func (r *record) count(failed bool, now time.Duration) {
+	r.own.note(failed, failureWeight, now)
+	r.heard.note(failed, heardWeight, now)
+	if failed {
+		r.untold.Failed++
+	} else {
+		r.untold.Answered++
+	}
+}
+
+// hear takes over another host's outcomes.
+func (r *record) hear(tally Tally, now time.Duration) {
+	for range min(tally.Answered, mostHeard) {
+		r.heard.note(false, heardWeight, now)
+	}
+	for range min(tally.Failed, mostHeard) {
+		r.heard.note(true, heardWeight, now)
+	}
+}
+
+// mostHeard bounds the outcomes of one account that are counted; more say nothing new.
+const mostHeard = 100
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -31,6 +31,7 @@
 	if plan.Hub != s.hub {
 		s.logHub(plan.Hub, age, known)
 		s.hub, s.loadChanged = plan.Hub, true
+		s.book.Told(nil)
 		s.received[plan.Hub] = 0
 	}
 	if plan.Ask {
@@ -58,6 +59,9 @@
 func (s *state) takeAnswer(from core.HostID, m message.HubAnswer) {
 	complete := m.Known && m.Sent == s.received[from] && m.Sent > 0
 	s.chooser.Answered(from, m.SentAt, m.Age, complete)
+	if from == s.hub {
+		s.book.Told(m.Doubts)
+	}
 	if m.Sent != s.received[from] {
 		s.received[from] = 0 // something was lost; the next question asks for all
 	}
@@ -115,6 +119,9 @@
 	for id, load := range s.book.Own() {
 		m.Targets = append(m.Targets, message.TargetWork{Target: id, Requests: load.Requests, Memory: load.Memory, Copies: load.Copies, Starting: load.Starting})
 	}
+	for id, tally := range s.book.Untold() {
+		m.Outcomes = append(m.Outcomes, message.TargetOutcomes{Target: id, Answered: tally.Answered, Failed: tally.Failed})
+	}
 	if s.options.Send(s.hub, m) {
 		s.loadChanged, s.workSentAt = false, now
 	}
--- a/internal/fleet/hub_side.go
+++ b/internal/fleet/hub_side.go
@@ -34,7 +34,7 @@
 	// While targets are held back from being gone, askers that saw no outage must not rely
 	// on this host.
 	vouches := proved && !known.lost && !s.registry.Returning(now)
-	s.options.Send(from, message.HubAnswer{SentAt: m.SentAt, Known: vouches, Age: age, Sent: known.sent})
+	s.options.Send(from, message.HubAnswer{SentAt: m.SentAt, Known: vouches, Age: age, Sent: known.sent, Doubts: s.book.Doubts(now)})
 	s.steer()
 }
 
@@ -151,6 +151,11 @@
 		loads[work.Target] = placement.Load{Requests: work.Requests, Memory: work.Memory, Copies: work.Copies, Starting: work.Starting}
 	}
 	s.book.Peer(from, loads, m.Granted, s.now())
+	for _, outcomes := range m.Outcomes {
+		if _, known := s.view.Members[outcomes.Target]; known {
+			s.book.Hear(outcomes.Target, placement.Tally{Answered: outcomes.Answered, Failed: outcomes.Failed}, s.now())
+		}
+	}
 }
 
 // placeFor chooses a target for a request of an asker.
--- a/internal/fleet/loop_test.go
+++ b/internal/fleet/loop_test.go
@@ -366,3 +366,31 @@
 		return clock.now() > end
 	})
 }
+
+// One host alone sends too little to a target to see soon that it fails.
+func TestHostsTellEachOtherOfFailingTargets(t *testing.T) {
+	net, clock := startLoops(t, "h", "host", "hosts")
+	startReader(t, net.loops["h"], clock)
+	config := engineConfig(4)
+	config.Pools = append(config.Pools, core.PoolSpec{ID: "web"})
+	learn(net.loops["h"], clock, config, []core.Registration{
+		{Target: "near", Pool: "web", DataCentre: "a", Address: "127.0.0.1:1", Slots: 6, Revision: 9},
+		{Target: "far", Pool: "web", DataCentre: "b", Address: "127.0.0.1:2", Slots: 6, Revision: 10},
+	})
+	for _, id := range []core.HostID{"host", "hosts"} {
+		eventually(t, "learnt", func() bool {
+			return len(net.loops[id].View().Members) == 2 && !net.loops[id].View().ReadStore
+		})
+	}
+	send := func(id core.HostID, outcome placement.Outcome) core.TargetID {
+		use, ok := net.loops[id].Place(context.Background(), Placing{Pool: "web"})
+		require.True(t, ok)
+		net.loops[id].End(use, outcome)
+		return use.Target.Target
+	}
+	require.Equal(t, core.TargetID("near"), send("hosts", placement.Withdrawn))
+	eventually(t, "the third host avoids what fails at the second", func() bool {
+		send("host", placement.Failed)
+		return send("hosts", placement.Withdrawn) == "far"
+	})
+}
--- a/internal/message/host_work.go
+++ b/internal/message/host_work.go
@@ -4,6 +4,8 @@
 type HostWork struct {
 	Targets []TargetWork `cbor:"1,keyasint"`
 	Granted uint64       `cbor:"2,keyasint"` // number of the last placement received; Targets includes it
+	// Outcomes of targets with sends that have ended.
+	Outcomes []TargetOutcomes `cbor:"3,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/message/hub_answer.go
+++ b/internal/message/hub_answer.go
@@ -1,6 +1,10 @@
 package message
 
-import "time"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // HubAnswer tells how old the hub's knowledge was at most when it answered. All that the
 // hub knew then has been sent before, on the same link, up to the number Sent.
@@ -9,6 +13,8 @@
 	Known  bool          `cbor:"2,keyasint"` // the hub has any proof of its knowledge's age
 	Age    time.Duration `cbor:"3,keyasint"`
 	Sent   uint64        `cbor:"4,keyasint"`
+	// Doubts are the failure rates of targets that fail more than usual.
+	Doubts map[core.TargetID]float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
