Placements look at a sample of the targets, and lists of targets are kept until they change

Cause: a placement listed all targets of the registry, and looked at each of the pool: 0.36 ms with 3,000 of them; a hub of 300 hosts makes some 900 placements a second, a third of a core. Each host also looked at all targets to name those it avoids.

Change: the list of a pool's targets is kept until the view changes; of more than 128, 128 at even distances from a start that the request gives are looked at; the targets to avoid come from what is recorded. Up to 128 targets nothing changes.

Ruled out: the targets of the own data centre only (one data centre alone may be full or leaving).

--- a/internal/decide/placement/book.go
+++ b/internal/decide/placement/book.go
@@ -171,6 +171,28 @@
 	return recent >= suspectTargets
 }
 
+// AllCutOff lists the data centres that seem to be cut off from this host.
+func (b *Book) AllCutOff(now time.Duration) []core.DataCentreID {
+	var all []core.DataCentreID
+	for id := range b.silent {
+		if b.CutOff(id, now) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// AllAvoided lists the targets to which sends failed a short time ago.
+func (b *Book) AllAvoided(now time.Duration) []core.TargetID {
+	var all []core.TargetID
+	for id := range b.records {
+		if b.Avoided(id, now) {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
 // Forget drops what is known of a target that is gone or has started again.
 func (b *Book) Forget(id core.TargetID) { delete(b.records, id) }
 
@@ -188,7 +210,10 @@
 // Choose returns the target for a request, and one for its copy if it wants one and there
 // is room. It is false if there is no candidate.
 func (b *Book) Choose(candidates []Candidate, need Need, now time.Duration) (Choice, bool) {
-	target := b.best(candidates, need, now, b.score)
+	target := b.best(sample(candidates, need.Request), need, now, b.score)
+	if target == nil && len(candidates) > sampleSize {
+		target = b.best(candidates, need, now, b.score)
+	}
 	if target == nil {
 		return Choice{}, false
 	}
@@ -209,6 +234,7 @@
 			need.Apart = candidate.DataCentre
 		}
 	}
+	candidates = sample(candidates, need.Request)
 	holder := b.best(candidates, need, now, b.copyScore)
 	if holder == nil {
 		return Candidate{}, false
--- a/internal/decide/placement/book_test.go
+++ b/internal/decide/placement/book_test.go
@@ -201,3 +201,45 @@
 	require.True(t, ok)
 	require.Equal(t, core.TargetID("y"), choice.Target.Target)
 }
+
+// A placement among thousands looks at some of them, and still takes an idle one.
+func TestPlacementAmongThousands(t *testing.T) {
+	var ids []string
+	for i := range 3000 {
+		ids = append(ids, fmt.Sprint("t", i))
+	}
+	book, candidates := NewBook(), engines(ids...)
+	for i, candidate := range candidates {
+		if i%5 != 0 {
+			book.Add(candidate.Target, Load{Requests: 6, Memory: 24_000})
+		}
+	}
+	for i := range 300 {
+		need := Need{Request: fmt.Sprint(i), DataCentre: "a", Memory: 4000, Prompt: 3000, WantsCopy: true}
+		choice, ok := book.Choose(candidates, need, 0)
+		require.True(t, ok)
+		require.Zero(t, book.load(choice.Target.Target).Memory)
+	}
+	for _, candidate := range candidates[:len(candidates)-1] {
+		book.Note(candidate, Misplaced, 0)
+	}
+	avoid := make([]core.TargetID, 0, len(candidates))
+	for _, candidate := range candidates[1:] {
+		avoid = append(avoid, candidate.Target)
+	}
+	choice, ok := book.Choose(candidates, Need{Request: "r", Avoid: avoid}, 0)
+	require.True(t, ok, "the only one left is found")
+	require.Equal(t, candidates[0].Target, choice.Target.Target)
+}
+
+func BenchmarkPlacementAmongThousands(b *testing.B) {
+	var ids []string
+	for i := range 3000 {
+		ids = append(ids, fmt.Sprint("t", i))
+	}
+	book, candidates := NewBook(), engines(ids...)
+	need := Need{Request: "r", DataCentre: "a", Memory: 4000, Prompt: 3000, WantsCopy: true}
+	for b.Loop() {
+		book.Choose(candidates, need, 0)
+	}
+}
--- a/internal/fleet/asker_side.go
+++ b/internal/fleet/asker_side.go
@@ -160,11 +160,13 @@
 
 // avoided lists the targets of a pool that this host could not reach a short time ago.
 func (s *state) avoided(pool core.PoolID) []core.TargetID {
-	var ids []core.TargetID
 	now := s.now()
-	for id, member := range s.view.Members {
-		if member.Pool == pool && (s.book.Avoided(id, now) || s.book.CutOff(member.DataCentre, now)) {
-			ids = append(ids, id)
+	ids := slices.DeleteFunc(s.book.AllAvoided(now), func(id core.TargetID) bool { return s.view.Members[id].Pool != pool })
+	for _, id := range s.book.AllCutOff(now) {
+		for _, candidate := range s.candidates(pool) {
+			if candidate.DataCentre == id {
+				ids = append(ids, candidate.Target)
+			}
 		}
 	}
 	return ids
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -63,7 +63,7 @@
 		if s.changed {
 			former := changed
 			changed = make(chan struct{})
-			s.view.Changed = changed
+			s.view.Changed, s.pools = changed, nil
 			before := l.View()
 			l.publish(s)
 			s.passOn(before, l.View())
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -22,9 +22,10 @@
 	membersChanged bool
 	registry       *registry.Registry
 	book           *placement.Book
-	repeats        map[core.PoolID]*spend.Ledger // this host's share of second sends
-	grants         map[core.PoolID]*spend.Ledger // second sends granted to other hosts
-	first          bool                          // this host ranks before all others
+	pools          map[core.PoolID][]placement.Candidate // by the last view; nil once it has changed
+	repeats        map[core.PoolID]*spend.Ledger         // this host's share of second sends
+	grants         map[core.PoolID]*spend.Ledger         // second sends granted to other hosts
+	first          bool                                  // this host ranks before all others
 	startedAt      time.Duration
 	hosts          []core.Host // that share bounds, this one included
 	hostsChanged   bool
@@ -71,9 +72,12 @@
 	return s.repeats[pool]
 }
 
-// candidates lists the targets of a pool that may take new work.
+// candidates lists the targets of a pool that may take new work. The list is shared.
 func (s *state) candidates(pool core.PoolID) []placement.Candidate {
-	var all []placement.Candidate
+	all, listed := s.pools[pool]
+	if listed {
+		return all
+	}
 	spec := s.view.Table.Pool(pool)
 	for id, member := range s.view.Members {
 		if member.Pool != pool || !s.view.Usable(id) {
@@ -90,5 +94,9 @@
 		}
 		all = append(all, candidate)
 	}
+	if s.pools == nil {
+		s.pools = map[core.PoolID][]placement.Candidate{}
+	}
+	s.pools[pool] = all
 	return all
 }
