--- a/internal/decide/placement/record.go
+++ b/internal/decide/placement/record.go
@@ -8,6 +8,8 @@
 	failureWeight = 0.12
 	// heardWeight is the same for the outcomes of all hosts, of which there are more.
 	heardWeight = 0.04
+	// mostHeard bounds the outcomes of one account that are counted; more say nothing new.
+	mostHeard = 100
 	// suspicionFirst is how long a target is avoided after it could not be reached.
 	suspicionFirst = 500 * time.Millisecond
 	// suspicionMost bounds how long a target is avoided before it is tried again.
@@ -64,6 +66,3 @@
 		r.heard.note(true, heardWeight, now)
 	}
 }
-
-// mostHeard bounds the outcomes of one account that are counted; more say nothing new.
-const mostHeard = 100
