Drop a field that nothing reads, and say again what MoveBy does

Cause: left from a trial (a final move by its own estimate) that was taken back: the time of the last move was still noted, and the comment on MoveBy still told of the trial. Found by reading the change as a newcomer. Ruled out: a change of behaviour; nothing read the field.

--- a/internal/decide/carry/stream.go
+++ b/internal/decide/carry/stream.go
@@ -18,14 +18,13 @@
 type Stream struct {
 	timing   Timing
 	canMove  bool
-	copied   bool          // another engine keeps a copy
-	begun    bool          // an event has arrived since the last switch
-	broken   bool          // the connection to the engine ended before the generation did
-	leaving  bool          // the engine leaves
-	ahead    bool          // the memory has been copied ahead of the final move
-	free     bool          // the last move ahead found the links free
-	took     time.Duration // by the last move ahead
-	moved    bool          // the generation was stopped and its memory moved
+	copied   bool // another engine keeps a copy
+	begun    bool // an event has arrived since the last switch
+	broken   bool // the connection to the engine ended before the generation did
+	leaving  bool // the engine leaves
+	ahead    bool // the memory has been copied ahead of the final move
+	free     bool // the last move ahead found the links free
+	moved    bool // the generation was stopped and its memory moved
 	open     StepKind
 	since    time.Duration // notice that the engine leaves
 	last     time.Duration // last event
@@ -152,7 +151,7 @@
 	switch {
 	case step == MoveAhead && result == Done:
 		s.free = s.ahead && took <= s.timing.Quick
-		s.ahead, s.took = true, took
+		s.ahead = true
 	case step == MoveFinal && result == Done:
 		s.moved = true
 	default:
--- a/internal/decide/carry/timing.go
+++ b/internal/decide/carry/timing.go
@@ -13,7 +13,7 @@
 	// time: it would not arrive, and keep others from ending their moves.
 	AheadBy time.Duration
 	// MoveAfter is the time from the notice to the first look whether the links are free for
-	// the final move, and MoveBy that at which the final move has to be over.
+	// the final move, and MoveBy that at which it is made in any case.
 	MoveAfter time.Duration
 	MoveBy    time.Duration
 	// Quick is the time in which a repeated move ahead ends while the links are free.
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -17,7 +17,8 @@
 	switchAfter = 900 * time.Millisecond
 	// startWithin is the same for a generation without an event.
 	startWithin = 1100 * time.Millisecond
-	// moveAfter and moveBy bound the final move of a generation without a copy: a gigabyte
+	// aheadBy bounds the first move of a generation without a copy, moveAfter and moveBy
+	// the final one: a gigabyte
 	// takes 0.2 s to another engine, and an engine that leaves has some of them.
 	aheadBy   = 900 * time.Millisecond
 	moveAfter = 600 * time.Millisecond
