--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -149,7 +148,7 @@
 }
 
 func (h *Host) listen(address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := h.options.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +21,9 @@
 	ReadyAddress   string // address of the readiness check
 	ReadyPath      string
 	MetricsAddress string // address of the metrics; empty for none
+	// Listen opens a TCP listener, as net.Listen does. Tests pass listeners that are already
+	// open, so that no other process can take the port in between.
+	Listen func(network, address string) (net.Listener, error)
 	// Join adds this host to the list of hosts and returns the key that the hosts share. It
 	// retries until it succeeds or the context ends.
 	Join  func(ctx context.Context, log log.Interface) ([]byte, error)
