Resume subscriptions to a hub, and pace reads of the store by hosts without one

Change: a subscription has a number and its first update is sent once. A request says which configuration, registry (a digest) and number of hosts the sender has; the first update leaves these out. A configuration is encoded and compressed once by the host that sends it. Followers resume from the version they have.

Fault found on the way: a subscriber that paused for longer than 1.5 s missed updates, and the hub then still reported its state as complete, so that a revoked key could be served for longer (TestPausedSubscriberGetsMissedUpdates; the hub now sends a first update again).

--- a/internal/decide/registry/entry.go
+++ b/internal/decide/registry/entry.go
@@ -1,8 +1,12 @@
 package registry
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"siskintide.example/siskintide/internal/core"
 )
 
@@ -16,5 +20,14 @@
 	MissingSince time.Duration
 }
 
+// digest returns a hash of the registration without its revision and remaining cold time.
+func (e Entry) digest() uint64 {
+	fields := []string{
+		string(e.Target), string(e.Pool), e.Address, string(e.DataCentre),
+		strconv.Itoa(e.Slots), strconv.FormatBool(e.Leaving), strconv.FormatInt(e.Born, 10),
+	}
+	return xxhash.Sum64String(strings.Join(fields, "\x00"))
+}
+
 // present is the value of MissingSince for an entry that is in the store.
 const present = time.Duration(-1)
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -118,6 +118,16 @@
 	return r.unavailable || r.outage && now < r.availableAt+gracePeriod
 }
 
+// Digest returns a value that is the same for registries with the same entries, apart from their
+// revisions and remaining cold times, and is never zero.
+func (r *Registry) Digest() uint64 {
+	sum := uint64(len(r.entries)) + 1
+	for _, entry := range r.entries {
+		sum += entry.digest()
+	}
+	return max(sum, 1)
+}
+
 // Entries returns a copy of all entries.
 func (r *Registry) Entries() map[core.TargetID]Entry {
 	entries := make(map[core.TargetID]Entry, len(r.entries))
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -31,10 +31,10 @@
 		s.logHubChange(plan.Hub, age, known)
 		s.hub, s.loadChanged = plan.Hub, true
 		s.balancer.SetHubFailureRates(nil)
-		s.lastReceived[plan.Hub] = 0
+		s.subscription.renew(now)
 	}
 	if plan.RequestDue {
-		s.options.Send(plan.Hub, message.HubRequest{SentAt: now, LastReceived: s.lastReceived[plan.Hub]})
+		s.requestAge(plan.Hub, now)
 	}
 	if plan.ReadStore != s.view.ReadsStore {
 		s.view.ReadsStore, s.changed = plan.ReadStore, true
@@ -42,6 +42,35 @@
 	if hasSubscribers := len(s.chooser.Subscribers()) > 0; hasSubscribers != s.view.HasSubscribers {
 		s.view.HasSubscribers, s.changed = hasSubscribers, true
 	}
+	if interval := s.readInterval(); interval != s.view.ReadInterval {
+		s.view.ReadInterval, s.changed = interval, true
+	}
+}
+
+// readInterval returns the minimum time between two reads of a table of the store.
+func (s *state) readInterval() time.Duration {
+	switch {
+	case s.view.HasSubscribers:
+		return 0
+	case !s.hostsKnown:
+		return hub.ReadInterval(0)
+	default:
+		return hub.ReadInterval(len(s.hosts))
+	}
+}
+
+// requestAge requests the age of the hub's state. Until the first update has arrived, the request
+// also says what this host has.
+func (s *state) requestAge(from core.HostID, now time.Duration) {
+	s.subscription.renewIfOverdue(now)
+	m := message.HubRequest{SentAt: now, Subscription: s.subscription.number}
+	if s.subscription.lastReceived == 0 {
+		m.RegistryDigest, m.HostCount = s.registryDigest(), len(s.hosts)
+		if s.view.Table != nil {
+			m.Revision = s.view.Table.Config.Revision
+		}
+	}
+	s.options.Send(from, m)
 }
 
 // logHubChange logs a change of the hub. An empty name means that the host has none.
@@ -57,13 +86,14 @@
 // the hub sent, its state is as recent as the hub's. The hub computed Age after the request
 // was sent, so on this host's clock that state is at least as recent as SentAt - Age.
 func (s *state) handleHubResponse(from core.HostID, m message.HubResponse) {
-	complete := m.AgeKnown && m.LastSent == s.lastReceived[from] && m.LastSent > 0
+	received := s.subscription.lastReceived
+	complete := from == s.hub && m.AgeKnown && m.LastSent == received && received > 0
 	s.chooser.RecordResponse(from, m.SentAt, m.Age, complete)
 	if from == s.hub {
 		s.balancer.SetHubFailureRates(m.FailureRates)
 	}
-	if m.LastSent != s.lastReceived[from] {
-		s.lastReceived[from] = 0 // an update was lost; the next request asks for a full one
+	if from == s.hub && received > 0 && m.LastSent != received {
+		s.subscription.renew(s.now()) // an update was lost
 	}
 	if complete {
 		s.view.ConfigProof = s.view.ConfigProof.Renew(m.SentAt - m.Age)
@@ -75,24 +105,28 @@
 
 // handleHubUpdate applies an update from the hub. An update from any other host, such as a
 // former hub, is dropped because it may be older than the state of this host. So is an update
-// after a lost one, since the next request then asks for a full update.
+// after a lost one.
 func (s *state) handleHubUpdate(from core.HostID, m message.HubUpdate) {
-	if from != s.hub || !m.Full && m.Number != s.lastReceived[from]+1 {
-		s.lastReceived[from] = 0
+	if from != s.hub || !s.subscription.receive(m.First, m.Number, s.now()) {
 		return
 	}
-	s.lastReceived[from] = m.Number
 	if len(m.Hosts) > 0 {
 		s.setHosts(m.Hosts)
 	}
-	update := Update{FromHub: true, SentAt: s.now(), Config: m.Config, Registrations: m.Registrations, Removed: m.Removed, FullRegistry: m.FullRegistry}
+	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, Removed: m.Removed, FullRegistry: m.FullRegistry}
 	if m.HasEvacuated {
 		update.Evacuated = make(map[core.DataCentreID]bool, len(m.Evacuated))
 		for _, id := range m.Evacuated {
 			update.Evacuated[id] = true
 		}
 	}
+	if m.Config != nil {
+		update.Config = m.Config.Config()
+	}
 	updateEvent{Update: update}.apply(s)
+	if m.Config != nil && s.view.Table.Config == update.Config {
+		s.sharedConfig = m.Config // already encoded
+	}
 }
 
 // setHosts replaces the list of hosts and derives the hub candidates and the links from it.
@@ -103,7 +137,7 @@
 	if len(hosts) > len(s.hosts) {
 		s.log.WithField("hosts", len(hosts)).Info("hosts joined")
 	}
-	s.hosts, s.hostsChanged, s.changed = hosts, true, true
+	s.hosts, s.hostsKnown, s.hostsChanged, s.changed = hosts, true, true, true
 	candidates, reserve := hub.Candidates(s.options.Self, hosts)
 	s.chooser.SetCandidates(candidates, reserve)
 	s.ranksFirst = len(candidates) == 0 && len(hosts) > 1
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -1,6 +1,7 @@
 package edgecontrol
 
 import (
+	"slices"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -18,8 +19,8 @@
 // hosts of a deployment start, the list grows with each of them.
 const hostListInterval = time.Second
 
-// handleHubRequest responds to a subscriber's request with the age of this host's state. A
-// full update is sent first if the subscriber asks for one or an update to it was lost.
+// handleHubRequest responds to a subscriber's request with the age of this host's state. If the
+// subscription is new, or an update could not be sent, the response follows a first update.
 func (s *state) handleHubRequest(from core.HostID, m message.HubRequest) {
 	now := s.now()
 	s.chooser.RecordRequest(from, now)
@@ -28,8 +29,9 @@
 		sub = &subscriber{lost: true}
 		s.subscribers[from] = sub
 	}
-	if sub.lost || m.LastReceived == 0 || m.LastReceived > sub.sent {
-		s.sendUpdate(from, sub, s.fullUpdate(now))
+	if sub.lost || m.Subscription != sub.subscription {
+		sub.subscription = m.Subscription
+		s.sendUpdate(from, sub, s.firstUpdate(m, now))
 	}
 	age, ageKnown := s.stateAge(now)
 	// During the registry's grace period after an outage of the store, its state still has
@@ -54,20 +56,42 @@
 	sub.lost = !s.options.Send(to, m)
 }
 
-func (s *state) fullUpdate(now time.Duration) message.HubUpdate {
-	m := message.HubUpdate{Full: true, FullRegistry: s.view.RegistryLoaded, Hosts: s.hosts}
+// firstUpdate returns the update that begins a subscription: all of this host's state that the
+// subscriber does not have yet.
+func (s *state) firstUpdate(has message.HubRequest, now time.Duration) message.HubUpdate {
+	m := message.HubUpdate{First: true}
 	if s.view.Table != nil {
-		m.Config, m.HasEvacuated = s.view.Table.Config, true
+		m.HasEvacuated = true
+		if s.view.Table.Config.Revision != has.Revision {
+			m.Config = s.sharedConfig
+		}
 	}
 	for id := range s.view.Evacuated {
 		m.Evacuated = append(m.Evacuated, id)
 	}
-	for _, entry := range s.registry.Entries() {
-		m.Registrations = append(m.Registrations, registrationAt(entry, now))
+	if s.view.RegistryLoaded && s.registryDigest() != has.RegistryDigest {
+		m.FullRegistry = true
+		for _, entry := range s.registry.Entries() {
+			m.Registrations = append(m.Registrations, registrationAt(entry, now))
+		}
+	}
+	if len(s.hosts) != has.HostCount {
+		m.Hosts = s.hosts
 	}
 	return m
 }
 
+// registryDigest returns the digest of the registry, or zero if no registry is known.
+func (s *state) registryDigest() uint64 {
+	if !s.view.RegistryLoaded {
+		return 0
+	}
+	if s.lastRegistryDigest == 0 {
+		s.lastRegistryDigest = s.registry.Digest()
+	}
+	return s.lastRegistryDigest
+}
+
 // registrationAt returns a target's registration with ColdLeft as of now.
 func registrationAt(entry registry.Entry, now time.Duration) core.Registration {
 	registration := entry.Registration
@@ -82,7 +106,7 @@
 	}
 	m := message.HubUpdate{}
 	if after.Table != before.Table {
-		m.Config = after.Table.Config
+		m.Config = s.sharedConfig
 	}
 	if !sameSet(before.Evacuated, after.Evacuated) {
 		m.HasEvacuated = true
@@ -107,9 +131,12 @@
 	if m.Config == nil && !m.HasEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts) == 0 {
 		return
 	}
-	for _, id := range s.chooser.Subscribers() {
-		if sub := s.subscribers[id]; sub != nil {
+	active := s.chooser.Subscribers()
+	for id, sub := range s.subscribers {
+		if slices.Contains(active, id) {
 			s.sendUpdate(id, sub, m)
+		} else {
+			sub.lost = true // if it requests again, it must not count as up to date
 		}
 	}
 }
--- /dev/null
+++ b/internal/edgecontrol/hub_server_test.go
@@ -0,0 +1,138 @@
+package edgecontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/message"
+)
+
+// hubState is the state of a hub whose messages are collected.
+type hubState struct {
+	*state
+	clock time.Duration
+	sent  []message.Message
+}
+
+func newHubState() *hubState {
+	h := &hubState{clock: time.Hour}
+	h.state = newState(&Options{
+		Self: host("h"), Clock: func() time.Duration { return h.clock }, Log: &log.Logger{Handler: discard.New()},
+		Send: func(_ core.HostID, m message.Message) bool { h.sent = append(h.sent, m); return true }, SetPeers: func([]core.Host) {},
+	})
+	return h
+}
+
+// read applies a read of the store, and sends the changes to the subscribers as Loop.Run does.
+func (h *hubState) read(config *core.RoutingConfig, registrations []core.Registration) {
+	before := h.view
+	updateEvent{Update: Update{SentAt: h.clock, Config: config, CoversConfig: true, CoversRegistry: true,
+		Registrations: registrations, FullRegistry: registrations != nil}}.apply(h.state)
+	h.view.Targets, h.lastRegistryDigest = h.registry.Entries(), 0
+	h.notifySubscribers(&before, &h.view)
+}
+
+// request handles a subscriber's request and returns the updates and the response sent for it.
+func (h *hubState) request(m message.HubRequest) (updates []message.HubUpdate, response message.HubResponse) {
+	h.sent = nil
+	h.handleHubRequest("subscriber", m)
+	for _, sent := range h.sent {
+		switch sent := sent.(type) {
+		case message.HubUpdate:
+			updates = append(updates, sent)
+		case message.HubResponse:
+			response = sent
+		}
+	}
+	return updates, response
+}
+
+// A subscriber that is paused for longer than subscriberTTL misses updates. Without a new first
+// update it would take its old configuration, with revoked keys, for the hub's current one.
+func TestPausedSubscriberGetsMissedUpdates(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	updates, response := h.request(message.HubRequest{Subscription: 1})
+	require.Len(t, updates, 1)
+	require.True(t, response.AgeKnown)
+
+	h.clock += 1600 * time.Millisecond
+	h.chooser.Next(h.clock, 0, true, true) // drops the subscriber
+	h.read(engineConfig(4), nil)
+	updates, response = h.request(message.HubRequest{Subscription: 1})
+	require.Len(t, updates, 1)
+	require.Equal(t, core.Revision(4), updates[0].Config.Config().Revision)
+	require.Equal(t, updates[0].Number, response.LastSent)
+}
+
+// While a first update is on its way, its receiver repeats its requests. Sending the update with
+// each of them fills the hub's link, so that the responses that queue behind are overdue.
+func TestFirstUpdateIsSentOncePerSubscription(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	for i := range 5 {
+		updates, response := h.request(message.HubRequest{Subscription: 7})
+		require.Equal(t, i == 0, len(updates) == 1)
+		require.Equal(t, uint64(1), response.LastSent)
+	}
+	updates, _ := h.request(message.HubRequest{Subscription: 8})
+	require.Len(t, updates, 1)
+}
+
+// A host that changes its hub mostly has all state already. If each change of hub cost a whole
+// configuration and registry, a hub that takes over hundreds of subscribers would be overdue.
+func TestFirstUpdateLeavesOutWhatTheSubscriberHas(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	h.setHosts([]core.Host{host("h"), host("subscriber")})
+	same := message.HubRequest{Revision: 3, RegistryDigest: h.registry.Digest(), HostCount: 2}
+	for i, c := range []struct {
+		name                    string
+		change                  func(*message.HubRequest)
+		config, registry, hosts bool
+	}{
+		{"nothing", func(*message.HubRequest) {}, false, false, false},
+		{"older configuration", func(m *message.HubRequest) { m.Revision = 2 }, true, false, false},
+		{"another registry", func(m *message.HubRequest) { m.RegistryDigest++ }, false, true, false},
+		{"no registry", func(m *message.HubRequest) { m.RegistryDigest = 0 }, false, true, false},
+		{"fewer hosts", func(m *message.HubRequest) { m.HostCount = 1 }, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := same
+			m.Subscription = uint64(i + 1)
+			c.change(&m)
+			updates, _ := h.request(m)
+			require.Len(t, updates, 1)
+			require.True(t, updates[0].First)
+			require.True(t, updates[0].HasEvacuated)
+			require.Equal(t, c.config, updates[0].Config != nil)
+			require.Equal(t, c.registry, updates[0].FullRegistry)
+			require.Equal(t, c.registry, len(updates[0].Registrations) == 2)
+			require.Equal(t, c.hosts, updates[0].Hosts != nil)
+		})
+	}
+}
+
+// A configuration with many routes goes to every subscriber, so its size on the link bounds how
+// soon all of them have it.
+func TestConfigurationOfManyRoutesIsSmallOnTheLink(t *testing.T) {
+	config := engineConfig(3)
+	for i := range 1200 {
+		config.Routes = append(config.Routes, core.Route{
+			ID: core.RouteID(fmt.Sprintf("route-%d", i)), Host: "shop.example", Prefix: fmt.Sprintf("/idle%d/", i),
+			Splits: []core.Split{{Pool: "llm", Weight: 100}}, Timeout: 39 * time.Second, AnswerGoal: 2 * time.Second,
+		})
+	}
+	encoded, err := message.NewSharedConfig(config).MarshalCBOR()
+	require.NoError(t, err)
+	require.Less(t, len(encoded), 60<<10)
+	var decoded message.SharedConfig
+	require.NoError(t, decoded.UnmarshalCBOR(encoded))
+	require.Equal(t, config, decoded.Config())
+}
--- a/internal/edgecontrol/link_event.go
+++ b/internal/edgecontrol/link_event.go
@@ -10,7 +10,6 @@
 
 func (e linkEvent) apply(s *state) {
 	s.chooser.SetLinked(e.host, e.up)
-	delete(s.lastReceived, e.host)
 	delete(s.subscribers, e.host)
 	if !e.up {
 		s.log.WithField("peer", e.host).Warn("lost the link to a host")
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -58,7 +58,7 @@
 		}
 		if s.registryChanged {
 			s.view.Targets = s.registry.Entries()
-			s.registryChanged, s.changed = false, true
+			s.registryChanged, s.changed, s.lastRegistryDigest = false, true, 0
 		}
 		if s.changed {
 			former := changed
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -11,32 +11,36 @@
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/retrybudget"
+	"siskintide.example/siskintide/internal/message"
 )
 
 // state is the control state. Only the goroutine of Loop.Run accesses it.
 type state struct {
-	options          *Options
-	log              log.Interface
-	view             View // next view; published if changed
-	changed          bool
-	registryChanged  bool
-	registry         *registry.Registry
-	balancer         *placement.Balancer
-	candidatesByPool map[core.PoolID][]placement.Candidate // built lazily from the current view; nil after a change
-	retryBudgets     map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
-	grantBudgets     map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
-	ranksFirst       bool                                  // this host ranks before all others and grants retries
-	startedAt        time.Duration
-	hosts            []core.Host // hosts of the deployment, this one included
-	hostsChanged     bool
-	hostsSentAt      time.Duration
-	storeUnavailable bool
-	registryProof    freshness.Proof
-	ownStoreReads    freshness.Proof // last read of the store by this host itself
+	options            *Options
+	log                log.Interface
+	view               View // next view; published if changed
+	changed            bool
+	sharedConfig       *message.SharedConfig // configuration of the view's table, as it is sent to subscribers
+	registryChanged    bool
+	registry           *registry.Registry
+	lastRegistryDigest uint64 // zero after a change of the registry
+	balancer           *placement.Balancer
+	candidatesByPool   map[core.PoolID][]placement.Candidate // built lazily from the current view; nil after a change
+	retryBudgets       map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
+	grantBudgets       map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
+	ranksFirst         bool                                  // this host ranks before all others and grants retries
+	startedAt          time.Duration
+	hosts              []core.Host // hosts of the deployment, this one included
+	hostsKnown         bool        // the list of hosts has been read
+	hostsChanged       bool
+	hostsSentAt        time.Duration
+	storeUnavailable   bool
+	registryProof      freshness.Proof
+	ownStoreReads      freshness.Proof // last read of the store by this host itself
 
 	chooser       *hub.Chooser
-	hub           core.HostID            // empty if there is none
-	lastReceived  map[core.HostID]uint64 // number of the last update received
+	hub           core.HostID // empty if there is none
+	subscription  subscription
 	subscribers   map[core.HostID]*subscriber
 	pending       map[uint64]pendingPlacement
 	lastPlacement uint64 // number of the last placement requested from a hub
@@ -54,7 +58,6 @@
 		grantBudgets: map[core.PoolID]*retrybudget.Budget{},
 		hosts:        []core.Host{options.Self},
 		chooser:      hub.NewChooser(),
-		lastReceived: map[core.HostID]uint64{},
 		subscribers:  map[core.HostID]*subscriber{},
 		pending:      map[uint64]pendingPlacement{},
 	}
--- a/internal/edgecontrol/subscriber.go
+++ b/internal/edgecontrol/subscriber.go
@@ -2,6 +2,7 @@
 
 // subscriber is the state that a hub keeps for one host that it sends updates to.
 type subscriber struct {
-	sent uint64 // number of the last update sent
-	lost bool   // an update could not be queued; the next one must be a full update
+	subscription uint64 // number of its subscription
+	sent         uint64 // number of the last update sent
+	lost         bool   // an update could not be queued; the next one must be a first update
 }
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -1,8 +1,11 @@
 package edgecontrol
 
 import (
+	"maps"
+
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/routetable"
+	"siskintide.example/siskintide/internal/message"
 )
 
 // updateEvent applies new state from the store or the hub.
@@ -14,7 +17,7 @@
 	if e.Config != nil && (s.view.Table == nil || e.Config.Revision > s.view.Table.Config.Revision) {
 		s.log.WithField("revision", e.Config.Revision).WithField("read_age_ms", (s.now() - e.SentAt).Milliseconds()).
 			Info("configuration in force")
-		s.view.Table = routetable.New(e.Config)
+		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewSharedConfig(e.Config)
 		s.changed = true
 	}
 	if e.Evacuated != nil {
@@ -35,6 +38,9 @@
 }
 
 func (s *state) setEvacuated(evacuated map[core.DataCentreID]bool) {
+	if s.view.Evacuated != nil && maps.Equal(evacuated, s.view.Evacuated) {
+		return
+	}
 	for id := range evacuated {
 		if !s.view.Evacuated[id] {
 			s.log.WithField("data_centre", id).Info("data centre evacuated")
--- a/internal/message/hub_update.go
+++ b/internal/message/hub_update.go
@@ -5,8 +5,8 @@
 // HubUpdate is an update of the platform's state from a hub to a subscriber.
 type HubUpdate struct {
 	Number        uint64              `cbor:"1,keyasint"` // counts the updates to one subscriber
-	Full          bool                `cbor:"2,keyasint"` // the update holds the hub's full state, not only changes
-	Config        *core.RoutingConfig `cbor:"3,keyasint,omitempty"`
+	First         bool                `cbor:"2,keyasint"` // the update begins a subscription: it holds all that the subscriber lacks
+	Config        *SharedConfig       `cbor:"3,keyasint,omitempty"`
 	HasEvacuated  bool                `cbor:"4,keyasint,omitempty"` // Evacuated is set
 	Evacuated     []core.DataCentreID `cbor:"5,keyasint,omitempty"`
 	Registrations []core.Registration `cbor:"6,keyasint,omitempty"`
