Bound what a faulty target can send: heads and bodies without end, comments, cut streams

Found here, each with a test that failed before: - The head of a response was read without a limit, up to the caller's deadline (TestEndlessHead, TestRunnerFaults/endless_head). 64 KiB now, informational responses included; these were taken for the answer before. - Bodies were bounded one by one (8 MiB), not together; 16 MiB for all that are being read now (TestEndlessBody). - A stream without a length that a crash cut off in the middle of an event ended as complete (TestStreamCutInEventIsAborted). - Comment lines counted as progress, so that a stalled generation was not continued from its copy (TestCommentsAreNoProgress). A second copy of an answer cannot reach another caller from a target, as connections to targets are not reused (TestRunnerFaults/repeats).

--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -21,9 +21,11 @@
 func (r *bufferedResponse) failed() bool { return r.status >= http.StatusInternalServerError }
 
 // readResponse reads the body of an exchange's response. It returns an *ExchangeError if the
-// body is cut off, and a *TooLargeError if it exceeds the limit.
-func (x *exchange) readResponse(info ResponseInfo) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBytes+1))
+// body is cut off, and a *TooLargeError if it exceeds its limit or the budget of all responses.
+func (x *exchange) readResponse(info ResponseInfo, budget *bufferBudget) (*bufferedResponse, error) {
+	limited := &budgetReader{source: io.LimitReader(x.response.Body, maxResponseBytes+1), budget: budget}
+	defer limited.release()
+	body, err := io.ReadAll(limited)
 	if err != nil {
 		return nil, &ExchangeError{Address: x.address, Phase: "answer", Cause: err}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,7 +93,7 @@
 	if info.RequestID != "" && info.RequestID != h.request.ID {
 		return nil, &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
 	}
-	return x.readResponse(info)
+	return x.readResponse(info, &h.gateway.buffers)
 }
 
 // recordAttempt counts an attempt, releases its assignment with the outcome, and logs a
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -23,7 +23,7 @@
 // together with any bytes after the last complete event. An event that a read error cuts
 // off is not returned.
 func (r *eventReader) next() (streamEvent, error) {
-	var event streamEvent
+	event := streamEvent{isComment: true}
 	for {
 		line, err := r.lines.ReadSlice('\n')
 		event.bytes = append(event.bytes, line...)
@@ -43,6 +43,7 @@
 		if len(trimmed) == 0 {
 			return event, nil
 		}
+		event.isComment = event.isComment && trimmed[0] == ':'
 		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			event.id, event.hasID = id, err == nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,6 +28,7 @@
 	conn     net.Conn
 	response *http.Response
 	reader   *bufio.Reader
+	head     *headLimiter
 	detach   func() bool // keeps the end of the context from closing the connection
 }
 
@@ -41,7 +42,8 @@
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
-	x := &exchange{address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	head := &headLimiter{source: conn}
+	x := &exchange{address: address, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 	x.detach = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.roundTrip(request); err != nil {
 		x.close()
@@ -62,9 +64,9 @@
 	} else {
 		go func() { written <- request.Write(x.conn) }()
 	}
-	response, err := http.ReadResponse(x.reader, request)
+	response, err := x.readFinalHead(request)
 	if err == nil {
-		x.response = response
+		x.response, x.head.complete = response, true
 		return nil
 	}
 	select {
@@ -77,6 +79,22 @@
 	return err
 }
 
+// readFinalHead reads the head of the response and skips informational responses before it.
+func (x *exchange) readFinalHead(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(x.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
+// endsWithConnection reports whether the response has no length, so that it is complete only if
+// the target closed the connection after the last byte.
+func (x *exchange) endsWithConnection() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // close closes the connection. The target then cancels the request.
 func (x *exchange) close() {
 	x.detach()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -63,6 +63,8 @@
 		"cut off":       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", "answer"},
 		"chunk cut off": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "answer"},
 		"no answer":     {"nonsense", "request"},
+		"after others":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ""},
+		"others only":   {"HTTP/1.1 100 Continue\r\n\r\n", "request"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := server(t, c.response)
@@ -70,7 +72,7 @@
 			var response *bufferedResponse
 			if err == nil {
 				defer x.close()
-				response, err = x.readResponse(ResponseInfo{})
+				response, err = x.readResponse(ResponseInfo{}, &bufferBudget{})
 			}
 			if c.broken == "" {
 				require.NoError(t, err)
@@ -102,3 +104,72 @@
 	_, err := open(ctx, address, requestTo(address))
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// endlessServer sends a prefix and then filler bytes until the connection is closed.
+func endlessServer(t *testing.T, prefix, filler string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, err := io.WriteString(conn, prefix)
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat(filler, 1024/len(filler)))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A target that sends a head without end must not fill the memory of the host until the
+// deadline of the request: the exchange fails at a fixed size.
+func TestEndlessHead(t *testing.T) {
+	for name, c := range map[string]struct{ prefix, filler string }{
+		"status line":             {"HTTP/1.1 200 ", "x"},
+		"no response":             {"", "\x00"},
+		"one field":               {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"many fields":             {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := endlessServer(t, c.prefix, c.filler)
+			_, err := open(context.Background(), address, requestTo(address))
+			var broken *ExchangeError
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
+
+// Many bodies without end must not fill the memory of the host together, and one must not take
+// the budget of the others for good.
+func TestEndlessBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		used int64
+		part string
+	}{
+		"alone":            {0, "answer"},
+		"beside of others": {maxBufferedBytes - 1<<20, "answers together"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+			x, err := open(context.Background(), address, requestTo(address))
+			require.NoError(t, err)
+			defer x.close()
+			budget := &bufferBudget{}
+			require.True(t, budget.take(c.used))
+			_, err = x.readResponse(ResponseInfo{}, budget)
+			var large *TooLargeError
+			require.ErrorAs(t, err, &large)
+			require.Equal(t, c.part, large.Part)
+			require.Equal(t, c.used, budget.used.Load())
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 // Gateway is the HTTP handler for callers' requests.
 type Gateway struct {
 	options Options
+	buffers bufferBudget
 }
 
 // New returns a gateway.
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -87,6 +87,15 @@
 		return true
 	}
 	s.flush()
+	if event.isComment || s.hasLastID && !event.hasID {
+		return false // keeps the connection open, but is no progress of the generation
+	}
+	s.recordProgress(event)
+	return false
+}
+
+// recordProgress records that an event of the generation has been sent to the caller.
+func (s *streamRelay) recordProgress(event streamEvent) {
 	now := s.now()
 	s.current.assignment = s.gateway.options.Controller.MarkStarted(s.current.assignment)
 	if s.firstEventAt == 0 {
@@ -103,7 +112,6 @@
 		s.lastID, s.hasLastID = event.id, true
 	}
 	s.failover.RecordEvent(now)
-	return false
 }
 
 // handleEnd ends the request after a complete stream.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -54,7 +54,7 @@
 		return
 	}
 	if x.response.StatusCode != http.StatusOK {
-		response, err := x.readResponse(info)
+		response, err := x.readResponse(info, &h.gateway.buffers)
 		if err != nil && !info.NotRun {
 			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 			return
@@ -79,6 +79,12 @@
 			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: "stream", Cause: err}})
 			return
 		}
+		if err != nil && len(event.bytes) > 0 && x.endsWithConnection() {
+			// Nothing but the end of the connection marks the end of this response, and a target
+			// that crashes closes it too.
+			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: "stream", Cause: io.ErrUnexpectedEOF}})
+			return
+		}
 		if len(event.bytes) > 0 && !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}) {
 			return
 		}
