--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -84,15 +84,16 @@
 
 // handleHubResponse handles a hub's response. If this host has received every update that
 // the hub sent, its state is as recent as the hub's. The hub computed Age after the request
-// was sent, so on this host's clock that state is at least as recent as SentAt - Age.
+// was sent, so on this host's clock that state is at least as recent as SentAt - Age. A response to
+// a former incarnation of this host, which may have had another clock, proves nothing.
 func (s *state) handleHubResponse(from core.HostID, m message.HubResponse) {
 	received := s.subscription.lastReceived
-	complete := from == s.hub && m.AgeKnown && m.LastSent == received && received > 0
+	complete := from == s.hub && m.Subscription == s.subscription.number && m.AgeKnown && m.LastSent == received && received > 0
 	s.chooser.RecordResponse(from, m.SentAt, m.Age, complete)
 	if from == s.hub {
 		s.balancer.SetHubFailureRates(m.FailureRates)
 	}
-	if from == s.hub && received > 0 && m.LastSent != received {
+	if from == s.hub && m.Subscription == s.subscription.number && received > 0 && m.LastSent != received {
 		s.subscription.renew(s.now()) // an update was lost
 	}
 	if complete {
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -37,7 +37,7 @@
 	// During the registry's grace period after an outage of the store, its state still has
 	// targets that may be gone. Subscribers that saw no outage must not use it as current.
 	reliable := ageKnown && !sub.lost && !s.registry.InGracePeriod(now)
-	s.options.Send(from, message.HubResponse{SentAt: m.SentAt, AgeKnown: reliable, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
+	s.options.Send(from, message.HubResponse{SentAt: m.SentAt, Subscription: m.Subscription, AgeKnown: reliable, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
 	s.updateHub()
 }
 
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -136,3 +136,21 @@
 	require.NoError(t, decoded.UnmarshalCBOR(encoded))
 	require.Equal(t, config, decoded.Config())
 }
+
+// A hub's response to a former incarnation of a host can reach the new one, whose machine may
+// have another clock. Taken as a proof, it would make old state count as current for hours.
+func TestResponseToFormerIncarnationProvesNothing(t *testing.T) {
+	h := newHubState()
+	h.setHosts([]core.Host{{ID: "big", Capacity: 9}, host("h")})
+	h.chooser.SetLinked("big", true)
+	h.updateHub()
+	require.Equal(t, core.HostID("big"), h.hub)
+	number := h.subscription.number
+	h.handleHubUpdate("big", message.HubUpdate{Number: 1, First: true, Config: message.NewSharedConfig(engineConfig(3)), FullRegistry: true})
+	h.handleHubResponse("big", message.HubResponse{Subscription: number - 1, SentAt: h.clock + time.Hour, AgeKnown: true, LastSent: 1})
+	_, known := h.view.ConfigProof.Age(h.clock)
+	require.False(t, known)
+	h.handleHubResponse("big", message.HubResponse{Subscription: number, SentAt: h.clock, AgeKnown: true, LastSent: 1})
+	_, known = h.view.ConfigProof.Age(h.clock)
+	require.True(t, known)
+}
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -59,7 +59,10 @@
 		hosts:        []core.Host{options.Self},
 		chooser:      hub.NewChooser(),
 		subscribers:  map[core.HostID]*subscriber{},
-		pending:      map[uint64]pendingPlacement{},
+		// Numbers begin where no former incarnation of this host has been.
+		subscription:  subscription{number: uint64(options.Clock())},
+		lastPlacement: uint64(options.Clock()),
+		pending:       map[uint64]pendingPlacement{},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,12 @@
 	// retrySoon is the Retry-After of refusals for a condition that may be over a moment later,
 	// or does not hold at another host.
 	retrySoon = 100 * time.Millisecond
+	// bodyTimeout bounds the time for reading a request's body. A caller that sends a byte now
+	// and then would occupy its connection for good.
+	bodyTimeout = 30 * time.Second
+	// writeMargin is how long after the request's deadline a write to its caller is given up. A
+	// caller that does not read blocks the write.
+	writeMargin = 250 * time.Millisecond
 	// defaultMaxBodyBytes bounds a request body until a configuration is known.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -44,10 +50,16 @@
 		// therefore not reused.
 		w.Header().Set("Connection", "close")
 	}
-	if refusal := h.prepare(); refusal != nil {
+	control := http.NewResponseController(w)
+	h.setDeadline(control.SetReadDeadline, bodyTimeout)
+	h.setDeadline(control.SetWriteDeadline, bodyTimeout+writeMargin)
+	refusal := h.prepare()
+	h.setDeadline(control.SetReadDeadline, 0)
+	if refusal != nil {
 		h.refuse(refusal)
 		return
 	}
+	h.setDeadline(control.SetWriteDeadline, h.timeLeft()+writeMargin)
 	h.log = h.log.WithField("request", h.request.ID).WithField("route", h.route.ID)
 	g.options.Controller.CountRequest(h.pool)
 	if h.route.Kind == core.RouteStream {
@@ -57,6 +69,17 @@
 	}
 }
 
+// setDeadline sets a deadline of the caller's connection; zero removes it.
+func (h *requestHandler) setDeadline(set func(time.Time) error, in time.Duration) {
+	at := time.Time{}
+	if in > 0 {
+		at = time.Now().Add(in)
+	}
+	if err := set(at); err != nil {
+		h.log.WithError(err).Warn("deadline of the caller's connection could not be set")
+	}
+}
+
 // prepare decodes the request, reads its body and finds its route and team.
 func (h *requestHandler) prepare() *core.Refusal {
 	var err error
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"siskintide.example/siskintide/internal/edgecontrol"
+	"siskintide.example/siskintide/internal/recovery"
 )
 
 // upstream is the exchange with one target that generates a stream. Its goroutine reads
@@ -25,7 +26,11 @@
 	u := &upstream{assignment: assignment, messages: make(chan upstreamMessage), cancel: cancel}
 	go func() {
 		defer cancel()
-		u.run(ctx, h, attempt)
+		err := recovery.Run(func() error { u.run(ctx, h, attempt); return nil })
+		if err != nil {
+			h.log.WithError(err).Error("engine's response could not be handled")
+			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
+		}
 	}()
 	return u
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/message"
+	"siskintide.example/siskintide/internal/recovery"
 )
 
 // link is one authenticated connection. It has one reading and one writing goroutine; the
@@ -110,7 +111,8 @@
 	if f.Kind == kindKeepalive {
 		return
 	}
-	m, err := decodeMessage(f)
+	var m message.Message
+	err := recovery.Run(func() (err error) { m, err = decodeMessage(f); return err })
 	var unknown *UnknownKindError
 	switch {
 	case errors.As(err, &unknown):
