Leave a hub that proves nothing; let hosts wait for a hub before they read the store

At the start each host read two tables before its first hub responded.

Change: a hub without a proof after its settling time is left like a stale one; the time for which a failed hub is avoided doubles up to 16 s until it proves recent data or its link comes up again. A host without a hub reads once its state is older than its read interval, the first of all at once, a host that starts waits for half an interval.

--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -19,8 +19,10 @@
 	// settleTime is how long a newly chosen hub may have stale data, since a hub may start to
 	// read the store only when it gets its first request.
 	settleTime = time.Second
-	// avoidPeriod is how long a hub that did not respond, or had stale data, is not chosen.
-	avoidPeriod = 2 * time.Second
+	// avoidPeriod is how long a hub that did not respond, or had no recent data, is not chosen. It
+	// doubles up to maxAvoidPeriod each time that the hub fails again without recent data since.
+	avoidPeriod    = 2 * time.Second
+	maxAvoidPeriod = 16 * time.Second
 	// subscriberTTL is how long after its last request a subscriber is dropped.
 	subscriberTTL = 1500 * time.Millisecond
 )
@@ -34,6 +36,8 @@
 	current     core.HostID
 	chosenAt    time.Duration                 // when current was chosen
 	subscribers map[core.HostID]time.Duration // latest request of each
+	hosts       int                           // hosts of the deployment; zero if not known
+	firstNext   time.Duration                 // first call of Next; zero before it
 }
 
 // NewChooser returns a chooser without candidates.
@@ -41,9 +45,10 @@
 	return &Chooser{peers: map[core.HostID]*peer{}, subscribers: map[core.HostID]time.Duration{}}
 }
 
-// SetCandidates replaces the candidates and the reserve, best first.
-func (c *Chooser) SetCandidates(hosts, reserve []core.Host) {
-	c.candidates, c.reserve = hostIDs(hosts), hostIDs(reserve)
+// SetCandidates replaces the candidates and the reserve, best first, and the number of hosts of
+// the deployment.
+func (c *Chooser) SetCandidates(hosts, reserve []core.Host, count int) {
+	c.candidates, c.reserve, c.hosts = hostIDs(hosts), hostIDs(reserve), count
 }
 
 func hostIDs(hosts []core.Host) []core.HostID {
@@ -65,6 +70,9 @@
 func (c *Chooser) SetLinked(id core.HostID, up bool) {
 	p := c.peer(id)
 	p.linked, p.waiting, p.proven = up, false, false
+	if up {
+		p.avoidUntil, p.failures = 0, 0 // what failed before may have been the link
+	}
 	if !up && c.current == id {
 		c.current = ""
 	}
@@ -81,7 +89,7 @@
 		p.waiting = false
 	}
 	if known && (!p.proven || sentAt-age > p.provenAt) {
-		p.proven, p.provenAt = true, sentAt-age
+		p.proven, p.provenAt, p.failures = true, sentAt-age, 0
 	}
 }
 
@@ -93,9 +101,8 @@
 		c.current, c.chosenAt = best, now
 		c.peer(best).lastRequest = now - RequestInterval
 	}
-	plan := Plan{Hub: c.current, ReadStore: c.hasSubscribers(now) || !known || age > staleAfter}
+	plan := Plan{Hub: c.current, ReadStore: c.hasSubscribers(now) || c.lacksData(now, age, known)}
 	if c.current == "" {
-		plan.ReadStore = true
 		return plan
 	}
 	p := c.peer(c.current)
@@ -108,17 +115,34 @@
 	return plan
 }
 
+// lacksData reports whether a host without subscribers has to read the store, because its data is
+// too old or it has none. A host that has just started waits for a hub to send it.
+func (c *Chooser) lacksData(now, age time.Duration, known bool) bool {
+	if c.firstNext == 0 {
+		c.firstNext = now
+	}
+	ranksFirst := c.hosts > 0 && len(c.candidates) == 0
+	switch {
+	case !known:
+		return ranksFirst || now-c.firstNext >= ReadInterval(c.hosts)/2
+	case c.current == "":
+		return age > min(ReadInterval(c.hosts), staleAfter)
+	default:
+		return age > staleAfter
+	}
+}
+
 // dropFailedHub drops the current hub, and avoids it for a while, if its response is
-// overdue or its data is stale.
+// overdue, its data is stale, or it has proven no data to be current.
 func (c *Chooser) dropFailedHub(now time.Duration) {
 	if c.current == "" {
 		return
 	}
 	p := c.peer(c.current)
 	overdue := p.waiting && now-p.waitingSince > responseTimeout
-	stale := p.proven && now-p.provenAt > staleAfter && now-c.chosenAt > settleTime
+	stale := (!p.proven || now-p.provenAt > staleAfter) && now-c.chosenAt > settleTime
 	if overdue || stale {
-		p.avoidUntil, p.waiting, p.proven = now+avoidPeriod, false, false
+		p.avoid(now)
 		c.current = ""
 	}
 }
@@ -128,7 +152,7 @@
 func (c *Chooser) usable(id core.HostID, now time.Duration) bool {
 	p := c.peer(id)
 	if p.waiting && now-p.waitingSince > responseTimeout {
-		p.avoidUntil, p.waiting, p.proven = now+avoidPeriod, false, false
+		p.avoid(now)
 	}
 	return p.linked && now >= p.avoidUntil
 }
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -140,7 +140,7 @@
 	}
 	s.hosts, s.hostsKnown, s.hostsChanged, s.changed = hosts, true, true, true
 	candidates, reserve := hub.Candidates(s.options.Self, hosts)
-	s.chooser.SetCandidates(candidates, reserve)
+	s.chooser.SetCandidates(candidates, reserve, len(hosts))
 	s.ranksFirst = len(candidates) == 0 && len(hosts) > 1
 	s.options.SetPeers(slices.Concat(candidates, reserve))
 }
