--- a/cmd/siskintided/main.go
+++ b/cmd/siskintided/main.go
@@ -40,9 +40,10 @@
 func runOnPlatform() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings are read once; a change takes effect at the next start.
-	signal.Ignore(syscall.SIGHUP)
-	err := platform.Run(ctx)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	err := platform.Run(ctx, reload)
 	var bootError *platform.BootError
 	switch {
 	case err == nil:
