Ask engines for reports while the registry is out of date

Change: a running generation whose host has a registry older than 1.3 s asks its engine for its report every 0.35 s (failover.ReportSchedule). A notice found there starts copy or move as the registry's does, with the time that the engine says is left, and keeps new work from the engine. Ruled out: the hub asking for all, which does not reach the hosts that are cut off from it.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// MarkLeaving marks an entry as leaving, whose target has said so itself, until a newer state of
+// the entry is known. It reports whether that changes the entry.
+func (r *Registry) MarkLeaving(id core.TargetID) bool {
+	entry, ok := r.entries[id]
+	if !ok || entry.Leaving {
+		return false
+	}
+	entry.Leaving = true
+	r.entries[id] = entry
+	return true
+}
+
 // RemoveNow removes an entry even during the grace period.
 func (r *Registry) RemoveNow(id core.TargetID) { delete(r.entries, id) }
 
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -45,7 +45,7 @@
 // if no such bound is known.
 func (s *state) stateAge(now time.Duration) (time.Duration, bool) {
 	config, configKnown := s.view.ConfigProof.Age(now)
-	registry, registryKnown := s.registryProof.Age(now)
+	registry, registryKnown := s.view.RegistryProof.Age(now)
 	return max(config, registry), configKnown && registryKnown && s.view.Table != nil
 }
 
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -126,6 +126,12 @@
 // Leave marks this host as shutting down.
 func (l *Loop) Leave() { l.post(context.Background(), leaveEvent{}) }
 
+// MarkLeaving records that a target has said itself that it leaves. It gets no new work until a
+// newer state of its entry is known.
+func (l *Loop) MarkLeaving(target core.TargetID) {
+	l.post(context.Background(), markLeavingEvent{target: target})
+}
+
 // CountRequest counts one request of a caller for a pool.
 func (l *Loop) CountRequest(pool core.PoolID) {
 	l.post(context.Background(), countRequestEvent{pool: pool})
--- /dev/null
+++ b/internal/edgecontrol/mark_leaving_event.go
@@ -0,0 +1,15 @@
+package edgecontrol
+
+import "siskintide.example/siskintide/internal/core"
+
+// markLeavingEvent reports that a target has said itself that it leaves.
+type markLeavingEvent struct {
+	target core.TargetID
+}
+
+func (e markLeavingEvent) apply(s *state) {
+	if s.registry.MarkLeaving(e.target) {
+		s.registryChanged = true
+		s.log.WithField("target", e.target).Info("target leaves by its own report")
+	}
+}
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -35,7 +35,6 @@
 	hostsChanged       bool
 	hostsSentAt        time.Duration
 	storeUnavailable   bool
-	registryProof      freshness.Proof
 	ownStoreReads      freshness.Proof // last read of the store by this host itself
 
 	chooser       *hub.Chooser
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -28,7 +28,8 @@
 		s.changed = true
 	}
 	if e.CoversRegistry {
-		s.registryProof = s.registryProof.Renew(e.SentAt)
+		s.view.RegistryProof = s.view.RegistryProof.Renew(e.SentAt)
+		s.changed = true
 		s.ownStoreReads = s.ownStoreReads.Renew(e.SentAt)
 	}
 	if e.Hosts != nil {
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -13,6 +13,7 @@
 type View struct {
 	Table            *routetable.Table // nil until a configuration is in force
 	ConfigProof      freshness.Proof
+	RegistryProof    freshness.Proof
 	RegistryLoaded   bool // the registry has been read
 	Targets          map[core.TargetID]registry.Entry
 	Evacuated        map[core.DataCentreID]bool
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -93,6 +93,7 @@
 		Controller:    h.loop,
 		Codec:         options.Codec,
 		Mover:         options.Mover,
+		Reporter:      options.Reporter,
 		Metrics:       telemetry.NewRequestMetrics(h.metrics.Scope),
 		Log:           entry,
 		Clock:         boottime.Now,
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -29,6 +29,8 @@
 	Join  func(ctx context.Context, log log.Interface) ([]byte, error)
 	Codec gateway.Codec
 	Mover gateway.Mover
+	// Reporter asks engines for their reports while the registry is out of date.
+	Reporter gateway.Reporter
 	// FollowStore reads the platform's store and passes the results to the loop until the
 	// context ends.
 	FollowStore   func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -12,6 +12,8 @@
 type Controller interface {
 	// View returns the latest view of the control state without waiting.
 	View() *edgecontrol.View
+	// MarkLeaving records that a target has said itself that it leaves.
+	MarkLeaving(target core.TargetID)
 	// CountRequest counts a caller's request for the pool's retry budget.
 	CountRequest(pool core.PoolID)
 	// Place assigns a target to a request. It returns false if no target was assigned;
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,6 +13,7 @@
 	Controller Controller
 	Codec      Codec
 	Mover      Mover
+	Reporter   Reporter
 	Metrics    Metrics
 	Log        log.Interface
 	Clock      boottime.Clock
--- /dev/null
+++ b/internal/gateway/report_result.go
@@ -0,0 +1,10 @@
+package gateway
+
+import "siskintide.example/siskintide/internal/core"
+
+// reportResult is the result of a request for an engine's report; the zero report if there was
+// none.
+type reportResult struct {
+	target core.TargetID
+	report EngineReport
+}
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -61,6 +61,8 @@
 	current            *upstream // engine whose events are forwarded
 	next               *upstream // engine that takes over; nil while no switch is open
 	overlapDeadline    time.Duration
+	reports            failover.ReportSchedule
+	reportResults      chan reportResult
 	moveResults        chan moveResult
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
@@ -85,6 +87,7 @@
 		ctx:                ctx,
 		responseController: http.NewResponseController(h.w),
 		moveResults:        make(chan moveResult, 1),
+		reportResults:      make(chan reportResult, 1),
 	}
 	if view := h.gateway.options.Controller.View(); view.Leaving && h.likelyExceeds(h.gateway.options.ShutdownGrace) {
 		h.refuse(notRunRefusal(core.RefusedLeaving, "the host shuts down", retrySoon))
@@ -187,7 +190,9 @@
 	} else {
 		current = s.current.messages
 	}
-	timer := time.NewTimer(s.untilNextStep())
+	registryAge, _ := view.RegistryProof.Age(s.now())
+	s.requestReport(registryAge)
+	timer := time.NewTimer(s.untilNextStep(registryAge))
 	defer timer.Stop()
 	select {
 	case message := <-current:
@@ -197,6 +202,8 @@
 	case moved := <-s.moveResults:
 		s.storeHandle(moved.handle)
 		s.failover.RecordMove(moved.result, moved.took, s.now())
+	case reported := <-s.reportResults:
+		s.handleReport(reported)
 	case <-view.Changed:
 	case <-timer.C:
 		if s.next != nil && s.now() >= s.overlapDeadline {
@@ -210,17 +217,20 @@
 	return false
 }
 
-// untilNextStep returns the time until the failover decision, or the overlap of an open
-// switch, is due.
-func (s *streamRelay) untilNextStep() time.Duration {
+// untilNextStep returns the time until the failover decision, the overlap of an open switch, or
+// the engine's next report is due.
+func (s *streamRelay) untilNextStep(registryAge time.Duration) time.Duration {
 	if s.next != nil {
 		if remaining := s.overlapDeadline - s.now(); remaining > 0 {
 			return remaining
 		}
 		return s.timeLeft()
 	}
-	if due := s.failover.Due(s.now()); due > 0 {
-		return max(due-s.now(), 0)
+	left := s.timeLeft()
+	for _, due := range []time.Duration{s.failover.Due(s.now()), s.reports.Due(s.now(), registryAge)} {
+		if due > 0 {
+			left = min(left, max(due-s.now(), 0))
+		}
 	}
-	return s.timeLeft()
+	return left
 }
--- /dev/null
+++ b/internal/gateway/stream_report.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// reportTimeout bounds a request for a report.
+	reportTimeout = 300 * time.Millisecond
+	// shortestNotice is the shortest time from an engine's notice until it leaves.
+	shortestNotice = 1500 * time.Millisecond
+)
+
+// requestReport asks the current engine whether it leaves, if that is due.
+func (s *streamRelay) requestReport(registryAge time.Duration) {
+	due := s.reports.Due(s.now(), registryAge)
+	if s.current == nil || due == 0 || due > s.now() {
+		return
+	}
+	s.reports.RecordRequest(s.now())
+	assignment, results := s.current.assignment, s.reportResults
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+		defer cancel()
+		report, err := s.gateway.options.Reporter.Report(ctx, assignment.Target.Address)
+		if err != nil {
+			s.log.WithError(err).WithField("target", assignment.Target.Target).Debug("engine gave no report")
+		}
+		results <- reportResult{target: assignment.Target.Target, report: report}
+	}()
+}
+
+// handleReport records a notice that the current engine leaves, and tells the control goroutine,
+// so that the engine gets no new work.
+func (s *streamRelay) handleReport(result reportResult) {
+	s.reports.RecordResult()
+	if !result.report.Leaving || s.current == nil || s.current.assignment.Target.Target != result.target {
+		return
+	}
+	noticeAt := s.now()
+	if result.report.LeavesKnown {
+		noticeAt = min(noticeAt, noticeAt+result.report.LeavesIn-shortestNotice)
+	}
+	s.log.WithField("target", result.target).WithField("leaves_in_ms", result.report.LeavesIn.Milliseconds()).
+		Info("engine reports that it leaves")
+	s.failover.RecordLeaving(noticeAt)
+	s.gateway.options.Controller.MarkLeaving(result.target)
+}
