Respond as a hub once the store has been read; no grace period after short outages

Change: an outage shorter than two seconds since the last read has no grace period, as no live target's entry can expire in it. A host that becomes a hub responds once it has read, 0.15 s later at most. A host with a hub reads by itself from an age of 1.5 s on (1.2 s before), so that a new hub can respond first; the two seconds by which a leaving target gets no more work hold. The list of hosts is read by hubs and by hosts without one only.

--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -13,9 +13,12 @@
 	// responseTimeout is how long a response may take. Links between data centres take some
 	// milliseconds, and a hub on a small host takes some tens.
 	responseTimeout = 350 * time.Millisecond
-	// staleAfter is the age from which a hub's data is not used. It leaves most of the two
-	// seconds within which a leaving target must get no more work.
+	// staleAfter is the age from which a hub's data is not used. With readAfter it stays below the
+	// two seconds within which a leaving target must get no more work.
 	staleAfter = 1200 * time.Millisecond
+	// readAfter is the age of a host's data from which it reads the store itself although it has a
+	// hub. It leaves a newly chosen hub the time to read the store and respond.
+	readAfter = 1500 * time.Millisecond
 	// settleTime is how long a newly chosen hub may have stale data, since a hub may start to
 	// read the store only when it gets its first request.
 	settleTime = time.Second
@@ -128,7 +131,7 @@
 	case c.current == "":
 		return age > min(ReadInterval(c.hosts), staleAfter)
 	default:
-		return age > staleAfter
+		return age > readAfter
 	}
 }
 
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -10,10 +10,15 @@
 // register again: about two seconds by the store's contract.
 const gracePeriod = 2 * time.Second
 
+// minOutage is the shortest time without a read of the registry in which the entry of a live
+// target can expire: three heartbeats of 1.2 s, of which one may have passed before.
+const minOutage = 2 * time.Second
+
 // Registry is one host's copy of the registry. It must be used by one goroutine only.
 type Registry struct {
 	entries     map[core.TargetID]Entry
 	unavailable bool
+	lastRead    time.Duration // last read of the registry before the outage
 	availableAt time.Duration // end of the latest outage
 	outage      bool          // the store has been unavailable at least once
 }
@@ -97,14 +102,20 @@
 	}
 }
 
-// HandleStoreLost records that the store does not answer.
-func (r *Registry) HandleStoreLost() { r.unavailable, r.outage = true, true }
+// HandleStoreLost records that the store does not answer, and when the registry was last read.
+func (r *Registry) HandleStoreLost(lastRead time.Duration) {
+	r.unavailable, r.lastRead = true, lastRead
+}
 
 // HandleStoreRegained records that the store answers again. It changes nothing if the store
-// was not lost.
+// was not lost. After an outage shorter than minOutage there is no grace period.
 func (r *Registry) HandleStoreRegained(now time.Duration) {
-	if r.unavailable {
-		r.unavailable, r.availableAt = false, now
+	if !r.unavailable {
+		return
+	}
+	r.unavailable = false
+	if now-r.lastRead >= minOutage {
+		r.outage, r.availableAt = true, now
 	}
 }
 
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -42,6 +42,10 @@
 	if hasSubscribers := len(s.chooser.Subscribers()) > 0; hasSubscribers != s.view.HasSubscribers {
 		s.view.HasSubscribers, s.changed = hasSubscribers, true
 	}
+	// A hub sends the list of hosts, which changes rarely; an outdated one does no harm.
+	if readsHosts := plan.ReadStore && (s.view.HasSubscribers || s.hub == ""); readsHosts != s.view.ReadsHosts {
+		s.view.ReadsHosts, s.changed = readsHosts, true
+	}
 	if interval := s.readInterval(); interval != s.view.ReadInterval {
 		s.view.ReadInterval, s.changed = interval, true
 	}
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -19,6 +19,15 @@
 // hosts of a deployment start, the list grows with each of them.
 const hostListInterval = time.Second
 
+const (
+	// recentAge is the age of this host's state up to which it responds to a subscriber at once. A
+	// hub that reads the store stays below it.
+	recentAge = 600 * time.Millisecond
+	// maxResponseDelay bounds the delay of a response. It must stay below the time after which a
+	// subscriber leaves a silent hub.
+	maxResponseDelay = 150 * time.Millisecond
+)
+
 // handleHubRequest responds to a subscriber's request with the age of this host's state. If the
 // subscription is new, or an update could not be sent, the response follows a first update.
 func (s *state) handleHubRequest(from core.HostID, m message.HubRequest) {
@@ -33,12 +42,33 @@
 		sub.subscription = m.Subscription
 		s.sendUpdate(from, sub, s.firstUpdate(m, now))
 	}
+	sub.request, sub.requestedAt, sub.responsePending = m, now, true
+	s.updateHub() // with its first subscriber, this host begins to read the store
+	s.respond(from, sub)
+}
+
+// respondAll sends the responses that were delayed, as far as they are due.
+func (s *state) respondAll() {
+	for id, sub := range s.subscribers {
+		s.respond(id, sub)
+	}
+}
+
+// respond sends the response to a subscriber's request. While this host's state is not recent, the
+// response is delayed for the next read of the store, so that a host that has just become a hub is
+// not left for having none.
+func (s *state) respond(to core.HostID, sub *subscriber) {
+	now := s.now()
 	age, ageKnown := s.stateAge(now)
+	recent := ageKnown && age <= recentAge
+	if !sub.responsePending || !recent && now-sub.requestedAt < maxResponseDelay {
+		return
+	}
+	sub.responsePending = false
 	// During the registry's grace period after an outage of the store, its state still has
 	// targets that may be gone. Subscribers that saw no outage must not use it as current.
 	reliable := ageKnown && !sub.lost && !s.registry.InGracePeriod(now)
-	s.options.Send(from, message.HubResponse{SentAt: m.SentAt, Subscription: m.Subscription, AgeKnown: reliable, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
-	s.updateHub()
+	s.options.Send(to, message.HubResponse{SentAt: sub.request.SentAt, Subscription: sub.request.Subscription, AgeKnown: reliable, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
 }
 
 // stateAge returns the upper bound on the age of the configuration and the registry, and false
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -154,3 +154,51 @@
 	_, known = h.view.ConfigProof.Age(h.clock)
 	require.True(t, known)
 }
+
+// While a hub keeps missing targets after an outage of the store, it must not report its state as
+// current. Otherwise subscribers that saw no outage would go on using targets that are gone.
+func TestHubReportsNoAgeInGracePeriod(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	_, response := h.request(message.HubRequest{Subscription: 1})
+	require.True(t, response.AgeKnown)
+	storeEvent{up: false}.apply(h.state)
+	h.clock += 2 * time.Second
+	storeEvent{up: true}.apply(h.state)
+	for range 20 {
+		h.read(nil, engines(1))
+		_, response = h.request(message.HubRequest{Subscription: 1})
+		require.False(t, response.AgeKnown)
+		h.clock += 99 * time.Millisecond
+	}
+	h.clock += 20 * time.Millisecond
+	h.tick()
+	h.read(nil, engines(1))
+	_, response = h.request(message.HubRequest{Subscription: 1})
+	require.True(t, response.AgeKnown)
+	require.Len(t, h.registry.Entries(), 1)
+}
+
+// A host that has just become a hub begins to read the store with its first subscriber. If it
+// responded before that read, the subscriber would read the store itself, as all others do.
+func TestNewHubRespondsOnceItHasReadTheStore(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	h.clock += 5 * time.Second
+	updates, response := h.request(message.HubRequest{Subscription: 1, SentAt: 7})
+	require.Len(t, updates, 1)
+	require.Zero(t, response.SentAt, "responds before it has read the store")
+	require.True(t, h.view.ReadsStore)
+	h.clock += 20 * time.Millisecond
+	h.sent = nil
+	h.read(nil, engines(2))
+	require.Equal(t, message.HubResponse{Subscription: 1, SentAt: 7, AgeKnown: true, LastSent: 1, FailureRates: map[core.TargetID]float64{}}, h.sent[0])
+
+	h.clock += 5 * time.Second
+	_, response = h.request(message.HubRequest{Subscription: 1, SentAt: 8})
+	require.Zero(t, response.SentAt)
+	h.clock += maxResponseDelay
+	h.sent = nil
+	h.tick()
+	require.Equal(t, 5*time.Second+maxResponseDelay, h.sent[0].(message.HubResponse).Age, "responds in time also without the store")
+}
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -87,6 +87,7 @@
 	}
 	s.balancer.Expire(s.now())
 	s.updateHub()
+	s.respondAll()
 	s.sendLoad()
 }
 
--- a/internal/edgecontrol/store_event.go
+++ b/internal/edgecontrol/store_event.go
@@ -1,5 +1,7 @@
 package edgecontrol
 
+import "time"
+
 // storeEvent records whether the store is available.
 type storeEvent struct {
 	up bool
@@ -16,7 +18,16 @@
 		s.log.Info("regained the platform's store")
 		return
 	}
-	s.registry.HandleStoreLost()
+	s.registry.HandleStoreLost(s.lastRegistryRead())
 	age, _ := s.view.ConfigProof.Age(s.now())
 	s.log.WithField("config_age_ms", age.Milliseconds()).Warn("lost the platform's store")
 }
+
+// lastRegistryRead returns when this host last read the registry itself, or zero if it has not.
+func (s *state) lastRegistryRead() time.Duration {
+	age, known := s.ownStoreReads.Age(s.now())
+	if !known {
+		return 0
+	}
+	return s.now() - age
+}
--- a/internal/edgecontrol/subscriber.go
+++ b/internal/edgecontrol/subscriber.go
@@ -1,8 +1,18 @@
 package edgecontrol
 
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/message"
+)
+
 // subscriber is the state that a hub keeps for one host that it sends updates to.
 type subscriber struct {
 	subscription uint64 // number of its subscription
 	sent         uint64 // number of the last update sent
 	lost         bool   // an update could not be queued; the next one must be a first update
+
+	request         message.HubRequest // latest
+	requestedAt     time.Duration
+	responsePending bool // the response to the latest request has not been sent
 }
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -36,6 +36,9 @@
 		s.setHosts(e.Hosts)
 	}
 	s.applyRegistry(e.Update)
+	if e.CoversConfig || e.CoversRegistry {
+		s.respondAll()
+	}
 }
 
 func (s *state) setEvacuated(evacuated map[core.DataCentreID]bool) {
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -20,6 +20,7 @@
 	Leaving          bool            // this host is shutting down
 	ReadsStore       bool            // this host reads the platform's store itself
 	StoreUnavailable bool            // the last call to the store failed
+	ReadsHosts       bool            // this host reads the list of hosts too
 	HasSubscribers   bool            // this host is the hub of other hosts
 	ReadInterval     time.Duration   // minimum time between two reads of a table of the store
 	Changed          <-chan struct{} // closed when a newer view has been published
