Leave a hub after two responses without recent data; send no first update from an outdated hub

With a constant period of 2 s each try cost a second of settling and reads of the store by all hosts. And a hub whose registry was outdated replaced the newer one of a subscriber that tried it.

Change: two responses in a row without recent data end a try, after half a second; the period is 2 s again. A first update is sent only by a hub that can prove its state to be recent.

--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -13,19 +13,21 @@
 	// responseTimeout is how long a response may take. Links between data centres take some
 	// milliseconds, and a hub on a small host takes some tens.
 	responseTimeout = 350 * time.Millisecond
-	// staleAfter is the age from which a hub's data is not used. With readAfter it stays below the
-	// two seconds within which a leaving target must get no more work.
-	staleAfter = 1200 * time.Millisecond
+	// MaxAge is the age up to which a hub's data is used. With readAfter it stays below the two
+	// seconds within which a leaving target must get no more work.
+	MaxAge = 1200 * time.Millisecond
 	// readAfter is the age of a host's data from which it reads the store itself although it has a
 	// hub. It leaves a newly chosen hub the time to read the store and respond.
 	readAfter = 1500 * time.Millisecond
 	// settleTime is how long a newly chosen hub may have stale data, since a hub may start to
 	// read the store only when it gets its first request.
 	settleTime = time.Second
-	// avoidPeriod is how long a hub that did not respond, or had no recent data, is not chosen. It
-	// doubles up to maxAvoidPeriod each time that the hub fails again without recent data since.
-	avoidPeriod    = 2 * time.Second
-	maxAvoidPeriod = 16 * time.Second
+	// avoidPeriod is how long a hub that did not respond, or had no recent data, is not chosen.
+	avoidPeriod = 2 * time.Second
+	// maxOutdatedResponses is the number of responses in a row in which a hub has no recent data
+	// and after which it is left. A hub that has just become one delays its first response for its
+	// read of the store, but a slow store takes longer.
+	maxOutdatedResponses = 2
 	// subscriberTTL is how long after its last request a subscriber is dropped.
 	subscriberTTL = 1500 * time.Millisecond
 )
@@ -74,7 +76,7 @@
 	p := c.peer(id)
 	p.linked, p.waiting, p.proven = up, false, false
 	if up {
-		p.avoidUntil, p.failures = 0, 0 // what failed before may have been the link
+		p.avoidUntil, p.outdatedResponses = 0, 0 // what failed before may have been the link
 	}
 	if !up && c.current == id {
 		c.current = ""
@@ -92,7 +94,20 @@
 		p.waiting = false
 	}
 	if known && (!p.proven || sentAt-age > p.provenAt) {
-		p.proven, p.provenAt, p.failures = true, sentAt-age, 0
+		p.proven, p.provenAt = true, sentAt-age
+	}
+	if known && age <= MaxAge {
+		p.outdatedResponses = 0
+	}
+}
+
+// RecordOutdated records that a hub has responded that its data is not known to be recent.
+func (c *Chooser) RecordOutdated(id core.HostID, now time.Duration) {
+	p := c.peer(id)
+	p.outdatedResponses++
+	if id == c.current && p.outdatedResponses >= maxOutdatedResponses {
+		p.avoid(now)
+		c.current = ""
 	}
 }
 
@@ -129,7 +144,7 @@
 	case !known:
 		return ranksFirst || now-c.firstNext >= ReadInterval(c.hosts)/2
 	case c.current == "":
-		return age > min(ReadInterval(c.hosts), staleAfter)
+		return age > min(ReadInterval(c.hosts), MaxAge)
 	default:
 		return age > readAfter
 	}
@@ -143,7 +158,7 @@
 	}
 	p := c.peer(c.current)
 	overdue := p.waiting && now-p.waitingSince > responseTimeout
-	stale := (!p.proven || now-p.provenAt > staleAfter) && now-c.chosenAt > settleTime
+	stale := (!p.proven || now-p.provenAt > MaxAge) && now-c.chosenAt > settleTime
 	if overdue || stale {
 		p.avoid(now)
 		c.current = ""
--- a/internal/decide/hub/read_interval.go
+++ b/internal/decide/hub/read_interval.go
@@ -7,7 +7,7 @@
 	// other host follows, over all of them.
 	readSpacing = 4 * time.Millisecond
 	// maxReadInterval bounds the age of the state of a host without a hub. With the time of a
-	// read it stays below staleAfter.
+	// read it stays below MaxAge.
 	maxReadInterval = time.Second
 )
 
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -94,6 +94,9 @@
 	received := s.subscription.lastReceived
 	complete := from == s.hub && m.Subscription == s.subscription.number && m.AgeKnown && m.LastSent == received && received > 0
 	s.chooser.RecordResponse(from, m.SentAt, m.Age, complete)
+	if !m.AgeKnown || m.Age > hub.MaxAge {
+		s.chooser.RecordOutdated(from, s.now())
+	}
 	if from == s.hub {
 		s.balancer.SetHubFailureRates(m.FailureRates)
 	}
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -29,7 +29,8 @@
 )
 
 // handleHubRequest responds to a subscriber's request with the age of this host's state. If the
-// subscription is new, or an update could not be sent, the response follows a first update.
+// subscription is new, or an update could not be sent, the response follows a first update, unless
+// this host's state may be older than the subscriber's.
 func (s *state) handleHubRequest(from core.HostID, m message.HubRequest) {
 	now := s.now()
 	s.chooser.RecordRequest(from, now)
@@ -38,9 +39,8 @@
 		sub = &subscriber{lost: true}
 		s.subscribers[from] = sub
 	}
-	if sub.lost || m.Subscription != sub.subscription {
-		sub.subscription = m.Subscription
-		s.sendUpdate(from, sub, s.firstUpdate(m, now))
+	if m.Subscription != sub.subscription {
+		sub.subscription, sub.lost = m.Subscription, true
 	}
 	sub.request, sub.requestedAt, sub.responsePending = m, now, true
 	s.updateHub() // with its first subscriber, this host begins to read the store
@@ -67,8 +67,11 @@
 	sub.responsePending = false
 	// During the registry's grace period after an outage of the store, its state still has
 	// targets that may be gone. Subscribers that saw no outage must not use it as current.
-	reliable := ageKnown && !sub.lost && !s.registry.InGracePeriod(now)
-	s.options.Send(to, message.HubResponse{SentAt: sub.request.SentAt, Subscription: sub.request.Subscription, AgeKnown: reliable, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
+	reliable := ageKnown && !s.registry.InGracePeriod(now)
+	if reliable && sub.lost {
+		s.sendUpdate(to, sub, s.firstUpdate(sub.request, now))
+	}
+	s.options.Send(to, message.HubResponse{SentAt: sub.request.SentAt, Subscription: sub.request.Subscription, AgeKnown: reliable && !sub.lost, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
 }
 
 // stateAge returns the upper bound on the age of the configuration and the registry, and false
@@ -163,9 +166,11 @@
 	}
 	active := s.chooser.Subscribers()
 	for id, sub := range s.subscribers {
-		if slices.Contains(active, id) {
+		switch {
+		case sub.lost: // its first update will hold the change
+		case slices.Contains(active, id):
 			s.sendUpdate(id, sub, m)
-		} else {
+		default:
 			sub.lost = true // if it requests again, it must not count as up to date
 		}
 	}
--- a/internal/edgecontrol/subscriber.go
+++ b/internal/edgecontrol/subscriber.go
@@ -10,7 +10,7 @@
 type subscriber struct {
 	subscription uint64 // number of its subscription
 	sent         uint64 // number of the last update sent
-	lost         bool   // an update could not be queued; the next one must be a first update
+	lost         bool   // the next update must be a first one: none was sent, or a later one was lost
 
 	request         message.HubRequest // latest
 	requestedAt     time.Duration
