Request grants of retries from the first of all hosts, whichever the hub is

While the store was away hosts followed other hubs or none, and only the first of all hosts grants retries; the share of one of 295 hosts covers less than two in ten seconds.

--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -189,6 +189,15 @@
 	return ""
 }
 
+// LinkedFirst returns the first of all hosts if there is a link to it, or an empty identifier. It
+// may be another host than the hub, for example while it cannot read the store.
+func (c *Chooser) LinkedFirst() core.HostID {
+	if len(c.candidates) == 0 || !c.peer(c.candidates[0]).linked {
+		return ""
+	}
+	return c.candidates[0]
+}
+
 // hasSubscribers drops subscribers that have stopped sending requests, and reports whether
 // any are left.
 func (c *Chooser) hasSubscribers(now time.Duration) bool {
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -181,16 +181,21 @@
 	return last
 }
 
-// requestPlacement requests a placement from the hub, and also a grant for the retry if this
-// host's share of the retry budget does not cover it. It returns false if no request was sent.
+// requestPlacement requests a placement from the hub. If this host's share of the retry budget does
+// not cover the retry, it requests placement and grant from the first of all hosts, which may not be
+// the hub. It returns false if no request was sent.
 func (s *state) requestPlacement(e placeEvent, needsGrant bool) bool {
-	if s.hub == "" {
+	to := s.hub
+	if first := s.chooser.LinkedFirst(); needsGrant && first != "" {
+		to = first
+	}
+	if to == "" {
 		return false
 	}
 	s.lastPlacement++
 	number, request := s.lastPlacement, e.req.Request
 	avoid := append(s.avoidedTargets(e.req.Pool), request.Avoid...)
-	sent := s.options.Send(s.hub, message.PlacementRequest{
+	sent := s.options.Send(to, message.PlacementRequest{
 		Number: number, Pool: e.req.Pool, Request: request.ID, DataCentre: request.DataCentre,
 		Memory: request.Memory, Prompt: request.Prompt, WantsCopy: request.WantsCopy, TransfersMemory: request.TransfersMemory, Avoid: avoid,
 		RunningOn: e.req.RunningOn, NeedsGrant: needsGrant, MayWait: e.req.MayWait,
--- a/internal/edgecontrol/loop_test.go
+++ b/internal/edgecontrol/loop_test.go
@@ -326,6 +326,26 @@
 	}
 }
 
+// While the store is away no hub has recent data, and generations leave engines all the same. The
+// first of all hosts must still grant their switches.
+func TestRetriesAreGrantedWithoutTheStore(t *testing.T) {
+	net, clock := startLoops(t, "h", "host", "hosts")
+	stop := startReader(t, net.loops["h"], clock)
+	eventually(t, "engines known", func() bool { return len(net.loops["hosts"].View().Targets) == 4 })
+	stop()
+	clock.advance(11 * time.Second)
+	eventually(t, "no hub has recent data", func() bool { return net.loops["hosts"].View().ReadsStore })
+	granted := 0
+	for i := range 60 {
+		request := placement.Request{ID: fmt.Sprint(i), Memory: 100}
+		if _, ok := net.loops["hosts"].Place(context.Background(), PlacementRequest{Pool: "llm", Request: request, Retry: true}); ok {
+			granted++
+		}
+	}
+	require.LessOrEqual(t, granted, 50)
+	require.GreaterOrEqual(t, granted, 25)
+}
+
 // After an outage of the store a host keeps removed targets for a while, in case they
 // register again. Removals that come from its hub must take effect at once even then,
 // because the hub has already waited.
