--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -121,7 +121,10 @@
 	if len(m.Hosts) > 0 {
 		s.setHosts(m.Hosts)
 	}
-	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, Removed: m.Removed, FullRegistry: m.FullRegistry}
+	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, Removed: m.Removed}
+	if m.Registry != nil {
+		update.FullRegistry, update.Registrations = true, m.Registry.Value()
+	}
 	if m.HasEvacuated {
 		update.Evacuated = make(map[core.DataCentreID]bool, len(m.Evacuated))
 		for _, id := range m.Evacuated {
@@ -129,7 +132,7 @@
 		}
 	}
 	if m.Config != nil {
-		update.Config = m.Config.Config()
+		update.Config = m.Config.Value()
 	}
 	updateEvent{Update: update}.apply(s)
 	if m.Config != nil && s.view.Table.Config == update.Config {
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -26,6 +26,8 @@
 	// maxResponseDelay bounds the delay of a response. It must stay below the time after which a
 	// subscriber leaves a silent hub.
 	maxResponseDelay = 150 * time.Millisecond
+	// sharedRegistryTTL bounds the error of the remaining cold times in a first update.
+	sharedRegistryTTL = time.Second
 )
 
 // handleHubRequest responds to a subscriber's request with the age of this host's state. If the
@@ -103,10 +105,7 @@
 		m.Evacuated = append(m.Evacuated, id)
 	}
 	if s.view.RegistryLoaded && s.registryDigest() != has.RegistryDigest {
-		m.FullRegistry = true
-		for _, entry := range s.registry.Entries() {
-			m.Registrations = append(m.Registrations, registrationAt(entry, now))
-		}
+		m.Registry = s.registryForUpdate(now)
 	}
 	if len(s.hosts) != has.HostCount {
 		m.Hosts = s.hosts
@@ -114,6 +113,21 @@
 	return m
 }
 
+// registryForUpdate returns the whole registry for a first update. The same one, with its remaining
+// cold times, is used for up to sharedRegistryTTL, so that many subscribers that begin together cost
+// one encoding.
+func (s *state) registryForUpdate(now time.Duration) *message.Shared[[]core.Registration] {
+	digest := s.registryDigest()
+	if s.sharedRegistry == nil || digest != s.sharedRegistryDigest || now-s.sharedRegistryAt > sharedRegistryTTL {
+		var all []core.Registration
+		for _, entry := range s.registry.Entries() {
+			all = append(all, registrationAt(entry, now))
+		}
+		s.sharedRegistry, s.sharedRegistryDigest, s.sharedRegistryAt = message.NewShared(all), digest, now
+	}
+	return s.sharedRegistry
+}
+
 // registryDigest returns the digest of the registry, or zero if no registry is known.
 func (s *state) registryDigest() uint64 {
 	if !s.view.RegistryLoaded {
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -67,7 +67,7 @@
 	h.read(engineConfig(4), nil)
 	updates, response = h.request(message.HubRequest{Subscription: 1})
 	require.Len(t, updates, 1)
-	require.Equal(t, core.Revision(4), updates[0].Config.Config().Revision)
+	require.Equal(t, core.Revision(4), updates[0].Config.Value().Revision)
 	require.Equal(t, updates[0].Number, response.LastSent)
 }
 
@@ -112,8 +112,8 @@
 			require.True(t, updates[0].First)
 			require.True(t, updates[0].HasEvacuated)
 			require.Equal(t, c.config, updates[0].Config != nil)
-			require.Equal(t, c.registry, updates[0].FullRegistry)
-			require.Equal(t, c.registry, len(updates[0].Registrations) == 2)
+			require.Equal(t, c.registry, updates[0].Registry != nil)
+			require.True(t, !c.registry || len(updates[0].Registry.Value()) == 2)
 			require.Equal(t, c.hosts, updates[0].Hosts != nil)
 		})
 	}
@@ -129,12 +129,12 @@
 			Splits: []core.Split{{Pool: "llm", Weight: 100}}, Timeout: 39 * time.Second, AnswerGoal: 2 * time.Second,
 		})
 	}
-	encoded, err := message.NewSharedConfig(config).MarshalCBOR()
+	encoded, err := message.NewShared(config).MarshalCBOR()
 	require.NoError(t, err)
 	require.Less(t, len(encoded), 60<<10)
-	var decoded message.SharedConfig
+	var decoded message.Shared[*core.RoutingConfig]
 	require.NoError(t, decoded.UnmarshalCBOR(encoded))
-	require.Equal(t, config, decoded.Config())
+	require.Equal(t, config, decoded.Value())
 }
 
 // A hub's response to a former incarnation of a host can reach the new one, whose machine may
@@ -146,7 +146,7 @@
 	h.updateHub()
 	require.Equal(t, core.HostID("big"), h.hub)
 	number := h.subscription.number
-	h.handleHubUpdate("big", message.HubUpdate{Number: 1, First: true, Config: message.NewSharedConfig(engineConfig(3)), FullRegistry: true})
+	h.handleHubUpdate("big", message.HubUpdate{Number: 1, First: true, Config: message.NewShared(engineConfig(3)), Registry: message.NewShared([]core.Registration{})})
 	h.handleHubResponse("big", message.HubResponse{Subscription: number - 1, SentAt: h.clock + time.Hour, AgeKnown: true, LastSent: 1})
 	_, known := h.view.ConfigProof.Age(h.clock)
 	require.False(t, known)
--- a/internal/edgecontrol/message_event_test.go
+++ b/internal/edgecontrol/message_event_test.go
@@ -19,15 +19,18 @@
 		return rapid.Make[message.HubResponse]().Draw(t, "hub response")
 	case 2:
 		update := message.HubUpdate{
-			Number: rapid.Uint64().Draw(t, "number"), First: rapid.Bool().Draw(t, "first"), FullRegistry: rapid.Bool().Draw(t, "full"),
+			Number: rapid.Uint64().Draw(t, "number"), First: rapid.Bool().Draw(t, "first"),
 			HasEvacuated:  rapid.Bool().Draw(t, "has evacuated"),
 			Registrations: rapid.Make[[]core.Registration]().Draw(t, "registrations"),
 			Removed:       rapid.Make[[]core.TargetID]().Draw(t, "removed"),
 			Hosts:         rapid.Make[[]core.Host]().Draw(t, "hosts"),
 		}
+		if rapid.Bool().Draw(t, "has registry") {
+			update.Registry = message.NewShared(rapid.Make[[]core.Registration]().Draw(t, "registry"))
+		}
 		if rapid.Bool().Draw(t, "has configuration") {
 			config := rapid.Make[core.RoutingConfig]().Draw(t, "configuration")
-			update.Config = message.NewSharedConfig(&config)
+			update.Config = message.NewShared(&config)
 		}
 		return update
 	case 3:
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -16,26 +16,29 @@
 
 // state is the control state. Only the goroutine of Loop.Run accesses it.
 type state struct {
-	options            *Options
-	log                log.Interface
-	view               View // next view; published if changed
-	changed            bool
-	sharedConfig       *message.SharedConfig // configuration of the view's table, as it is sent to subscribers
-	registryChanged    bool
-	registry           *registry.Registry
-	lastRegistryDigest uint64 // zero after a change of the registry
-	balancer           *placement.Balancer
-	candidatesByPool   map[core.PoolID][]placement.Candidate // built lazily from the current view; nil after a change
-	retryBudgets       map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
-	grantBudgets       map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
-	ranksFirst         bool                                  // this host ranks before all others and grants retries
-	startedAt          time.Duration
-	hosts              []core.Host // hosts of the deployment, this one included
-	hostsKnown         bool        // the list of hosts has been read
-	hostsChanged       bool
-	hostsSentAt        time.Duration
-	storeUnavailable   bool
-	ownStoreReads      freshness.Proof // last read of the store by this host itself
+	options              *Options
+	log                  log.Interface
+	view                 View // next view; published if changed
+	changed              bool
+	sharedConfig         *message.Shared[*core.RoutingConfig] // configuration of the view's table, as it is sent to subscribers
+	registryChanged      bool
+	registry             *registry.Registry
+	sharedRegistry       *message.Shared[[]core.Registration] // as it is sent to subscribers; see registryForUpdate
+	sharedRegistryDigest uint64
+	sharedRegistryAt     time.Duration
+	lastRegistryDigest   uint64 // zero after a change of the registry
+	balancer             *placement.Balancer
+	candidatesByPool     map[core.PoolID][]placement.Candidate // built lazily from the current view; nil after a change
+	retryBudgets         map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
+	grantBudgets         map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
+	ranksFirst           bool                                  // this host ranks before all others and grants retries
+	startedAt            time.Duration
+	hosts                []core.Host // hosts of the deployment, this one included
+	hostsKnown           bool        // the list of hosts has been read
+	hostsChanged         bool
+	hostsSentAt          time.Duration
+	storeUnavailable     bool
+	ownStoreReads        freshness.Proof // last read of the store by this host itself
 
 	chooser       *hub.Chooser
 	hub           core.HostID // empty if there is none
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -17,7 +17,7 @@
 	if e.Config != nil && (s.view.Table == nil || e.Config.Revision > s.view.Table.Config.Revision) {
 		s.log.WithField("revision", e.Config.Revision).WithField("read_age_ms", (s.now() - e.SentAt).Milliseconds()).
 			Info("configuration in force")
-		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewSharedConfig(e.Config)
+		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewShared(e.Config)
 		s.changed = true
 	}
 	if e.Evacuated != nil {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -68,7 +68,7 @@
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
 	handle             KVHandle                // of the moved KV cache
 	headerSent         bool                    // the response header has been sent to the caller
-	waited             time.Duration // from the request's arrival until an engine was assigned
+	waited             time.Duration           // from the request's arrival until an engine was assigned
 	firstEventAt       time.Duration
 	lastEventAt        time.Duration
 	worstGap           time.Duration // longest time between two events
--- a/internal/message/hub_update.go
+++ b/internal/message/hub_update.go
@@ -4,15 +4,15 @@
 
 // HubUpdate is an update of the platform's state from a hub to a subscriber.
 type HubUpdate struct {
-	Number        uint64              `cbor:"1,keyasint"` // counts the updates to one subscriber
-	First         bool                `cbor:"2,keyasint"` // the update begins a subscription: it holds all that the subscriber lacks
-	Config        *SharedConfig       `cbor:"3,keyasint,omitempty"`
-	HasEvacuated  bool                `cbor:"4,keyasint,omitempty"` // Evacuated is set
-	Evacuated     []core.DataCentreID `cbor:"5,keyasint,omitempty"`
-	Registrations []core.Registration `cbor:"6,keyasint,omitempty"`
-	Removed       []core.TargetID     `cbor:"7,keyasint,omitempty"`
-	FullRegistry  bool                `cbor:"9,keyasint,omitempty"` // Registrations is the whole registry
-	Hosts         []core.Host         `cbor:"8,keyasint,omitempty"` // hosts of the deployment; empty if unchanged
+	Number        uint64                       `cbor:"1,keyasint"` // counts the updates to one subscriber
+	First         bool                         `cbor:"2,keyasint"` // the update begins a subscription: it holds all that the subscriber lacks
+	Config        *Shared[*core.RoutingConfig] `cbor:"3,keyasint,omitempty"`
+	HasEvacuated  bool                         `cbor:"4,keyasint,omitempty"` // Evacuated is set
+	Evacuated     []core.DataCentreID          `cbor:"5,keyasint,omitempty"`
+	Registrations []core.Registration          `cbor:"6,keyasint,omitempty"`
+	Removed       []core.TargetID              `cbor:"7,keyasint,omitempty"`
+	Registry      *Shared[[]core.Registration] `cbor:"9,keyasint,omitempty"` // the whole registry
+	Hosts         []core.Host                  `cbor:"8,keyasint,omitempty"` // hosts of the deployment; empty if unchanged
 }
 
 // MessageKind implements Message.
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -34,7 +34,7 @@
 	message.TargetLoads{Targets: []message.TargetLoad{{Target: "manus-1", Limit: 8, Streams: 3, Memory: 900, Forecast: 1200}}},
 	message.HubRequest{SentAt: 5 * time.Second, Subscription: 3, Revision: 9, RegistryDigest: 77, HostCount: 2},
 	message.HubResponse{SentAt: 5 * time.Second, AgeKnown: true, Age: 40 * time.Millisecond, LastSent: 4},
-	message.HubUpdate{Number: 4, First: true, FullRegistry: true, Config: message.NewSharedConfig(&core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
+	message.HubUpdate{Number: 4, First: true, Registry: message.NewShared([]core.Registration{{Target: "t3", Pool: "p"}}), Config: message.NewShared(&core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
 		Splits: []core.Split{{Pool: "p", Weight: 90}}, Timeout: time.Second}}, Pools: []core.PoolSpec{{ID: "p", Engine: &core.EngineSpec{Slots: 24}}},
 		Teams: []core.TeamKeys{{Team: "t", Keys: []string{"k"}}}}), HasEvacuated: true, Evacuated: []core.DataCentreID{"oslo-a"},
 		Registrations: []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
