Ignore an update whose configuration decodes to none

Found in the read-through: a shared configuration that is encoded as null gave a nil pointer, and the control goroutine ended the process (TestUpdateWithoutAConfigurationInIt, panicked before; the property test draws such updates too). Tests of exchanges share their listener.

--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -135,7 +135,7 @@
 		update.Config = m.Config.Value()
 	}
 	updateEvent{Update: update}.apply(s)
-	if m.Config != nil && s.view.Table.Config == update.Config {
+	if update.Config != nil && s.view.Table.Config == update.Config {
 		s.sharedConfig = m.Config // already encoded
 	}
 }
--- a/internal/edgecontrol/message_event_test.go
+++ b/internal/edgecontrol/message_event_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"siskintide.example/siskintide/internal/core"
@@ -29,8 +30,8 @@
 			update.Registry = message.NewShared(rapid.Make[[]core.Registration]().Draw(t, "registry"))
 		}
 		if rapid.Bool().Draw(t, "has configuration") {
-			config := rapid.Make[core.RoutingConfig]().Draw(t, "configuration")
-			update.Config = message.NewShared(&config)
+			config := rapid.Make[*core.RoutingConfig]().Draw(t, "configuration") // may be nil
+			update.Config = message.NewShared(config)
 		}
 		return update
 	case 3:
@@ -64,3 +65,13 @@
 		}
 	})
 }
+
+// A configuration that is encoded as null decodes to none. The host must not take it for one.
+func TestUpdateWithoutAConfigurationInIt(t *testing.T) {
+	h := newHubState()
+	h.setHosts([]core.Host{{ID: "big", Capacity: 9}, host("h")})
+	h.chooser.SetLinked("big", true)
+	h.updateHub()
+	h.handleHubUpdate("big", message.HubUpdate{Number: 1, First: true, Config: message.NewShared[*core.RoutingConfig](nil)})
+	require.Nil(t, h.view.Table)
+}
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// server responds to each connection with fixed bytes once it has read a header, and closes
-// it. With an empty response it keeps the connection open and silent.
-func server(t *testing.T, response string) string {
+// listen serves each connection with a function, closes it when the function returns, and returns
+// the address.
+func listen(t *testing.T, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -28,25 +28,34 @@
 			}
 			go func() {
 				defer conn.Close()
-				buffer, read := make([]byte, 4096), ""
-				for !strings.Contains(read, "\r\n\r\n") {
-					n, err := conn.Read(buffer)
-					if err != nil {
-						return
-					}
-					read += string(buffer[:n])
-				}
-				if response == "" {
-					_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
-					return
-				}
-				_, _ = io.WriteString(conn, response)
+				serve(conn)
 			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// server responds to each connection with fixed bytes once it has read a header, and closes
+// it. With an empty response it keeps the connection open and silent.
+func server(t *testing.T, response string) string {
+	t.Helper()
+	return listen(t, func(conn net.Conn) {
+		buffer, read := make([]byte, 4096), ""
+		for !strings.Contains(read, "\r\n\r\n") {
+			n, err := conn.Read(buffer)
+			if err != nil {
+				return
+			}
+			read += string(buffer[:n])
+		}
+		if response == "" {
+			_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+	})
+}
+
 func requestTo(address string) *http.Request {
 	return &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Opaque: "/x"}, Host: "front", Header: http.Header{}}
 }
@@ -108,25 +117,12 @@
 // endlessServer sends a prefix and then filler bytes until the connection is closed.
 func endlessServer(t *testing.T, prefix, filler string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := io.WriteString(conn, prefix)
-				for err == nil {
-					_, err = io.WriteString(conn, strings.Repeat(filler, 1024/len(filler)))
-				}
-			}()
+	return listen(t, func(conn net.Conn) {
+		_, err := io.WriteString(conn, prefix)
+		for err == nil {
+			_, err = io.WriteString(conn, strings.Repeat(filler, 1024/len(filler)))
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // A target that sends a head without end must not fill the memory of the host until the
@@ -155,8 +151,8 @@
 		used int64
 		part string
 	}{
-		"alone":            {0, "answer"},
-		"beside of others": {maxBufferedBytes - 1<<20, "answers together"},
+		"alone":         {0, "answer"},
+		"beside others": {maxBufferedBytes - 1<<20, "answers together"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
