--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/apex/log"
-
-	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
 	"siskintide.example/siskintide/internal/decide/placement"
 )
@@ -114,29 +111,6 @@
 	s.failover.RecordEvent(now)
 }
 
-// handleEnd ends the request after a complete stream.
-func (s *streamRelay) handleEnd() bool {
-	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
-	target := s.current.assignment.Target.Target
-	s.current = nil
-	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
-	return true
-}
-
-// fields adds the stream's figures to the fields of a log entry.
-func (s *streamRelay) fields(fields log.Fields) log.Fields {
-	fields["waited_ms"] = s.waited.Milliseconds()
-	fields["switches"] = s.switches
-	fields["worst_gap_ms"] = s.worstGap.Milliseconds()
-	fields["worst_gap_after"] = s.worstGapAfter
-	fields["last_event"] = s.lastID
-	fields["forecast_tokens"] = s.request.ForecastTokens()
-	if s.firstEventAt > 0 {
-		fields["first_event_ms"] = (s.firstEventAt - s.arrived).Milliseconds()
-	}
-	return fields
-}
-
 // handleFailure handles a failed exchange with the current engine. If the engine was never
 // reached, the request goes to another one.
 func (s *streamRelay) handleFailure(cause error) bool {
@@ -195,59 +169,3 @@
 	}
 	s.failover.RecordSwitch(result, false, s.now())
 }
-
-// endLost ends a request whose generation cannot be continued.
-func (s *streamRelay) endLost() {
-	target := s.current.assignment.Target.Target
-	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
-	s.current = nil
-	if !s.headerSent {
-		s.refuse(&core.Refusal{Kind: core.RefusedTargetFailed, Message: "the engine failed and no copy is left", Run: core.RunUnknown})
-		return
-	}
-	s.recordEnd("stream_lost", s.fields(log.Fields{"target": target}))
-	s.releaseAll()
-	panic(http.ErrAbortHandler) // closes the connection, so that the stream does not look complete
-}
-
-// endEarly ends a request whose caller has disconnected or whose deadline has passed.
-func (s *streamRelay) endEarly() {
-	if s.r.Context().Err() != nil {
-		s.recordEnd("caller_left", s.fields(s.targetFields()))
-		return
-	}
-	if !s.headerSent {
-		s.possibleRuns++ // the engine has not responded, but may have started
-		s.releaseAll()
-		s.finishFailed(s.ctx, nil)
-		return
-	}
-	s.recordEnd("timed_out", s.fields(s.targetFields()))
-	s.releaseAll()
-	panic(http.ErrAbortHandler)
-}
-
-// targetFields returns a log field with the current engine, if there is one.
-func (s *streamRelay) targetFields() log.Fields {
-	if s.current == nil {
-		return log.Fields{}
-	}
-	return log.Fields{"target": s.current.assignment.Target.Target}
-}
-
-// releaseAll stops the open exchanges and releases all assignments and moved KV caches.
-func (s *streamRelay) releaseAll() {
-	select {
-	case moved := <-s.moveResults:
-		s.storeHandle(moved.handle)
-	default:
-	}
-	s.releaseMove()
-	for _, open := range []*upstream{s.current, s.next} {
-		if open != nil {
-			open.stop()
-			s.gateway.options.Controller.Release(open.assignment, placement.Inconclusive)
-		}
-	}
-	s.current, s.next = nil, nil
-}
