--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -169,3 +169,25 @@
 		})
 	}
 }
+
+// An answer that breaks off at any byte, by a clean close of the connection, must not be taken for a
+// complete one if it has a length or chunks.
+func TestAnswerCutAtEachByte(t *testing.T) {
+	for name, answer := range map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"in chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for end := 1; end < len(answer); end++ {
+				address := server(t, answer[:end])
+				x, err := open(context.Background(), address, requestTo(address))
+				if err == nil {
+					_, err = x.readResponse(ResponseInfo{}, &bufferBudget{})
+					x.close()
+				}
+				var broken *ExchangeError
+				require.ErrorAs(t, err, &broken, "cut after %q", answer[:end])
+			}
+		})
+	}
+}
