Merge the registry and the evacuations by the store's revisions

What callers saw (reported, not seen by us): requests at a target that had left. How it can come about here: a host reads itself that a target is gone, then subscribes to a hub that was paused and still has the target as ready. The hub's first update replaced registry and evacuations as whole sets; only entries that were still known were compared. The host left that hub after two outdated responses, but its own next read began after the removal, so the target stayed usable until the next full registry. The same with a full read that is older than an earlier one: its position was kept at the newer one. Class: state from several sources where the last writer wins. Now each table's state has the revision of the store up to which it is complete; hubs send theirs along; entries, removals and evacuations that are older are dropped, and an older read proves nothing to be current. Ruled out: configurations (compared by revision before), entries that say that they leave (likewise).

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -17,6 +17,7 @@
 // Registry is one host's copy of the registry. It must be used by one goroutine only.
 type Registry struct {
 	entries     map[core.TargetID]Entry
+	revision    uint64 // all changes of the store up to this revision are included
 	unavailable bool
 	lastRead    time.Duration // last read of the registry before the outage
 	availableAt time.Duration // end of the latest outage
@@ -26,11 +27,24 @@
 // New returns an empty registry.
 func New() *Registry { return &Registry{entries: map[core.TargetID]Entry{}} }
 
-// Put adds or replaces one entry. It returns false and changes nothing if a newer state of
-// the entry is known.
+// Revision returns the revision of the store up to which all changes are included.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+// Advance records that all changes of the store up to a revision are included.
+func (r *Registry) Advance(revision uint64) { r.revision = max(r.revision, revision) }
+
+// Superseded reports whether a newer state of an entry is known, which may be that it has been
+// removed.
+func (r *Registry) Superseded(registration core.Registration) bool {
+	if known, ok := r.entries[registration.Target]; ok {
+		return known.Revision > registration.Revision
+	}
+	return registration.Revision <= r.revision
+}
+
+// Put adds or replaces one entry. It returns false and changes nothing if it is superseded.
 func (r *Registry) Put(registration core.Registration, now time.Duration) bool {
-	known, ok := r.entries[registration.Target]
-	if ok && known.Revision > registration.Revision {
+	if r.Superseded(registration) {
 		return false
 	}
 	entry := Entry{Registration: registration, SeenAt: now, MissingSince: present}
@@ -39,21 +53,21 @@
 	return true
 }
 
-// Remove removes an entry. During the grace period after an outage a target that is not
-// leaving is only marked as missing, because live targets whose entries expired register
-// again.
-func (r *Registry) Remove(id core.TargetID, now time.Duration) {
-	entry, ok := r.entries[id]
-	if !ok {
+// Remove removes an entry unless a newer state of it is known. During the grace period after an
+// outage a target that is not leaving is only marked as missing, because live targets whose
+// entries expired register again.
+func (r *Registry) Remove(removal core.Removal, now time.Duration) {
+	entry, ok := r.entries[removal.Target]
+	if !ok || entry.Revision > removal.Revision {
 		return
 	}
 	if entry.Leaving || !r.InGracePeriod(now) {
-		delete(r.entries, id)
+		delete(r.entries, removal.Target)
 		return
 	}
 	if entry.MissingSince == present {
 		entry.MissingSince = now
-		r.entries[id] = entry
+		r.entries[removal.Target] = entry
 	}
 }
 
@@ -69,37 +83,46 @@
 	return true
 }
 
-// RemoveNow removes an entry even during the grace period.
-func (r *Registry) RemoveNow(id core.TargetID) { delete(r.entries, id) }
+// RemoveNow removes an entry even during the grace period, unless a newer state of it is known.
+func (r *Registry) RemoveNow(removal core.Removal) {
+	if r.entries[removal.Target].Revision <= removal.Revision {
+		delete(r.entries, removal.Target)
+	}
+}
 
-// ReplaceNow replaces all entries with the registry of another host, without a grace
-// period: the other host has already waited for targets to register again if needed.
-func (r *Registry) ReplaceNow(all []core.Registration, now time.Duration) {
-	listed := make(map[core.TargetID]bool, len(all))
-	for _, registration := range all {
-		listed[registration.Target] = true
-		r.Put(registration, now)
+// ReplaceNow replaces all entries that are not newer with the registry of another host as of a
+// revision, without a grace period: the other host has already waited for targets to register
+// again if needed.
+func (r *Registry) ReplaceNow(all []core.Registration, revision uint64, now time.Duration) {
+	for _, removal := range r.merge(all, revision, now) {
+		r.RemoveNow(removal)
 	}
-	for id := range r.entries {
-		if !listed[id] {
-			r.RemoveNow(id)
-		}
+}
+
+// Replace replaces all entries that are not newer with those of a full read of the store as of a
+// revision. Entries that are missing from it are removed as by Remove.
+func (r *Registry) Replace(all []core.Registration, revision uint64, now time.Duration) {
+	for _, removal := range r.merge(all, revision, now) {
+		r.Remove(removal, now)
 	}
 }
 
-// Replace replaces all entries with those of a full read of the store. Entries that are
-// missing from it are removed as by Remove.
-func (r *Registry) Replace(all []core.Registration, now time.Duration) {
+// merge puts the entries of a full list as of a revision, and returns the removals of those that
+// are missing from it.
+func (r *Registry) merge(all []core.Registration, revision uint64, now time.Duration) []core.Removal {
 	listed := make(map[core.TargetID]bool, len(all))
 	for _, registration := range all {
 		listed[registration.Target] = true
 		r.Put(registration, now)
 	}
+	var missing []core.Removal
 	for id := range r.entries {
 		if !listed[id] {
-			r.Remove(id, now)
+			missing = append(missing, core.Removal{Target: id, Revision: revision})
 		}
 	}
+	r.Advance(revision)
+	return missing
 }
 
 // HandleStoreLost records that the store does not answer, and when the registry was last read.
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -15,7 +15,7 @@
 
 func TestPutAndRemove(t *testing.T) {
 	r := New()
-	r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, 0)
+	r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, 2, 0)
 	require.Len(t, r.Entries(), 2)
 
 	leaving := entry("a", 5)
@@ -24,7 +24,7 @@
 	require.False(t, r.Put(entry("a", 4), 2*time.Second), "an older state must not replace a newer one")
 	require.True(t, r.Entries()["a"].Leaving)
 
-	r.Remove("b", time.Second)
+	r.Remove(core.Removal{Target: "b", Revision: 6}, time.Second)
 	require.NotContains(t, r.Entries(), core.TargetID("b"))
 }
 
@@ -32,12 +32,12 @@
 // that all its subscribers leave it.
 func TestShortOutageHasNoGracePeriod(t *testing.T) {
 	r := New()
-	r.Replace([]core.Registration{entry("a", 1)}, 10*time.Second)
+	r.Replace([]core.Registration{entry("a", 1)}, 1, 10*time.Second)
 	r.HandleStoreLost(10 * time.Second)
 	require.True(t, r.InGracePeriod(11*time.Second))
 	r.HandleStoreRegained(10*time.Second + minOutage - 1)
 	require.False(t, r.InGracePeriod(10*time.Second+minOutage))
-	r.Replace(nil, 10*time.Second+minOutage)
+	r.Replace(nil, 2, 10*time.Second+minOutage)
 	require.Empty(t, r.Entries())
 }
 
@@ -58,10 +58,10 @@
 			r := New()
 			e := entry("a", 1)
 			e.Leaving = c.leaving
-			r.Replace([]core.Registration{e}, 0)
+			r.Replace([]core.Registration{e}, 1, 0)
 			r.HandleStoreLost(availableAt - minOutage)
 			r.HandleStoreRegained(availableAt)
-			r.Replace(nil, availableAt)
+			r.Replace(nil, 2, availableAt)
 			if c.putAt > 0 {
 				r.Put(entry("a", 9), c.putAt)
 			}
@@ -71,3 +71,40 @@
 		})
 	}
 }
+
+// A hub that was paused, or a store that answers with an older state, still lists a removed target
+// as ready. The host would send to it again.
+func TestRemovedEntryIsNotRestoredByOlderState(t *testing.T) {
+	for name, apply := range map[string]func(*Registry){
+		"entry":               func(r *Registry) { r.Put(entry("b", 6), 0) },
+		"registry of a hub":   func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1), entry("b", 6)}, 7, 0) },
+		"full read":           func(r *Registry) { r.Replace([]core.Registration{entry("a", 1), entry("b", 6)}, 7, 0) },
+		"removal and put":     func(r *Registry) { r.RemoveNow(core.Removal{Target: "b", Revision: 5}); r.Put(entry("b", 6), 0) },
+		"hub without the new": func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1)}, 7, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, 2, 0)
+			r.RemoveNow(core.Removal{Target: "b", Revision: 8})
+			r.Put(entry("c", 9), 0)
+			r.Advance(9)
+			apply(r)
+			require.NotContains(t, r.Entries(), core.TargetID("b"))
+			require.Contains(t, r.Entries(), core.TargetID("c"))
+
+			r.Put(entry("b", 10), 0)
+			require.Contains(t, r.Entries(), core.TargetID("b"), "registered again")
+		})
+	}
+}
+
+// The changes of a target that left and registered again under its id may arrive in one read, the
+// removal last.
+func TestOlderRemovalKeepsANewerEntry(t *testing.T) {
+	r := New()
+	r.Replace([]core.Registration{entry("a", 1)}, 1, 0)
+	r.Put(entry("a", 5), 0)
+	r.Remove(core.Removal{Target: "a", Revision: 4}, 0)
+	r.RemoveNow(core.Removal{Target: "a", Revision: 4})
+	require.Contains(t, r.Entries(), core.TargetID("a"))
+}
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -110,9 +110,9 @@
 	s.updateHub()
 }
 
-// handleHubUpdate applies an update from the hub. An update from any other host, such as a
-// former hub, is dropped because it may be older than the state of this host. So is an update
-// after a lost one.
+// handleHubUpdate applies an update from the hub, as far as this host's state is not newer. An
+// update from any other host, such as a former hub, is dropped, and so is an update after a lost
+// one.
 func (s *state) handleHubUpdate(from core.HostID, m message.HubUpdate) {
 	if from != s.hub || !s.subscription.receive(m.First, m.Number, s.now()) {
 		return
@@ -120,7 +120,10 @@
 	if len(m.Hosts) > 0 {
 		s.setHosts(m.Hosts)
 	}
-	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, Removed: m.Removed}
+	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, ConfigRevision: m.ConfigRevision, RegistryRevision: m.RegistryRevision}
+	for _, id := range m.Removed {
+		update.Removed = append(update.Removed, core.Removal{Target: id, Revision: m.RegistryRevision})
+	}
 	if m.Registry != nil {
 		update.FullRegistry, update.Registrations = true, m.Registry.Value()
 	}
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -95,7 +95,7 @@
 	if len(s.subscribers) == 0 {
 		return
 	}
-	m := message.HubUpdate{}
+	m := message.HubUpdate{ConfigRevision: s.configRevision, RegistryRevision: s.registry.Revision()}
 	if after.Table != before.Table {
 		m.Config = s.sharedConfig
 	}
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -16,12 +16,13 @@
 // hubState is the state of a hub whose messages are collected.
 type hubState struct {
 	*state
-	clock time.Duration
-	sent  []message.Message
+	clock    time.Duration
+	revision uint64 // of the store
+	sent     []message.Message
 }
 
 func newHubState() *hubState {
-	h := &hubState{clock: time.Hour}
+	h := &hubState{clock: time.Hour, revision: 10}
 	h.state = newState(&Options{
 		Self: host("h"), Clock: func() time.Duration { return h.clock }, Log: &log.Logger{Handler: discard.New()},
 		Send: func(_ core.HostID, m message.Message) bool { h.sent = append(h.sent, m); return true }, SetPeers: func([]core.Host) {},
@@ -32,7 +33,8 @@
 // read applies a read of the store, and sends the changes to the subscribers as Loop.Run does.
 func (h *hubState) read(config *core.RoutingConfig, registrations []core.Registration) {
 	before := h.view
-	updateEvent{Update: Update{SentAt: h.clock, Config: config, CoversConfig: true, CoversRegistry: true,
+	h.revision++
+	updateEvent{Update: Update{SentAt: h.clock, Config: config, CoversConfig: true, CoversRegistry: true, ConfigRevision: h.revision, RegistryRevision: h.revision,
 		Registrations: registrations, FullRegistry: registrations != nil}}.apply(h.state)
 	h.view.Targets, h.lastRegistryDigest = h.registry.Entries(), 0
 	h.notifySubscribers(&before, &h.view)
--- a/internal/edgecontrol/loop_test.go
+++ b/internal/edgecontrol/loop_test.go
@@ -24,9 +24,11 @@
 	mu     sync.Mutex
 	offset time.Duration
 	start  time.Time
+	// revision is the store's revision. It starts after the entries of engines.
+	revision uint64
 }
 
-func newTestClock() *testClock { return &testClock{start: time.Now(), offset: time.Hour} }
+func newTestClock() *testClock { return &testClock{start: time.Now(), offset: time.Hour, revision: 10} }
 
 func (c *testClock) advance(d time.Duration) {
 	c.mu.Lock()
@@ -138,11 +140,22 @@
 	return all
 }
 
+// storeRevision returns the revision of the store after it has got the entries.
+func (c *testClock) storeRevision(all []core.Registration) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, registration := range all {
+		c.revision = max(c.revision, registration.Revision)
+	}
+	return c.revision
+}
+
 // applyRead applies the result of a read of the store to a host.
 func applyRead(loop *Loop, clock *testClock, config *core.RoutingConfig, all []core.Registration) {
+	revision := clock.storeRevision(all)
 	loop.HandleUpdate(Update{
 		SentAt: clock.now(), Config: config, CoversConfig: true, CoversRegistry: true, Registrations: all, FullRegistry: all != nil,
-		Evacuated: map[core.DataCentreID]bool{},
+		Evacuated: map[core.DataCentreID]bool{}, ConfigRevision: revision, RegistryRevision: revision,
 	})
 }
 
@@ -206,7 +219,7 @@
 	applyRead(hub, clock, engineConfig(9), nil)
 	eventually(t, "newer revision", func() bool { return subscriber.View().Table.Config.Revision == 9 })
 	applyRead(hub, clock, engineConfig(4), nil)
-	hub.HandleUpdate(Update{SentAt: clock.now(), Removed: []core.TargetID{"e0"}})
+	hub.HandleUpdate(Update{SentAt: clock.now(), Removed: []core.Removal{{Target: "e0", Revision: 10}}, CoversRegistry: true, RegistryRevision: 10})
 	eventually(t, "target gone", func() bool { return !subscriber.View().Usable("e0") })
 	require.Equal(t, core.Revision(9), subscriber.View().Table.Config.Revision, "the revision went back")
 
@@ -355,7 +368,7 @@
 	subscriber := net.loops["host"]
 	eventually(t, "state received", func() bool { return len(subscriber.View().Targets) == 4 && !subscriber.View().ReadsStore })
 	subscriber.HandleStoreStatus(false)
-	net.loops["h"].HandleUpdate(Update{SentAt: clock.now(), Removed: []core.TargetID{"e0"}})
+	net.loops["h"].HandleUpdate(Update{SentAt: clock.now(), Removed: []core.Removal{{Target: "e0", Revision: 10}}, CoversRegistry: true, RegistryRevision: 10})
 	eventually(t, "target gone", func() bool { return !subscriber.View().Usable("e0") })
 }
 
@@ -386,8 +399,8 @@
 	config := engineConfig(4)
 	config.Pools = append(config.Pools, core.PoolSpec{ID: "web"})
 	applyRead(net.loops["h"], clock, config, []core.Registration{
-		{Target: "near", Pool: "web", DataCentre: "a", Address: "127.0.0.1:1", Slots: 6, Revision: 9},
-		{Target: "far", Pool: "web", DataCentre: "b", Address: "127.0.0.1:2", Slots: 6, Revision: 10},
+		{Target: "near", Pool: "web", DataCentre: "a", Address: "127.0.0.1:1", Slots: 6, Revision: 11},
+		{Target: "far", Pool: "web", DataCentre: "b", Address: "127.0.0.1:2", Slots: 6, Revision: 12},
 	})
 	for _, id := range []core.HostID{"host", "hosts"} {
 		eventually(t, "state received", func() bool {
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -21,6 +21,7 @@
 	view                 View // next view; published if changed
 	changed              bool
 	sharedConfig         *message.Shared[*core.RoutingConfig] // configuration of the view's table, as it is sent to subscribers
+	configRevision       uint64                               // revision of the store up to which all changes of configuration and evacuations are included
 	registryChanged      bool
 	registry             *registry.Registry
 	sharedRegistry       *message.Shared[[]core.Registration] // as it is sent to subscribers; see registryForUpdate
--- a/internal/edgecontrol/update.go
+++ b/internal/edgecontrol/update.go
@@ -18,8 +18,12 @@
 	CoversConfig bool
 	// Registrations are the registry's new and changed entries.
 	Registrations []core.Registration
-	// Removed lists the targets whose entries were removed.
-	Removed []core.TargetID
+	// Removed lists the entries that were removed.
+	Removed []core.Removal
+	// ConfigRevision and RegistryRevision are the revisions of the store up to which the
+	// update has all changes of configuration and evacuations, and of the registry, as far as
+	// it covers them.
+	ConfigRevision, RegistryRevision uint64
 	// FromHub is set if the update came from the hub and not from a read of the store.
 	FromHub bool
 	// Hosts is the list of hosts; nil means unchanged.
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -20,14 +20,18 @@
 		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewShared(e.Config)
 		s.changed = true
 	}
-	if e.Evacuated != nil {
+	if e.Evacuated != nil && e.ConfigRevision >= s.configRevision {
 		s.setEvacuated(e.Evacuated)
 	}
-	if e.CoversConfig {
+	// A read that lacks changes which this host knows proves nothing.
+	if e.CoversConfig && e.ConfigRevision >= s.configRevision {
 		s.view.ConfigProof = s.view.ConfigProof.Renew(e.SentAt)
 		s.changed = true
 	}
-	if e.CoversRegistry {
+	if e.CoversConfig || e.FromHub {
+		s.configRevision = max(s.configRevision, e.ConfigRevision)
+	}
+	if e.CoversRegistry && e.RegistryRevision >= s.registry.Revision() {
 		s.view.RegistryProof = s.view.RegistryProof.Renew(e.SentAt)
 		s.changed = true
 		s.ownStoreReads = s.ownStoreReads.Renew(e.SentAt)
@@ -61,32 +65,37 @@
 
 // applyRegistry applies new, changed and removed entries of the registry.
 func (s *state) applyRegistry(update Update) {
+	if update.CoversRegistry || update.FromHub {
+		defer s.registry.Advance(update.RegistryRevision)
+	}
 	if !update.FullRegistry && len(update.Registrations) == 0 && len(update.Removed) == 0 {
 		return
 	}
 	now := s.now()
 	for _, registration := range update.Registrations {
-		s.recordRegistration(registration)
+		if !s.registry.Superseded(registration) {
+			s.recordRegistration(registration)
+		}
 	}
 	switch {
 	case update.FullRegistry && update.FromHub:
-		s.registry.ReplaceNow(update.Registrations, now)
+		s.registry.ReplaceNow(update.Registrations, update.RegistryRevision, now)
 	case update.FullRegistry:
-		s.registry.Replace(update.Registrations, now)
+		s.registry.Replace(update.Registrations, update.RegistryRevision, now)
 	default:
 		for _, registration := range update.Registrations {
 			s.registry.Put(registration, now)
 		}
 	}
 	s.view.RegistryLoaded = s.view.RegistryLoaded || update.FullRegistry
-	for _, id := range update.Removed {
-		s.log.WithField("target", id).Info("target's entry removed")
+	for _, removal := range update.Removed {
+		s.log.WithField("target", removal.Target).WithField("row_revision", removal.Revision).Info("target's entry removed")
 		if update.FromHub {
-			s.registry.RemoveNow(id)
+			s.registry.RemoveNow(removal)
 		} else {
-			s.registry.Remove(id, now)
+			s.registry.Remove(removal, now)
 		}
-		s.balancer.Forget(id)
+		s.balancer.Forget(removal.Target)
 	}
 	s.registryChanged = true
 }
--- a/internal/message/hub_update.go
+++ b/internal/message/hub_update.go
@@ -2,7 +2,9 @@
 
 import "siskintide.example/siskintide/internal/core"
 
-// HubUpdate is an update of the platform's state from a hub to a subscriber.
+// HubUpdate is an update of the platform's state from a hub to a subscriber. The hub has all
+// changes of configuration and evacuations up to ConfigRevision of the platform's store, and all
+// changes of the registry up to RegistryRevision; the subscriber may have newer ones.
 type HubUpdate struct {
 	Number        uint64                       `cbor:"1,keyasint"` // counts the updates to one subscriber
 	First         bool                         `cbor:"2,keyasint"` // the update begins a subscription: it holds all that the subscriber lacks
@@ -13,6 +15,9 @@
 	Removed       []core.TargetID              `cbor:"7,keyasint,omitempty"`
 	Registry      *Shared[[]core.Registration] `cbor:"9,keyasint,omitempty"` // the whole registry
 	Hosts         []core.Host                  `cbor:"8,keyasint,omitempty"` // hosts of the deployment; empty if unchanged
+
+	ConfigRevision   uint64 `cbor:"10,keyasint"`
+	RegistryRevision uint64 `cbor:"11,keyasint"`
 }
 
 // MessageKind implements Message.
