Count an outage of the store from when the registry was last current, also through a hub

What callers saw (reported, not seen by us): requests at a target that had left. How it can come about here: after an outage of the store removed targets are kept for two seconds, since live ones register again. The outage was counted from the host's own last read of the registry. A host with a hub does not read, so that one failed call after the hub was lost, or a call that had failed before the subscription began, counted as an outage of all that time, and a removal that was read then took effect two seconds late: with the age of the hub's state, beyond the bound on leaving targets. Class: an age that is taken from one of several sources of the same knowledge. The registry now counts from the proof that the rest of the host uses, and a hub's response moves it on. Ruled out: real outages (TestOutageWithoutAHubHasAGracePeriod, and the tests of before).

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -10,7 +10,7 @@
 // register again: about two seconds by the store's contract.
 const gracePeriod = 2 * time.Second
 
-// minOutage is the shortest time without a read of the registry in which the entry of a live
+// minOutage is the shortest time since the registry was current in which the entry of a live
 // target can expire: three heartbeats of 1.2 s, of which one may have passed before.
 const minOutage = 2 * time.Second
 
@@ -19,7 +19,7 @@
 	entries     map[core.TargetID]Entry
 	revision    uint64 // all changes of the store up to this revision are included
 	unavailable bool
-	lastRead    time.Duration // last read of the registry before the outage
+	currentAt   time.Duration // latest time at which the registry is known to have been current
 	availableAt time.Duration // end of the latest outage
 	outage      bool          // the store has been unavailable at least once
 }
@@ -125,11 +125,15 @@
 	return missing
 }
 
-// HandleStoreLost records that the store does not answer, and when the registry was last read.
-func (r *Registry) HandleStoreLost(lastRead time.Duration) {
-	r.unavailable, r.lastRead = true, lastRead
+// HandleStoreLost records that the store does not answer, and when the registry was current.
+func (r *Registry) HandleStoreLost(currentAt time.Duration) {
+	r.unavailable, r.currentAt = true, currentAt
 }
 
+// HandleCurrent records that the registry was current at a time, as another host that reads the
+// store has shown. A target that was registered then has not been lost in an outage before.
+func (r *Registry) HandleCurrent(at time.Duration) { r.currentAt = max(r.currentAt, at) }
+
 // HandleStoreRegained records that the store answers again. It changes nothing if the store
 // was not lost. After an outage shorter than minOutage there is no grace period.
 func (r *Registry) HandleStoreRegained(now time.Duration) {
@@ -137,7 +141,7 @@
 		return
 	}
 	r.unavailable = false
-	if now-r.lastRead >= minOutage {
+	if now-r.currentAt >= minOutage {
 		r.outage, r.availableAt = true, now
 	}
 }
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -105,6 +105,7 @@
 	if complete {
 		s.view.ConfigProof = s.view.ConfigProof.Renew(m.SentAt - m.Age)
 		s.view.RegistryProof = s.view.RegistryProof.Renew(m.SentAt - m.Age)
+		s.registry.HandleCurrent(m.SentAt - m.Age)
 		s.changed = true
 	}
 	s.updateHub()
--- a/internal/edgecontrol/store_event.go
+++ b/internal/edgecontrol/store_event.go
@@ -18,14 +18,15 @@
 		s.log.Info("regained the platform's store")
 		return
 	}
-	s.registry.HandleStoreLost(s.lastRegistryRead())
+	s.registry.HandleStoreLost(s.registryCurrentAt())
 	age, _ := s.view.ConfigProof.Age(s.now())
 	s.log.WithField("config_age_ms", age.Milliseconds()).Warn("lost the platform's store")
 }
 
-// lastRegistryRead returns when this host last read the registry itself, or zero if it has not.
-func (s *state) lastRegistryRead() time.Duration {
-	age, known := s.ownStoreReads.Age(s.now())
+// registryCurrentAt returns the latest time at which the registry is known to have been current,
+// by this host's reads or by its hub's, or zero if there is none.
+func (s *state) registryCurrentAt() time.Duration {
+	age, known := s.view.RegistryProof.Age(s.now())
 	if !known {
 		return 0
 	}
--- a/internal/edgecontrol/subscriber_state_test.go
+++ b/internal/edgecontrol/subscriber_state_test.go
@@ -62,3 +62,39 @@
 	require.Equal(t, h.clock-readAt, age)
 	require.Empty(t, h.view.Evacuated)
 }
+
+// A host with a hub does not read the store. If its first call fails once the hub is lost, a removal
+// that it reads then must not wait for a grace period, as if the store had been away.
+func TestFailedCallAfterSubscriptionIsNoOutage(t *testing.T) {
+	for name, lostAt := range map[string]time.Duration{"first call fails": time.Minute, "was lost before the subscription": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := newHubState()
+			h.read(engineConfig(3), engines(2))
+			number := h.subscribe()
+			h.handleHubUpdate("b", message.HubUpdate{First: true, Number: 1})
+			for passed := time.Duration(0); passed <= time.Minute; passed += 400 * time.Millisecond {
+				if passed == lostAt.Truncate(400*time.Millisecond) {
+					storeEvent{up: false}.apply(h.state)
+				}
+				h.clock += 400 * time.Millisecond
+				h.handleHubResponse("b", message.HubResponse{Subscription: number, SentAt: h.clock, AgeKnown: true, LastSent: 1})
+			}
+			linkEvent{host: "b", up: false}.apply(h.state)
+			h.clock += 200 * time.Millisecond
+			storeEvent{up: true}.apply(h.state)
+			h.readChanges(Update{Removed: []core.Removal{{Target: "e1", Revision: h.revision + 1}}})
+			require.False(t, h.view.Usable("e1"))
+		})
+	}
+}
+
+// The entry of a live target can expire while neither this host nor its hub reads the store.
+func TestOutageWithoutAHubHasAGracePeriod(t *testing.T) {
+	h := newHubState()
+	h.read(engineConfig(3), engines(2))
+	storeEvent{up: false}.apply(h.state)
+	h.clock += 2 * time.Second
+	storeEvent{up: true}.apply(h.state)
+	h.readChanges(Update{Removed: []core.Removal{{Target: "e1", Revision: h.revision + 1}}})
+	require.True(t, h.view.Usable("e1"))
+}
