Do not resume a generation at a destination that has been leaving for long

What callers could see: nothing; what operators see: a request at a target two seconds and more after it had said that it leaves. A generation that moves off a leaving engine was resumed at the destination whatever had become of it since it was chosen. Under waves of leaving engines the moves wait on busy links: up to 1.15 s until the last step, then the transfer, beside a notice that may arrive 1.2 s late. Class: a permission that is used later than it was given, and not checked again. The destination is checked on each change of the registry: while there is time another one is chosen, and after 0.6 s from its notice the generation is not resumed there. Until then it is, since an answer is worth more than an early refusal. Ruled out: copies (checked before each switch), placements by the hub (checked on arrival). Before: SwitchToMoved in each of these cases, whatever the destination did; after: TestNextStep's new cases.

--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -31,6 +31,9 @@
 	switches     int
 	moves        int
 	retryMoveAt  time.Duration // earliest next move after a failed one
+
+	// destinationLeavingSince is the notice that the destination of the move is leaving; zero if it is not.
+	destinationLeavingSince time.Duration
 }
 
 // New returns the state of a generation that has just been sent to an engine.
@@ -51,6 +54,27 @@
 // RecordCopyLost records that the engine with the copy is leaving or gone.
 func (s *Stream) RecordCopyLost() { s.copied = false }
 
+// RecordDestination records that an engine has been chosen for the move.
+func (s *Stream) RecordDestination() { s.destinationLeavingSince = 0 }
+
+// RecordDestinationLeaving records that the engine chosen for the move is leaving or gone. While
+// there is time for it, the next attempt chooses another one.
+func (s *Stream) RecordDestinationLeaving(now time.Duration) {
+	if s.destinationLeavingSince == 0 {
+		s.destinationLeavingSince = now
+	}
+	if s.pending == 0 && s.precopied && !s.memoryMoved && now <= s.leavingSince+s.timing.PrecopyDeadline {
+		s.precopied, s.linksFree = false, false
+		s.moves++
+	}
+}
+
+// destinationGone reports whether the destination of the move is leaving for so long that it may
+// get no request any more.
+func (s *Stream) destinationGone(now time.Duration) bool {
+	return s.destinationLeavingSince > 0 && now-s.destinationLeavingSince > s.timing.DestinationGrace
+}
+
 // Precopied reports whether the memory has been pre-copied to the engine chosen for the move.
 func (s *Stream) Precopied() bool { return s.precopied }
 
@@ -83,6 +107,8 @@
 	switch {
 	case s.pending != 0:
 		return Step{Kind: Wait}
+	case s.memoryMoved && s.destinationGone(now):
+		return Step{Kind: GiveUp}
 	case s.memoryMoved:
 		return Step{Kind: SwitchToMoved}
 	case s.switches >= maxSwitches && s.disconnected:
--- a/internal/decide/failover/stream_test.go
+++ b/internal/decide/failover/stream_test.go
@@ -9,7 +9,7 @@
 )
 
 var timing = Timing{SwitchAfter: 900 * time.Millisecond, SwitchUnstartedAfter: 1300 * time.Millisecond, SilenceTimeout: 140 * time.Millisecond,
-	PrecopyDeadline: 800 * time.Millisecond, StopAndCopyAfter: 600 * time.Millisecond, StopAndCopyDeadline: 1100 * time.Millisecond, FastPrecopy: 50 * time.Millisecond}
+	PrecopyDeadline: 800 * time.Millisecond, StopAndCopyAfter: 600 * time.Millisecond, StopAndCopyDeadline: 1100 * time.Millisecond, FastPrecopy: 50 * time.Millisecond, DestinationGrace: 600 * time.Millisecond}
 
 func TestNextStep(t *testing.T) {
 	const ms = time.Millisecond
@@ -47,6 +47,11 @@
 			s.RecordMove(Done, 10*ms, 1110*ms)
 			s.RecordDisconnect()
 		}, 1110 * ms, Step{Kind: SwitchToMoved}},
+		"destination leaves too":          {true, false, func(s *Stream) { precopied(s); s.RecordDestinationLeaving(100 * ms) }, 100 * ms, Step{Kind: PrecopyMemory}},
+		"destination leaves in pre-copy":  {true, false, func(s *Stream) { leavingWhilePrecopied(s); s.RecordDestinationLeaving(300 * ms) }, 300 * ms, Step{Kind: PrecopyMemory}},
+		"no time for another destination": {true, false, func(s *Stream) { precopied(s); s.RecordDestinationLeaving(900 * ms) }, 1100 * ms, Step{Kind: StopAndCopyMemory}},
+		"resumes at leaving destination":  {true, false, func(s *Stream) { moved(s, 1110*ms, 1200*ms) }, 1200 * ms, Step{Kind: SwitchToMoved}},
+		"destination leaves for too long": {true, false, func(s *Stream) { moved(s, 900*ms, 1600*ms) }, 1600 * ms, Step{Kind: GiveUp}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			stream := New(timing, c.canMove, c.copied, 0)
@@ -63,6 +68,24 @@
 	s.RecordMove(Done, 300*time.Millisecond, 0)
 }
 
+// leavingWhilePrecopied records that the destination leaves while the memory is pre-copied to it.
+func leavingWhilePrecopied(s *Stream) {
+	s.RecordEvent(0)
+	s.RecordLeaving(0)
+	s.Next(0)
+	s.RecordDestinationLeaving(100 * time.Millisecond)
+	s.RecordMove(Done, 300*time.Millisecond, 300*time.Millisecond)
+}
+
+// moved records that the destination leaves and that the memory has been moved to it.
+func moved(s *Stream, leaving, done time.Duration) {
+	precopied(s)
+	s.RecordDestinationLeaving(leaving)
+	s.Next(1100 * time.Millisecond)
+	s.RecordMove(Done, done-1100*time.Millisecond, done)
+	s.RecordDisconnect()
+}
+
 // For any sequence of events, at most one step is pending at a time and a copy is used at
 // most once.
 func TestOneStepAtATime(t *testing.T) {
@@ -76,7 +99,7 @@
 		open := StepKind(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
 				stream.RecordEvent(now)
 			case 1:
@@ -87,6 +110,8 @@
 			case 3:
 				stream.RecordDisconnect()
 			case 4:
+				stream.RecordDestinationLeaving(now)
+			case 5:
 				result := Result(rapid.IntRange(1, 3).Draw(t, "result"))
 				switch open {
 				case SwitchToCopy, SwitchToMoved:
--- a/internal/decide/failover/timing.go
+++ b/internal/decide/failover/timing.go
@@ -19,6 +19,9 @@
 	StopAndCopyDeadline time.Duration
 	// FastPrecopy is the duration within which a repeated pre-copy ends while the links are free.
 	FastPrecopy time.Duration
+	// DestinationGrace is the time from the notice that the destination of a move is leaving, within
+	// which the generation may still be resumed there.
+	DestinationGrace time.Duration
 	// SilenceTimeout is the time without an event after which the engine counts as lost. Zero
 	// disables the check.
 	SilenceTimeout time.Duration
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -57,6 +57,7 @@
 	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request})
 	if ok {
 		s.moveAssignment = &assignment
+		s.failover.RecordDestination()
 	}
 	return ok
 }
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -27,6 +27,10 @@
 	// fastPrecopy is the duration of a repeated pre-copy, which copies only what is new,
 	// when no other move is queued before it.
 	fastPrecopy = 50 * time.Millisecond
+	// destinationGrace is how long after the notice that the destination of a move leaves the
+	// generation may be resumed there. A notice arrives up to 1.2 s late, and a leaving engine must
+	// get no request two seconds after it was given.
+	destinationGrace = 600 * time.Millisecond
 	// freeTimeout bounds the call that frees a moved KV cache.
 	freeTimeout = time.Second
 	// maxMoveExclusions bounds the list of engines that are not moved to again because they
@@ -145,6 +149,9 @@
 	if s.current.assignment.HasCopy() && !view.Usable(s.current.assignment.Copy.Target) {
 		s.failover.RecordCopyLost()
 	}
+	if s.moveAssignment != nil && !view.Usable(s.moveAssignment.Target.Target) {
+		s.failover.RecordDestinationLeaving(s.now())
+	}
 	switch s.failover.Next(s.now()).Kind {
 	case failover.SwitchToCopy:
 		assignment := s.current.assignment
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -68,6 +68,7 @@
 		StopAndCopyAfter:     stopAndCopyAfter,
 		StopAndCopyDeadline:  stopAndCopyDeadline,
 		FastPrecopy:          fastPrecopy,
+		DestinationGrace:     destinationGrace,
 		SilenceTimeout:       time.Duration(silenceFraction * float64(s.route.GapGoal)),
 	}
 }
