Log the prompt's parts of a request whose engine breaks off as it begins to respond

Observability for the incident on deadly prompt parts: the log could not tell a prompt that causes the crash from chance. The line "engine's stream failed" now has the shared parts of the prompt and the number of events, if the response had begun and hardly an event had arrived. The phases of an exchange are constants.

--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -27,7 +27,7 @@
 	defer limited.release()
 	body, err := io.ReadAll(limited)
 	if err != nil {
-		return nil, &ExchangeError{Address: x.address, Phase: "answer", Cause: err}
+		return nil, &ExchangeError{Address: x.address, Phase: phaseAnswer, Cause: err}
 	}
 	if len(body) > maxResponseBytes {
 		return nil, &TooLargeError{Part: "answer", Limit: maxResponseBytes}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -50,7 +50,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err() // the end of the context closed the connection
 		}
-		return nil, &ExchangeError{Address: address, Phase: "request", Cause: err}
+		return nil, &ExchangeError{Address: address, Phase: phaseRequest, Cause: err}
 	}
 	return x, nil
 }
--- a/internal/gateway/exchange_error.go
+++ b/internal/gateway/exchange_error.go
@@ -2,11 +2,18 @@
 
 import "fmt"
 
+// Phases of an exchange with a target.
+const (
+	phaseRequest = "request" // until the response header has arrived
+	phaseAnswer  = "answer"  // the body of a response that is read as a whole
+	phaseStream  = "stream"  // the events of a stream
+)
+
 // ExchangeError reports that the exchange with a target failed after the request may have
 // reached it.
 type ExchangeError struct {
 	Address string
-	Phase   string // what was being transferred: "request", "answer" or "stream"
+	Phase   string // what was being transferred
 	Cause   error
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	PromptTokens core.Tokens
 	MaxTokens    core.Tokens // maximum of output tokens; zero if not given
 	LengthHint   core.Tokens // caller's estimate of the output tokens; zero if not given
+	PromptParts  []string    // ids of the parts of the prompt that other requests may share, in order
 }
 
 // ForecastTokens returns the expected number of output tokens: the caller's estimate, at
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -104,6 +104,7 @@
 			s.worstGap, s.worstGapAfter = now-s.lastEventAt, s.lastID
 		}
 	}
+	s.events++
 	s.lastEventAt = now
 	if event.hasID {
 		s.lastID, s.hasLastID = event.id, true
@@ -111,13 +112,23 @@
 	s.failover.RecordEvent(now)
 }
 
+// failedAtStart reports whether an engine broke the stream off as it began to respond: the response
+// header has arrived, and hardly any event.
+func (s *streamRelay) failedAtStart(cause error) bool {
+	var failed *ExchangeError
+	return s.events < soundEvents && s.ctx.Err() == nil && errors.As(cause, &failed) && failed.Phase == phaseStream
+}
+
 // handleFailure handles a failed exchange with the current engine. If the engine was never
 // reached, the request goes to another one.
 func (s *streamRelay) handleFailure(cause error) bool {
 	var unsent *UnsentError
 	target := s.current.assignment.Target.Target
-	s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.lastID).
-		Info("engine's stream failed")
+	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.lastID)
+	if s.failedAtStart(cause) {
+		entry = entry.WithField("events", s.events).WithField("prompt_parts", s.request.PromptParts)
+	}
+	entry.Info("engine's stream failed")
 	if errors.As(cause, &unsent) && !s.headerSent && s.r.Context().Err() == nil {
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 		s.current = nil
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -51,6 +51,8 @@
 	// retryAtCapacity is the Retry-After while all engines are at capacity. A generation takes
 	// some seconds.
 	retryAtCapacity = time.Second
+	// soundEvents is the number of events from which a generation counts as begun.
+	soundEvents = 2
 	// minCopyEvents is the smallest number of expected events for which a copy is kept.
 	minCopyEvents = 12
 )
@@ -73,6 +75,7 @@
 	handle             KVHandle                // of the moved KV cache
 	headerSent         bool                    // the response header has been sent to the caller
 	waited             time.Duration           // from the request's arrival until an engine was assigned
+	events             int // events of the generation that have been sent to the caller
 	firstEventAt       time.Duration
 	lastEventAt        time.Duration
 	worstGap           time.Duration // longest time between two events
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -81,13 +81,13 @@
 	for {
 		event, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: "stream", Cause: err}})
+			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}})
 			return
 		}
 		if err != nil && len(event.bytes) > 0 && x.endsWithConnection() {
 			// Nothing but the end of the connection marks the end of this response, and a target
 			// that crashes closes it too.
-			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: "stream", Cause: io.ErrUnexpectedEOF}})
+			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
 			return
 		}
 		if len(event.bytes) > 0 && !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}) {
