Hold back prompt parts under which engines crash

What callers saw: requests of one kind end engine after engine (BUDGET); each engine takes all its streams along and is away for some seconds. Cause: a stream that breaks off as the engine begins to respond was a failure of that engine only. Nothing connected the requests, so each host sent the next one with the part as if it were the first. Class: a failure that belongs to the input and is charged to the server. Evidence belongs to a part of the prompt (never the last), in a pool: two crashes in a row of a part that was never sound, four of one that was; a generation that begins clears its parts. A crash counts for one set of parts only, the one that explains most of them; while parts cannot be told apart only requests with all of them are held back. Hosts pass evidence on through their hub at once and each second; holds last 30 s, 10 minutes from the fifth crash on, then twice as long with each, and end one host after the other. Requests that no engine has begun to answer are withdrawn with 502; new ones get 503, not run, with a time to come back that is spread. New: decide/quarantine, message PartEvidence, refusal prompt_held. Ruled out: load (engines with one request end too), hosts (failures come from all of them).

--- /dev/null
+++ b/internal/core/engine_crash.go
@@ -0,0 +1,9 @@
+package core
+
+import "time"
+
+// EngineCrash is one engine that broke off as it began to respond to a request.
+type EngineCrash struct {
+	ID  uint64        `cbor:"1,keyasint"` // of the request and its target
+	Age time.Duration `cbor:"2,keyasint"`
+}
--- a/internal/core/refusal_kind.go
+++ b/internal/core/refusal_kind.go
@@ -24,4 +24,5 @@
 	RefusedInProgress          RefusalKind = "in_progress"
 	RefusedOutcomeUnknown      RefusalKind = "outcome_unknown"
 	RefusedPlatformUnavailable RefusalKind = "platform_unavailable"
+	RefusedPromptHeld          RefusalKind = "prompt_held" // engines crash under a part of the prompt
 )
--- /dev/null
+++ b/internal/decide/quarantine/candidate.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// newPartCrashes and knownPartCrashes are the numbers of crashes in a row from which a part is
+	// held. A part on which generations have begun before is held later, because crashes that have
+	// another cause hit it more often.
+	newPartCrashes   = 2
+	knownPartCrashes = 4
+	// sameCause is the time within which crashes count once for a known part: many engines that
+	// end together have another cause.
+	sameCause = 250 * time.Millisecond
+	// firstHold is how long a part is held at first, after which single requests may show that it
+	// is sound. From manyCrashes crashes on it is held for longHold, and twice as long with each
+	// further crash, up to maxHold. See Tracker.spread for what is added.
+	firstHold   = 30 * time.Second
+	manyCrashes = 5
+	longHold    = 10 * time.Minute
+	maxHold     = 2 * time.Hour
+)
+
+// candidate is a set of parts that occurred in the same crashes.
+type candidate struct {
+	parts   []core.PromptPart
+	crashes []crash // oldest first
+	known   bool    // generations on the parts have begun before
+}
+
+// limit returns the number of crashes in a row from which the parts are held.
+func (c *candidate) limit() int {
+	if c.known {
+		return knownPartCrashes
+	}
+	return newPartCrashes
+}
+
+// count returns the number of crashes in a row.
+func (c *candidate) count() int {
+	if !c.known {
+		return len(c.crashes)
+	}
+	crashes := 0
+	var last time.Duration
+	for i, crash := range c.crashes {
+		if i == 0 || crash.at-last > sameCause {
+			crashes++
+			last = crash.at
+		}
+	}
+	return crashes
+}
+
+// hold returns the hold of the parts, longer by a fraction. They must have reached their limit.
+func (c *candidate) hold(spread float64) Hold {
+	crashes := c.count()
+	length := firstHold
+	if crashes >= manyCrashes {
+		length = min(longHold<<(crashes-manyCrashes), maxHold)
+	}
+	length += time.Duration(spread * float64(length))
+	return Hold{Parts: c.parts, Crashes: crashes, Until: c.crashes[len(c.crashes)-1].at + length}
+}
+
+// without returns the candidate without the crashes that another one explains.
+func (c *candidate) without(explained []crash) *candidate {
+	rest := *c
+	rest.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(crash crash) bool { return contains(explained, crash.id) })
+	return &rest
+}
+
+func contains(crashes []crash, id uint64) bool {
+	return slices.ContainsFunc(crashes, func(c crash) bool { return c.id == id })
+}
--- /dev/null
+++ b/internal/decide/quarantine/sound.go
@@ -0,0 +1,9 @@
+package quarantine
+
+import "time"
+
+// sound is the last generation on a part that has begun.
+type sound struct {
+	id uint64
+	at time.Duration
+}
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -89,6 +89,7 @@
 	s.updateHub()
 	s.respondAll()
 	s.sendLoad()
+	s.tickQuarantine()
 }
 
 // View returns the latest view.
@@ -138,6 +139,17 @@
 	l.post(context.Background(), countRequestEvent{pool: pool})
 }
 
+// RecordPartCrash records that an engine crashed as it began to respond to a request with the given
+// prompt parts. The id is that of the request and the engine.
+func (l *Loop) RecordPartCrash(parts []core.PromptPart, id uint64) {
+	l.post(context.Background(), partCrashEvent{parts: parts, id: id})
+}
+
+// RecordPartSound records that a generation on the given prompt parts has begun.
+func (l *Loop) RecordPartSound(parts []core.PromptPart, id uint64) {
+	l.post(context.Background(), partSoundEvent{parts: parts, id: id})
+}
+
 // Place assigns a target and adds the request's load to it until Release is called. It returns
 // false if no target was assigned, if the loop ended, or if the context ended before the
 // request was queued.
--- a/internal/edgecontrol/message_event.go
+++ b/internal/edgecontrol/message_event.go
@@ -25,5 +25,7 @@
 		s.handlePlacementRequest(e.from, m)
 	case message.PlacementResponse:
 		s.handlePlacementResponse(m)
+	case message.PartEvidence:
+		s.handlePartEvidence(e.from, m)
 	}
 }
--- /dev/null
+++ b/internal/edgecontrol/part_sound_event.go
@@ -0,0 +1,16 @@
+package edgecontrol
+
+import "siskintide.example/siskintide/internal/core"
+
+// partSoundEvent reports that a generation on the parts has begun.
+type partSoundEvent struct {
+	parts []core.PromptPart
+	id    uint64 // of the request and the engine
+}
+
+func (e partSoundEvent) apply(s *state) {
+	if s.quarantine.RecordSound(e.parts, e.id, s.now()) {
+		s.updateHolds()
+		s.sendEvidence("")
+	}
+}
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/freshness"
 	"siskintide.example/siskintide/internal/decide/hub"
 	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/quarantine"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/retrybudget"
 	"siskintide.example/siskintide/internal/message"
@@ -33,6 +35,8 @@
 	retryBudgets         map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
 	grantBudgets         map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
 	ranksFirst           bool                                  // this host ranks before all others and grants retries
+	quarantine           *quarantine.Tracker
+	evidenceSentAt       time.Duration
 	startedAt            time.Duration
 	hosts                []core.Host // hosts of the deployment, this one included
 	hostsKnown           bool        // the list of hosts has been read
@@ -60,6 +64,7 @@
 		retryBudgets: map[core.PoolID]*retrybudget.Budget{},
 		grantBudgets: map[core.PoolID]*retrybudget.Budget{},
 		hosts:        []core.Host{options.Self},
+		quarantine:   quarantine.NewTracker(hostFraction(options.Self.ID)),
 		chooser:      hub.NewChooser(),
 		subscribers:  map[core.HostID]*subscriber{},
 		// Numbers begin where no former incarnation of this host has been.
@@ -69,6 +74,11 @@
 	}
 }
 
+// hostFraction returns a fraction between 0 and 1 that is evenly distributed over the hosts.
+func hostFraction(id core.HostID) float64 {
+	return float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+}
+
 func (s *state) now() time.Duration { return s.options.Clock() }
 
 // retryBudget returns this host's share of a pool's retry budget.
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -5,6 +5,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/freshness"
+	"siskintide.example/siskintide/internal/decide/quarantine"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/routetable"
 )
@@ -17,13 +18,14 @@
 	RegistryLoaded   bool // the registry has been read
 	Targets          map[core.TargetID]registry.Entry
 	Evacuated        map[core.DataCentreID]bool
-	Leaving          bool            // this host is shutting down
-	ReadsStore       bool            // this host reads the platform's store itself
-	StoreUnavailable bool            // the last call to the store failed
-	ReadsHosts       bool            // this host reads the list of hosts too
-	HasSubscribers   bool            // this host is the hub of other hosts
-	ReadInterval     time.Duration   // minimum time between two reads of a table of the store
-	Changed          <-chan struct{} // closed when a newer view has been published
+	Holds            []quarantine.Hold // of prompt parts under which engines crash
+	Leaving          bool              // this host is shutting down
+	ReadsStore       bool              // this host reads the platform's store itself
+	StoreUnavailable bool              // the last call to the store failed
+	ReadsHosts       bool              // this host reads the list of hosts too
+	HasSubscribers   bool              // this host is the hub of other hosts
+	ReadInterval     time.Duration     // minimum time between two reads of a table of the store
+	Changed          <-chan struct{}   // closed when a newer view has been published
 }
 
 // Usable reports whether new work may be sent to a target.
@@ -39,6 +41,16 @@
 	return !ok || entry.Leaving
 }
 
+// Hold returns the hold that covers a request with the given prompt parts at a time, or nil.
+func (v *View) Hold(parts []core.PromptPart, now time.Duration) *quarantine.Hold {
+	for i := range v.Holds {
+		if v.Holds[i].Until > now && v.Holds[i].Covers(parts) {
+			return &v.Holds[i]
+		}
+	}
+	return nil
+}
+
 // ConfigFresh reports whether a configuration is known and its age is within the bound.
 func (v *View) ConfigFresh(now, bound time.Duration) bool {
 	return v.Table != nil && v.ConfigProof.Within(now, bound)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,13 @@
 	var avoid []core.TargetID
 	var fallback *bufferedResponse
 	for try := 0; try < maxTargets && h.attempts < maxAttempts && ctx.Err() == nil; try++ {
+		if refusal := h.promptRefusal(h.gateway.options.Controller.View()); refusal != nil {
+			if h.possibleRuns > 0 {
+				break
+			}
+			h.refuse(refusal)
+			return
+		}
 		assignment, ok := h.gateway.options.Controller.Place(ctx, edgecontrol.PlacementRequest{Pool: h.pool, Request: h.placementRequest(avoid), Retry: h.attempts > 0})
 		if !ok {
 			break
@@ -78,6 +85,7 @@
 	attempt := Attempt{Target: assignment.Target.Target, Priority: h.priority()}
 	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
 	response, err := h.readCallResponse(x, err)
+	h.recordCallPrompt(ctx, attempt.Target, response, err)
 	h.recordAttempt(assignment, response, err)
 	return response, err
 }
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -16,6 +16,11 @@
 	MarkLeaving(target core.TargetID)
 	// CountRequest counts a caller's request for the pool's retry budget.
 	CountRequest(pool core.PoolID)
+	// RecordPartCrash records that an engine crashed as it began to respond to a request with the
+	// given prompt parts.
+	RecordPartCrash(parts []core.PromptPart, id uint64)
+	// RecordPartSound records that a generation on the given prompt parts has begun.
+	RecordPartSound(parts []core.PromptPart, id uint64)
 	// Place assigns a target to a request. It returns false if no target was assigned;
 	// Assignment.AtCapacity then says whether the request may wait and be placed again.
 	Place(ctx context.Context, request edgecontrol.PlacementRequest) (edgecontrol.Assignment, bool)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,11 @@
 	h.setDeadline(control.SetWriteDeadline, h.timeLeft()+writeMargin)
 	h.log = h.log.WithField("request", h.request.ID).WithField("route", h.route.ID)
 	g.options.Controller.CountRequest(h.pool)
+	h.hashPromptParts()
+	if refusal := h.promptRefusal(h.view); refusal != nil {
+		h.refuse(refusal)
+		return
+	}
 	if h.route.Kind == core.RouteStream {
 		h.serveStream()
 	} else {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -17,6 +17,9 @@
 // httpStatus returns the HTTP status of a refusal. A request that may have run gets 502 or
 // 504; the other statuses promise that it was not run, so that it may be sent again.
 func httpStatus(refusal *core.Refusal) int {
+	if refusal.Kind == core.RefusedPromptHeld && refusal.Run != core.NotRun {
+		return http.StatusBadGateway
+	}
 	switch refusal.Kind {
 	case core.RefusedBadRequest:
 		return http.StatusBadRequest
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -32,9 +32,10 @@
 	team         *core.TeamKeys // nil if no key was needed
 	pool         core.PoolID
 	spec         *core.PoolSpec
-	deadline     time.Duration // relative to arrived
-	attempts     int           // attempts that reached a target
-	possibleRuns int           // attempts whose target may have run the request
+	parts        []core.PromptPart // keys of the prompt's parts that other requests may share
+	deadline     time.Duration     // relative to arrived
+	attempts     int               // attempts that reached a target
+	possibleRuns int               // attempts whose target may have run the request
 }
 
 func (h *requestHandler) now() time.Duration { return h.gateway.options.Clock() }
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -7,12 +7,16 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/quarantine"
 )
 
 // handleEnd ends the request after a complete stream.
 func (s *streamRelay) handleEnd() bool {
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
+	if s.events < soundEvents {
+		s.recordPromptSound(target)
+	}
 	s.current = nil
 	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
 	return true
@@ -32,6 +36,19 @@
 	panic(http.ErrAbortHandler) // closes the connection, so that the stream does not look complete
 }
 
+// withdraw ends a request that no engine has begun to answer, because engines crash under its prompt.
+func (s *streamRelay) withdraw(hold *quarantine.Hold) {
+	fields := s.fields(s.targetFields())
+	s.possibleRuns++ // the engine may be about to begin
+	s.releaseAll()
+	if !s.headerSent {
+		s.refuse(&core.Refusal{Kind: core.RefusedPromptHeld, Message: s.holdMessage(hold), Run: core.RunUnknown})
+		return
+	}
+	s.recordEnd("prompt_held", fields)
+	panic(http.ErrAbortHandler)
+}
+
 // endEarly ends a request whose caller has disconnected or whose deadline has passed.
 func (s *streamRelay) endEarly() {
 	if s.r.Context().Err() != nil {
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -105,6 +105,9 @@
 		}
 	}
 	s.events++
+	if s.events == soundEvents {
+		s.recordPromptSound(s.current.assignment.Target.Target)
+	}
 	s.lastEventAt = now
 	if event.hasID {
 		s.lastID, s.hasLastID = event.id, true
@@ -126,6 +129,8 @@
 	target := s.current.assignment.Target.Target
 	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.lastID)
 	if s.failedAtStart(cause) {
+		s.recordPromptCrash(target)
+		s.failover.RecordCopyLost() // the engine with the copy would crash too
 		entry = entry.WithField("events", s.events).WithField("prompt_parts", s.request.PromptParts)
 	}
 	entry.Info("engine's stream failed")
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -75,7 +75,7 @@
 	handle             KVHandle                // of the moved KV cache
 	headerSent         bool                    // the response header has been sent to the caller
 	waited             time.Duration           // from the request's arrival until an engine was assigned
-	events             int // events of the generation that have been sent to the caller
+	events             int                     // events of the generation that have been sent to the caller
 	firstEventAt       time.Duration
 	lastEventAt        time.Duration
 	worstGap           time.Duration // longest time between two events
@@ -146,6 +146,10 @@
 // applyNextStep passes the view's changes to the failover decision and carries out the step
 // that it returns. It reports whether the request is finished.
 func (s *streamRelay) applyNextStep(view *edgecontrol.View) bool {
+	if hold := view.Hold(s.parts, s.now()); hold != nil && s.events == 0 {
+		s.withdraw(hold)
+		return true
+	}
 	if view.TargetLeaves(s.current.assignment.Target.Target) {
 		s.failover.RecordLeaving(s.now())
 	}
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -5,6 +5,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
+	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/edgecontrol"
 )
 
@@ -20,6 +21,11 @@
 		s.finishFailed(s.ctx, nil)
 		return false
 	}
+	if refusal := s.promptRefusal(s.gateway.options.Controller.View()); refusal != nil {
+		s.gateway.options.Controller.Release(assignment, placement.Inconclusive)
+		s.refuse(refusal)
+		return false
+	}
 	s.waited = s.now() - s.arrived
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
--- a/internal/message/kind.go
+++ b/internal/message/kind.go
@@ -24,4 +24,5 @@
 	KindHostLoad          Kind = 18
 	KindPlacementRequest  Kind = 19
 	KindPlacementResponse Kind = 20
+	KindPartEvidence      Kind = 21
 )
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -36,6 +36,7 @@
 	message.KindHostLoad:          decodeBody[message.HostLoad],
 	message.KindPlacementRequest:  decodeBody[message.PlacementRequest],
 	message.KindPlacementResponse: decodeBody[message.PlacementResponse],
+	message.KindPartEvidence:      decodeBody[message.PartEvidence],
 }
 
 func mustEncoder() cbor.EncMode {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -37,11 +37,13 @@
 	message.HubUpdate{Number: 4, First: true, Registry: message.NewShared([]core.Registration{{Target: "t3", Pool: "p"}}), Config: message.NewShared(&core.RoutingConfig{Revision: 9, Routes: []core.Route{{ID: "r", Prefix: "/x/",
 		Splits: []core.Split{{Pool: "p", Weight: 90}}, Timeout: time.Second}}, Pools: []core.PoolSpec{{ID: "p", Engine: &core.EngineSpec{Slots: 24}}},
 		Teams: []core.TeamKeys{{Team: "t", Keys: []string{"k"}}}}), HasEvacuated: true, Evacuated: []core.DataCentreID{"oslo-a"},
-		Registrations: []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
-		Removed:       []core.TargetID{"t2"}, Hosts: []core.Host{{ID: "h", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:8", Capacity: 0.4}}},
+		Registrations:  []core.Registration{{Target: "t1", Pool: "p", Address: "127.0.0.1:9", Leaving: true, Born: 7, Revision: 12}},
+		ConfigRevision: 11, RegistryRevision: 12,
+		Removed: []core.TargetID{"t2"}, Hosts: []core.Host{{ID: "h", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:8", Capacity: 0.4}}},
 	message.HostLoad{Targets: []message.HostTargetLoad{{Target: "t1", Requests: 2, Memory: 7000, Copies: 3000, PendingPrefill: 2000}}, LastPlacement: 8},
 	message.PlacementRequest{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, RunningOn: "t1", Prompt: 3000, TransfersMemory: true, NeedsGrant: true, MayWait: true},
 	message.PlacementResponse{Number: 8, Target: "t1", Copy: "t3", AtCapacity: true},
+	message.PartEvidence{Parts: []core.PartEvidence{{Part: 7, Crashes: []core.EngineCrash{{ID: 1 << 63, Age: time.Second}}, Sound: true, SoundID: 9, SoundAge: time.Minute}}},
 }
 
 func TestRoundTripOfEveryKind(t *testing.T) {
