Do not pass on an empty stream that ends with its connection as complete

What callers saw: an engine that crashes as it begins, in a response with neither a length nor chunks, gave them a complete stream without an event; and the end would have cleared the prompt's parts. Cause: only a stream that ends within an event was taken for broken off. A generation that goes on at another engine may still end without a further event.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -14,7 +14,7 @@
 func (s *streamRelay) handleEnd() bool {
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
-	if s.events < soundEvents {
+	if s.events > 0 && s.events < soundEvents {
 		s.recordPromptSound(target)
 	}
 	s.current = nil
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -72,11 +72,13 @@
 	}
 	u.header = forwardedHeader(x.response.Header)
 	if u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info}) {
-		u.readEvents(ctx, x)
+		u.readEvents(ctx, x, attempt.ResumeFrom != nil)
 	}
 }
 
-func (u *upstream) readEvents(ctx context.Context, x *exchange) {
+// readEvents sends the events of the response. A generation that has begun at another target may end
+// without a further one.
+func (u *upstream) readEvents(ctx context.Context, x *exchange, begun bool) {
 	events := newEventReader(x.response.Body)
 	for {
 		event, err := events.next()
@@ -84,9 +86,9 @@
 			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}})
 			return
 		}
-		if err != nil && len(event.bytes) > 0 && x.endsWithConnection() {
+		if err != nil && (len(event.bytes) > 0 || !begun) && x.endsWithConnection() {
 			// Nothing but the end of the connection marks the end of this response, and a target
-			// that crashes closes it too.
+			// that crashes closes it too, within an event or before the first one.
 			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
 			return
 		}
@@ -97,6 +99,7 @@
 			u.send(ctx, upstreamMessage{kind: upstreamEnded})
 			return
 		}
+		begun = true
 	}
 }
 
