Send evidence on prompt parts as it changes, and all of it to a new hub or subscriber

Repeating all evidence each second costs a hub of 300 subscribers up to 64 suspects times 300 messages a second for minutes after engines have ended together. Now only parts with news are sent, at most ten times a second, and all once where a subscription begins or a message could not be queued. No figure: worked out, not measured.

--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -28,6 +28,7 @@
 	// the hold of the others.
 	spread   float64
 	suspects map[core.PromptPart]*suspect
+	changed  map[core.PromptPart]bool // suspects with news for other hosts
 	// recent and former are the last sound generations by part. Once recent is full it replaces
 	// former.
 	recent, former map[core.PromptPart]sound
@@ -36,70 +37,90 @@
 // NewTracker returns a tracker without evidence. The spread is between 0 and 1, and evenly
 // distributed over the hosts.
 func NewTracker(spread float64) *Tracker {
-	return &Tracker{spread: spread, suspects: map[core.PromptPart]*suspect{}, recent: map[core.PromptPart]sound{}, former: map[core.PromptPart]sound{}}
+	return &Tracker{spread: spread, suspects: map[core.PromptPart]*suspect{}, changed: map[core.PromptPart]bool{}, recent: map[core.PromptPart]sound{}, former: map[core.PromptPart]sound{}}
 }
 
 // RecordCrash records that an engine crashed as it began to respond to a request with the parts.
 // The id is that of the request and the engine.
 func (t *Tracker) RecordCrash(parts []core.PromptPart, id uint64, now time.Duration) {
 	for _, part := range parts {
-		t.suspect(part).add(crash{id: id, at: now})
+		t.addCrash(part, crash{id: id, at: now})
 	}
 }
 
-// RecordSound records that a generation on the parts has begun. It reports whether that clears a
-// suspect.
-func (t *Tracker) RecordSound(parts []core.PromptPart, id uint64, now time.Duration) bool {
-	cleared := false
+// RecordSound records that a generation on the parts has begun.
+func (t *Tracker) RecordSound(parts []core.PromptPart, id uint64, now time.Duration) {
 	for _, part := range parts {
-		cleared = t.setSound(part, sound{id: id, at: now}) || cleared
+		t.setSound(part, sound{id: id, at: now})
 	}
-	return cleared
 }
 
-// Merge adds what another host knows. It reports whether any of it is new.
-func (t *Tracker) Merge(all []core.PartEvidence, now time.Duration) bool {
-	changed := false
+// Merge adds what another host knows.
+func (t *Tracker) Merge(all []core.PartEvidence, now time.Duration) {
 	for _, evidence := range all {
-		changed = t.mergeSound(evidence, now) || changed
+		t.mergeSound(evidence, now)
 		last, known := t.sound(evidence.Part)
 		for _, c := range evidence.Crashes {
 			if at := now - c.Age; !known || at > last.at {
-				changed = t.suspect(evidence.Part).add(crash{id: c.ID, at: at}) || changed
+				t.addCrash(evidence.Part, crash{id: c.ID, at: at})
 			}
 		}
 	}
-	return changed
+}
+
+// addCrash adds a crash to a suspect.
+func (t *Tracker) addCrash(part core.PromptPart, c crash) {
+	if t.suspect(part).add(c) {
+		t.changed[part] = true
+	}
 }
 
 // mergeSound takes over a sound generation that is later than the last one known. One that is known
 // already seems later by the time that the message took, and is ignored.
-func (t *Tracker) mergeSound(evidence core.PartEvidence, now time.Duration) bool {
+func (t *Tracker) mergeSound(evidence core.PartEvidence, now time.Duration) {
 	heard := sound{id: evidence.SoundID, at: now - evidence.SoundAge}
 	last, known := t.sound(evidence.Part)
 	if !evidence.Sound || known && (heard.id == last.id || heard.at <= last.at) {
-		return false
+		return
 	}
 	t.setSound(evidence.Part, heard)
-	return true
+	if t.suspects[evidence.Part] != nil {
+		t.changed[evidence.Part] = true
+	}
 }
 
-// Evidence returns what other hosts have to know.
+// Evidence returns all that other hosts have to know.
 func (t *Tracker) Evidence(now time.Duration) []core.PartEvidence {
 	var all []core.PartEvidence
 	for part, s := range t.suspects {
-		evidence := core.PartEvidence{Part: part}
-		for _, c := range s.crashes {
-			evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Age: now - c.at})
-		}
-		if last, known := t.sound(part); known {
-			evidence.Sound, evidence.SoundID, evidence.SoundAge = true, last.id, now-last.at
-		}
-		all = append(all, evidence)
+		all = append(all, t.evidence(part, s, now))
 	}
 	return all
 }
 
+// TakeChanges returns the evidence that has changed since the last call.
+func (t *Tracker) TakeChanges(now time.Duration) []core.PartEvidence {
+	var changes []core.PartEvidence
+	for part := range t.changed {
+		if s := t.suspects[part]; s != nil {
+			changes = append(changes, t.evidence(part, s, now))
+		}
+	}
+	clear(t.changed)
+	return changes
+}
+
+func (t *Tracker) evidence(part core.PromptPart, s *suspect, now time.Duration) core.PartEvidence {
+	evidence := core.PartEvidence{Part: part}
+	for _, c := range s.crashes {
+		evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Age: now - c.at})
+	}
+	if last, known := t.sound(part); known {
+		evidence.Sound, evidence.SoundID, evidence.SoundAge = true, last.id, now-last.at
+	}
+	return evidence
+}
+
 // Holds returns the holds in force. A crash is evidence against one set of parts only: the one that
 // occurred in most crashes explains its crashes first.
 func (t *Tracker) Holds(now time.Duration) []Hold {
@@ -188,12 +209,13 @@
 	return last, ok
 }
 
-// setSound sets the last sound generation on a part. It reports whether that clears a suspect.
-func (t *Tracker) setSound(part core.PromptPart, last sound) bool {
+// setSound sets the last sound generation on a part, which clears it.
+func (t *Tracker) setSound(part core.PromptPart, last sound) {
 	if _, ok := t.recent[part]; !ok && len(t.recent) >= maxSounds {
 		t.recent, t.former = map[core.PromptPart]sound{}, t.recent
 	}
 	t.recent[part] = last
-	s := t.suspects[part]
-	return s != nil && s.dropUntil(last.at)
+	if s := t.suspects[part]; s != nil && s.dropUntil(last.at) {
+		t.changed[part] = true
+	}
 }
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -137,13 +137,15 @@
 	a.RecordSound([]core.PromptPart{shared}, 9, at(0))
 	a.RecordCrash([]core.PromptPart{shared, deadly}, 1, at(1))
 	b.RecordCrash([]core.PromptPart{shared, deadly}, 2, at(1))
-	require.True(t, b.Merge(a.Evidence(at(1.1)), at(1.2)))
+	b.Merge(a.TakeChanges(at(1.1)), at(1.2))
 	require.Equal(t, []core.PromptPart{deadly}, heldParts(b, at(1.2)))
-	require.True(t, a.Merge(b.Evidence(at(1.2)), at(1.3)))
+	a.Merge(b.TakeChanges(at(1.2)), at(1.3))
 	require.Equal(t, []core.PromptPart{deadly}, heldParts(a, at(1.3)))
-	require.True(t, c.Merge(b.Evidence(at(1.3)), at(1.4)), "a host that has just started")
-	require.Equal(t, []core.PromptPart{deadly}, heldParts(c, at(1.4)))
-	require.False(t, c.Merge(a.Evidence(at(2)), at(2.1)), "known evidence is passed on again and again")
+	c.Merge(b.Evidence(at(1.3)), at(1.4))
+	require.Equal(t, []core.PromptPart{deadly}, heldParts(c, at(1.4)), "a host that has just started")
+	require.NotEmpty(t, c.TakeChanges(at(1.4)))
+	c.Merge(a.Evidence(at(2)), at(2.1))
+	require.Empty(t, c.TakeChanges(at(2.1)), "known evidence is passed on again and again")
 }
 
 // Evidence that hosts repeat to each other arrives some milliseconds old each time. It must neither
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -41,7 +41,10 @@
 		s.subscribers[from] = sub
 	}
 	if m.Subscription != sub.subscription {
-		sub.subscription, sub.lost = m.Subscription, true
+		sub.subscription, sub.lost, sub.lacksEvidence = m.Subscription, true, true
+	}
+	if sub.lacksEvidence {
+		sub.lacksEvidence = !s.sendAllEvidence(from)
 	}
 	sub.request, sub.requestedAt, sub.responsePending = m, now, true
 	s.updateHub() // with its first subscriber, this host begins to read the store
--- a/internal/edgecontrol/message_event.go
+++ b/internal/edgecontrol/message_event.go
@@ -26,6 +26,6 @@
 	case message.PlacementResponse:
 		s.handlePlacementResponse(m)
 	case message.PartEvidence:
-		s.handlePartEvidence(e.from, m)
+		s.handlePartEvidence(m)
 	}
 }
--- a/internal/edgecontrol/part_crash_event.go
+++ b/internal/edgecontrol/part_crash_event.go
@@ -10,6 +10,5 @@
 
 func (e partCrashEvent) apply(s *state) {
 	s.quarantine.RecordCrash(e.parts, e.id, s.now())
-	s.updateHolds()
-	s.sendEvidence("")
+	s.shareEvidence()
 }
--- a/internal/edgecontrol/part_evidence.go
+++ b/internal/edgecontrol/part_evidence.go
@@ -9,40 +9,51 @@
 	"siskintide.example/siskintide/internal/message"
 )
 
-// evidenceInterval is the interval at which evidence on prompt parts is sent again. A host that has
-// just started, or has another hub, gets it within that time.
-const evidenceInterval = time.Second
+// evidenceInterval is the minimum time between two messages with new evidence. Engines that end
+// together would cause many.
+const evidenceInterval = 100 * time.Millisecond
 
-// handlePartEvidence takes over what another host knows, and passes on what is new.
-func (s *state) handlePartEvidence(from core.HostID, m message.PartEvidence) {
-	if s.quarantine.Merge(m.Parts, s.now()) {
-		s.updateHolds()
-		s.sendEvidence(from)
-	}
+// handlePartEvidence takes over what another host knows.
+func (s *state) handlePartEvidence(m message.PartEvidence) {
+	s.quarantine.Merge(m.Parts, s.now())
+	s.shareEvidence()
 }
 
-// sendEvidence sends the evidence on prompt parts to the hub and to the subscribers, apart from the
-// host that it came from.
-func (s *state) sendEvidence(except core.HostID) {
-	m := message.PartEvidence{Parts: s.quarantine.Evidence(s.now())}
-	if len(m.Parts) == 0 {
+// shareEvidence applies new evidence on prompt parts, and sends it to the hub and to the subscribers.
+func (s *state) shareEvidence() {
+	s.updateHolds()
+	if s.now()-s.evidenceSentAt < evidenceInterval {
+		return // tickQuarantine sends it
+	}
+	changes := s.quarantine.TakeChanges(s.now())
+	if len(changes) == 0 {
 		return
 	}
 	s.evidenceSentAt = s.now()
-	for _, to := range append(s.chooser.Subscribers(), s.hub) {
-		if to != "" && to != except {
-			s.options.Send(to, m)
+	m := message.PartEvidence{Parts: changes}
+	if s.hub != "" && !s.options.Send(s.hub, m) {
+		s.hubLacksEvidence = true
+	}
+	for _, id := range s.chooser.Subscribers() {
+		if sub := s.subscribers[id]; sub != nil && !s.options.Send(id, m) {
+			sub.lacksEvidence = true
 		}
 	}
 }
 
-// tickQuarantine ends holds whose time is over and repeats the evidence.
+// sendAllEvidence sends all evidence to a new hub or subscriber. It reports whether that succeeded.
+func (s *state) sendAllEvidence(to core.HostID) bool {
+	all := s.quarantine.Evidence(s.now())
+	return len(all) == 0 || s.options.Send(to, message.PartEvidence{Parts: all})
+}
+
+// tickQuarantine ends holds whose time is over, and sends evidence that is due.
 func (s *state) tickQuarantine() {
 	s.quarantine.Expire(s.now())
-	s.updateHolds()
-	if s.now()-s.evidenceSentAt >= evidenceInterval {
-		s.sendEvidence("")
+	if s.hub != "" && s.hubLacksEvidence {
+		s.hubLacksEvidence = !s.sendAllEvidence(s.hub)
 	}
+	s.shareEvidence()
 }
 
 // updateHolds puts the holds of prompt parts into the view, and logs those that begin or end.
--- a/internal/edgecontrol/part_sound_event.go
+++ b/internal/edgecontrol/part_sound_event.go
@@ -9,8 +9,6 @@
 }
 
 func (e partSoundEvent) apply(s *state) {
-	if s.quarantine.RecordSound(e.parts, e.id, s.now()) {
-		s.updateHolds()
-		s.sendEvidence("")
-	}
+	s.quarantine.RecordSound(e.parts, e.id, s.now())
+	s.shareEvidence()
 }
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -37,6 +37,7 @@
 	ranksFirst           bool                                  // this host ranks before all others and grants retries
 	quarantine           *quarantine.Tracker
 	evidenceSentAt       time.Duration
+	hubLacksEvidence     bool // evidence on prompt parts has not been sent to the hub
 	startedAt            time.Duration
 	hosts                []core.Host // hosts of the deployment, this one included
 	hostsKnown           bool        // the list of hosts has been read
--- a/internal/edgecontrol/subscriber.go
+++ b/internal/edgecontrol/subscriber.go
@@ -12,6 +12,8 @@
 	sent         uint64 // number of the last update sent
 	lost         bool   // the next update must be a first one: none was sent, or a later one was lost
 
+	lacksEvidence bool // evidence on prompt parts has not been sent
+
 	request         message.HubRequest // latest
 	requestedAt     time.Duration
 	responsePending bool // the response to the latest request has not been sent
