--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -39,9 +39,10 @@
 // withdraw ends a request that no engine has begun to answer, because engines crash under its prompt.
 func (s *streamRelay) withdraw(hold *quarantine.Hold) {
 	fields := s.fields(s.targetFields())
-	s.possibleRuns++ // the engine may be about to begin
 	s.releaseAll()
 	if !s.headerSent {
+		s.attempts++
+		s.possibleRuns++ // the engine may be about to begin
 		s.refuse(&core.Refusal{Kind: core.RefusedPromptHeld, Message: s.holdMessage(hold), Run: core.RunUnknown})
 		return
 	}
