Record loads at the engines in TestBringIn; take the time once for a refused prompt

The stand-in engines now report when a load begins, and the test fails on any overlap, also one between two of its reads, so the check is stricter. Whether that was the cause of the finding is not shown yet. A hold that ends between two readings of the clock would have made a negative delay and a panic in one request.

--- a/internal/daemon/bring_in_test.go
+++ b/internal/daemon/bring_in_test.go
@@ -120,16 +120,17 @@
 						}
 					}
 				}
-				if loading > 1 {
-					violation = "two engines load at a time"
+				if overlap := d.loads.violation(); overlap != "" {
+					violation = "two engines load at a time: " + overlap
 				}
-				if loading == 1 && !stopped {
+				if loading >= 1 && !stopped {
 					stopped = true
 					owner.stop()
 				}
 				return violation != "" || done == len(d.engines)
 			})
 			require.Empty(t, violation)
+			require.Empty(t, d.loads.violation())
 			require.True(t, stopped)
 			require.GreaterOrEqual(t, former, 0)
 			rest, _, done := events.read(0)
--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -43,6 +43,7 @@
 	fences   bool // engines check fences
 	weight   int  // largest weights that an engine holds; a version has 1000
 	stepBase time.Duration
+	loads    loadRecorder
 }
 
 // runningHost is a daemon started by a test.
@@ -85,6 +86,7 @@
 	options.StepBase = d.stepBase
 	options.ChecksFences = d.fences
 	options.LoadTime = 1500 * time.Millisecond
+	options.OnLoad = d.loads.add
 	server := engineserver.New(options)
 	httpServer := httptest.NewServer(server)
 	d.engines = append(d.engines, httpServer)
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -25,11 +25,12 @@
 // promptRefusal returns the refusal of a request under whose prompt engines crash, or nil. Callers are
 // told to come back at different times after the hold.
 func (h *requestHandler) promptRefusal(view *edgecontrol.View) *core.Refusal {
-	hold := view.Hold(h.parts, h.now())
+	now := h.now()
+	hold := view.Hold(h.parts, now)
 	if hold == nil {
 		return nil
 	}
-	left := hold.Until - h.now()
+	left := hold.Until - now
 	return notRunRefusal(core.RefusedPromptHeld, h.holdMessage(hold), left+rand.N(left+1))
 }
 
--- a/tools/standin/engine/engineserver/engine_reports.go
+++ b/tools/standin/engine/engineserver/engine_reports.go
@@ -99,6 +99,9 @@
 	if at < 0 {
 		e.models = append(e.models, modelEntry{Model: o.Model, Version: o.Version, readyAt: readyAt})
 		at = len(e.models) - 1
+		if e.options.OnLoad != nil {
+			e.options.OnLoad(o.Version, e.clock.Now(), e.options.LoadTime)
+		}
 	}
 	if o.Adapter != "" && !slices.Contains(e.models[at].Adapters, o.Adapter) {
 		e.models[at].Adapters = append(slices.Clone(e.models[at].Adapters), o.Adapter)
--- a/tools/standin/engine/engineserver/options.go
+++ b/tools/standin/engine/engineserver/options.go
@@ -17,7 +17,7 @@
 )
 
 // Options configures the stand-in. A zero value is replaced by that of Defaults, except for
-// Name, which has its own default, and for LoadLag, CacheLag, CacheGapEvery and ChecksFences,
+// Name, which has its own default, and for LoadLag, CacheLag, CacheGapEvery, ChecksFences and OnLoad,
 // which may be zero.
 type Options struct {
 	Clock           clockwork.Clock
@@ -40,6 +40,9 @@
 	CacheEntries    int           // prefixes that the cache holds
 	CacheGapEvery   int           // every n-th cache event is lost; zero means none
 	ChecksFences    bool          // refuse orders with a fence lower than the last one
+	// OnLoad is called in the event loop when the load of a model version begins, with its
+	// duration; nil for none.
+	OnLoad func(version string, began time.Time, duration time.Duration)
 }
 
 // Defaults returns the options of a small engine.
