Compare registry entries with the revision up to which all changes are included

What callers could see: a request at a leaving target. A hub leaves out writes that change nothing but the revision, so an entry may have an old revision in a registry that is complete up to a newer one; a read of this host that was under way then took the entry back. Tests give removals a revision of their own.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -33,13 +33,15 @@
 // Advance records that all changes of the store up to a revision are included.
 func (r *Registry) Advance(revision uint64) { r.revision = max(r.revision, revision) }
 
-// Superseded reports whether a newer state of an entry is known, which may be that it has been
-// removed.
+// Superseded reports whether this or a newer state of an entry is known, which may be that it has
+// been removed. The revision of an entry alone does not tell: a hub leaves out writes that change
+// nothing.
 func (r *Registry) Superseded(registration core.Registration) bool {
-	if known, ok := r.entries[registration.Target]; ok {
-		return known.Revision > registration.Revision
-	}
-	return registration.Revision <= r.revision
+	return r.superseded(registration.Target, registration.Revision)
+}
+
+func (r *Registry) superseded(id core.TargetID, revision uint64) bool {
+	return revision <= r.revision || r.entries[id].Revision > revision
 }
 
 // Put adds or replaces one entry. It returns false and changes nothing if it is superseded.
@@ -58,7 +60,7 @@
 // entries expired register again.
 func (r *Registry) Remove(removal core.Removal, now time.Duration) {
 	entry, ok := r.entries[removal.Target]
-	if !ok || entry.Revision > removal.Revision {
+	if !ok || r.superseded(removal.Target, removal.Revision) {
 		return
 	}
 	if entry.Leaving || !r.InGracePeriod(now) {
@@ -85,7 +87,7 @@
 
 // RemoveNow removes an entry even during the grace period, unless a newer state of it is known.
 func (r *Registry) RemoveNow(removal core.Removal) {
-	if r.entries[removal.Target].Revision <= removal.Revision {
+	if !r.superseded(removal.Target, removal.Revision) {
 		delete(r.entries, removal.Target)
 	}
 }
@@ -97,6 +99,7 @@
 	for _, removal := range r.merge(all, revision, now) {
 		r.RemoveNow(removal)
 	}
+	r.Advance(revision)
 }
 
 // Replace replaces all entries that are not newer with those of a full read of the store as of a
@@ -105,6 +108,7 @@
 	for _, removal := range r.merge(all, revision, now) {
 		r.Remove(removal, now)
 	}
+	r.Advance(revision)
 }
 
 // merge puts the entries of a full list as of a revision, and returns the removals of those that
@@ -121,7 +125,6 @@
 			missing = append(missing, core.Removal{Target: id, Revision: revision})
 		}
 	}
-	r.Advance(revision)
 	return missing
 }
 
--- a/internal/edgecontrol/loop_test.go
+++ b/internal/edgecontrol/loop_test.go
@@ -150,6 +150,15 @@
 	return c.revision
 }
 
+// applyRemoval applies a read of the store in which a target's entry was removed.
+func applyRemoval(loop *Loop, clock *testClock, target core.TargetID) {
+	clock.mu.Lock()
+	clock.revision++
+	revision := clock.revision
+	clock.mu.Unlock()
+	loop.HandleUpdate(Update{SentAt: clock.now(), Removed: []core.Removal{{Target: target, Revision: revision}}, CoversRegistry: true, RegistryRevision: revision})
+}
+
 // applyRead applies the result of a read of the store to a host.
 func applyRead(loop *Loop, clock *testClock, config *core.RoutingConfig, all []core.Registration) {
 	revision := clock.storeRevision(all)
@@ -219,7 +228,7 @@
 	applyRead(hub, clock, engineConfig(9), nil)
 	eventually(t, "newer revision", func() bool { return subscriber.View().Table.Config.Revision == 9 })
 	applyRead(hub, clock, engineConfig(4), nil)
-	hub.HandleUpdate(Update{SentAt: clock.now(), Removed: []core.Removal{{Target: "e0", Revision: 10}}, CoversRegistry: true, RegistryRevision: 10})
+	applyRemoval(hub, clock, "e0")
 	eventually(t, "target gone", func() bool { return !subscriber.View().Usable("e0") })
 	require.Equal(t, core.Revision(9), subscriber.View().Table.Config.Revision, "the revision went back")
 
@@ -368,7 +377,7 @@
 	subscriber := net.loops["host"]
 	eventually(t, "state received", func() bool { return len(subscriber.View().Targets) == 4 && !subscriber.View().ReadsStore })
 	subscriber.HandleStoreStatus(false)
-	net.loops["h"].HandleUpdate(Update{SentAt: clock.now(), Removed: []core.Removal{{Target: "e0", Revision: 10}}, CoversRegistry: true, RegistryRevision: 10})
+	applyRemoval(net.loops["h"], clock, "e0")
 	eventually(t, "target gone", func() bool { return !subscriber.View().Usable("e0") })
 }
 
