Respond to subscribers after they have been sent what was read

What callers could see: an old configuration or a leaving target that counts as current for the time that an update takes on a slow link. A hub sent delayed responses while it applied a read, with the new age, before the changes of that read; and it compared its registry by a digest from before the read, so that a first update could leave the registry out. Now responses follow the updates, and the digest is dropped with each change.

--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -38,6 +38,7 @@
 		Registrations: registrations, FullRegistry: registrations != nil}}.apply(h.state)
 	h.view.Targets, h.lastRegistryDigest = h.registry.Entries(), 0
 	h.notifySubscribers(&before, &h.view)
+	h.respondAll()
 }
 
 // request handles a subscriber's request and returns the updates and the response sent for it.
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -70,6 +70,11 @@
 			close(former)
 			s.changed = false
 		}
+		// A response must not say that a subscriber is up to date before it has been sent the changes.
+		if s.responsesDue {
+			s.responsesDue = false
+			s.respondAll()
+		}
 	}
 }
 
@@ -83,7 +88,7 @@
 func (s *state) tick() {
 	if s.registry.Expire(s.now()) {
 		s.log.Info("removed targets that did not register again after the outage")
-		s.registryChanged = true
+		s.registryChanged, s.lastRegistryDigest = true, 0
 	}
 	s.balancer.Expire(s.now())
 	s.updateHub()
--- a/internal/edgecontrol/mark_leaving_event.go
+++ b/internal/edgecontrol/mark_leaving_event.go
@@ -9,7 +9,7 @@
 
 func (e markLeavingEvent) apply(s *state) {
 	if s.registry.MarkLeaving(e.target) {
-		s.registryChanged = true
+		s.registryChanged, s.lastRegistryDigest = true, 0
 		s.log.WithField("target", e.target).Info("target leaves by its own report")
 	}
 }
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -46,6 +46,8 @@
 	storeUnavailable     bool
 	ownStoreReads        freshness.Proof // last read of the store by this host itself
 
+	responsesDue bool // delayed responses are sent once the subscribers have what was read
+
 	chooser       *hub.Chooser
 	hub           core.HostID // empty if there is none
 	subscription  subscription
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -41,7 +41,7 @@
 	}
 	s.applyRegistry(e.Update)
 	if e.CoversConfig || e.CoversRegistry {
-		s.respondAll()
+		s.responsesDue = true
 	}
 }
 
@@ -97,7 +97,7 @@
 		}
 		s.balancer.Forget(removal.Target)
 	}
-	s.registryChanged = true
+	s.registryChanged, s.lastRegistryDigest = true, 0
 }
 
 // recordRegistration logs how an entry differs from the known one. If the target has
