Do not continue from a hub that is behind, or after a read that crossed its first update

What callers could see: a leaving target that is used, or an evacuation that is missed, without an end. A hub sends differences from its own former state. If its subscriber has read newer changes itself, a change that went there and back at the hub in between is in no update, and yet the subscriber took itself for up to date. The same if a read changed the registry between the request, with its digest, and the first update that left the registry out. A first update is accepted only if the hub is not behind and the digest still fits; a host that stops reading, or gets a read that was still under way then, subscribes anew at once. Class: differences without their base.

--- a/internal/edgecontrol/first_update.go
+++ b/internal/edgecontrol/first_update.go
@@ -23,6 +23,8 @@
 	}
 	if s.view.RegistryLoaded && s.registryDigest() != has.RegistryDigest {
 		m.Registry = s.registryForUpdate(now)
+	} else {
+		m.RegistryDigest = s.registryDigest()
 	}
 	if len(s.hosts) != has.HostCount {
 		m.Hosts = s.hosts
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -37,6 +37,9 @@
 	}
 	if plan.ReadStore != s.view.ReadsStore {
 		s.view.ReadsStore, s.changed = plan.ReadStore, true
+		if !plan.ReadStore {
+			s.resubscribe()
+		}
 	}
 	if hasSubscribers := len(s.chooser.Subscribers()) > 0; hasSubscribers != s.view.HasSubscribers {
 		s.view.HasSubscribers, s.changed = hasSubscribers, true
@@ -118,6 +121,10 @@
 	if from != s.hub || !s.subscription.receive(m.First, m.Number, s.now()) {
 		return
 	}
+	if m.First && !s.continues(m) {
+		s.subscription.renew(s.now())
+		return
+	}
 	if len(m.Hosts) > 0 {
 		s.setHosts(m.Hosts)
 	}
@@ -143,6 +150,23 @@
 	}
 }
 
+// continues reports whether a first update leads to the hub's state. It does not if the hub is behind
+// this host, since its later updates leave out what changed there and back again in the meantime, or
+// if a read has changed the registry since the request.
+func (s *state) continues(m message.HubUpdate) bool {
+	behind := m.ConfigRevision < s.configRevision || m.RegistryRevision < s.registry.Revision()
+	return !behind && (m.Registry != nil || m.RegistryDigest == s.registryDigest())
+}
+
+// resubscribe begins a new subscription at once. It is needed after a read of this host that is the
+// last one for now: the updates of the hub may not continue what was read.
+func (s *state) resubscribe() {
+	if s.hub != "" {
+		s.subscription.renew(s.now())
+		s.requestAge(s.hub, s.now())
+	}
+}
+
 // setHosts replaces the list of hosts and derives the hub candidates and the links from it.
 func (s *state) setHosts(hosts []core.Host) {
 	if len(hosts) < len(s.hosts) {
--- a/internal/edgecontrol/subscriber_state_test.go
+++ b/internal/edgecontrol/subscriber_state_test.go
@@ -71,7 +71,7 @@
 			h := newHubState()
 			h.read(engineConfig(3), engines(2))
 			number := h.subscribe()
-			h.handleHubUpdate("b", message.HubUpdate{First: true, Number: 1})
+			h.handleHubUpdate("b", message.HubUpdate{First: true, Number: 1, ConfigRevision: h.revision, RegistryRevision: h.revision, RegistryDigest: h.registryDigest()})
 			for passed := time.Duration(0); passed <= time.Minute; passed += 400 * time.Millisecond {
 				if passed == lostAt.Truncate(400*time.Millisecond) {
 					storeEvent{up: false}.apply(h.state)
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -42,6 +42,9 @@
 	s.applyRegistry(e.Update)
 	if e.CoversConfig || e.CoversRegistry {
 		s.responsesDue = true
+		if !s.view.ReadsStore {
+			s.resubscribe() // the call was under way when the host stopped reading
+		}
 	}
 }
 
