--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -11,52 +11,6 @@
 	"siskintide.example/siskintide/internal/edgecontrol"
 )
 
-const (
-	// switchAfter is the time from the notice that an engine leaves to the switch to the
-	// copy. Engines leave 1.5 s after their notice at the earliest; copies lag by up to 0.3 s.
-	switchAfter = 900 * time.Millisecond
-	// switchUnstartedAfter is the same for a generation that has sent no event yet.
-	switchUnstartedAfter = 1100 * time.Millisecond
-	// The following bound the time from the notice to the moves of a generation without a
-	// copy: precopyDeadline is the latest start of the first pre-copy, stopAndCopyAfter and
-	// stopAndCopyDeadline are the earliest and latest start of the stop-and-copy step.
-	// Moving one gigabyte takes 0.2 s, and an engine that leaves has several to move.
-	precopyDeadline     = 900 * time.Millisecond
-	stopAndCopyAfter    = 600 * time.Millisecond
-	stopAndCopyDeadline = 1150 * time.Millisecond
-	// fastPrecopy is the duration of a repeated pre-copy, which copies only what is new,
-	// when no other move is queued before it.
-	fastPrecopy = 50 * time.Millisecond
-	// destinationGrace is how long after the notice that the destination of a move leaves the
-	// generation may be resumed there. A notice arrives up to 1.2 s late, and a leaving engine must
-	// get no request two seconds after it was given.
-	destinationGrace = 600 * time.Millisecond
-	// freeTimeout bounds the call that frees a moved KV cache.
-	freeTimeout = time.Second
-	// maxMoveExclusions bounds the list of engines that are not moved to again because they
-	// had no capacity.
-	maxMoveExclusions = 6
-	// silenceFraction is the part of the route's GapGoal after which a silent engine counts
-	// as lost. The rest of the goal is left for the switch.
-	silenceFraction = 0.75
-	// maxSwitchOverlap is how long the former engine is kept running while the engine that
-	// takes over has not responded: two engines must not work on one generation for 400 ms.
-	maxSwitchOverlap = 300 * time.Millisecond
-	// capacityWaitFraction is the part of the route's AnswerGoal for which a request waits
-	// for capacity. The prompt takes much of the rest.
-	capacityWaitFraction = 0.6
-	// capacityRetryInterval is the time between two tries while all engines are at capacity;
-	// a generation ends every few milliseconds.
-	capacityRetryInterval = 60 * time.Millisecond
-	// retryAtCapacity is the Retry-After while all engines are at capacity. A generation takes
-	// some seconds.
-	retryAtCapacity = time.Second
-	// soundEvents is the number of events from which a generation counts as begun.
-	soundEvents = 2
-	// minCopyEvents is the smallest number of expected events for which a copy is kept.
-	minCopyEvents = 12
-)
-
 // streamRelay forwards one stream to its caller, from one engine after another. Only the
 // goroutine that serves the request uses it.
 type streamRelay struct {
