Log the rate limit that a target names with the end of each request

No line told whether a target had named a limit, so the logs could not tell limits that nobody reads from limits that each host keeps by itself.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -98,6 +98,7 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
+	h.rateLimit = info.RateLimit
 	if info.RequestID != "" && info.RequestID != h.request.ID {
 		return nil, &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
 	}
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -36,6 +36,7 @@
 	deadline     time.Duration     // relative to arrived
 	attempts     int               // attempts that reached a target
 	possibleRuns int               // attempts whose target may have run the request
+	rateLimit    *float64          // named by the last target that responded; nil for none
 }
 
 func (h *requestHandler) now() time.Duration { return h.gateway.options.Clock() }
@@ -107,6 +108,9 @@
 	fields["revision"] = h.view.Table.Config.Revision
 	fields["config_age_ms"] = age.Milliseconds()
 	fields["sends"] = h.attempts
+	if h.rateLimit != nil {
+		fields["target_rate_limit"] = *h.rateLimit
+	}
 	fields["took_ms"] = took.Milliseconds()
 	h.log.WithFields(fields).Info("request ended")
 	h.gateway.options.Metrics.RequestEnded(h.teamID(), h.class(), outcome, took)
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -29,6 +29,7 @@
 // handleOpened handles the header of the first engine's response.
 func (s *streamRelay) handleOpened(message upstreamMessage) bool {
 	s.attempts++
+	s.rateLimit = message.info.RateLimit
 	if message.response == nil {
 		s.possibleRuns++
 		s.sendHeader()
