Keep the rate that a target in need names, over all hosts together

Callers' requests reached targets at several times the rate that these had named (Server-Limit): 49 in 4 s at 5.3 a second, 37 allowed. Cause: the header was never read; the class of fault is a bound over all hosts that no host knows its part of. Ruled out: hosts that keep it each by itself, and retries (the excess is there throughout).

The limits are told to hub and subscribers like other news. Permits are issued where the requests are placed: a hub has the shares of itself and its subscribers, a host without a hub its own, so that shares add up to one whoever is cut off, frozen or started again. Permits expire after a second, so that idle issuers do not allow a burst. While all targets of a pool are limited, a gate decides by priority, team and deadline who gets them, and tells the others a time at which a permit is kept for them. A limit ends gradually.

TestPermitsOfAllIssuersKeepTheLimit passes 10,000 draws.

--- a/internal/core/refusal_kind.go
+++ b/internal/core/refusal_kind.go
@@ -24,5 +24,6 @@
 	RefusedInProgress          RefusalKind = "in_progress"
 	RefusedOutcomeUnknown      RefusalKind = "outcome_unknown"
 	RefusedPlatformUnavailable RefusalKind = "platform_unavailable"
-	RefusedPromptHeld          RefusalKind = "prompt_held" // engines crash under a part of the prompt
+	RefusedRateLimited         RefusalKind = "rate_limited" // the targets' rate limits leave no room
+	RefusedPromptHeld          RefusalKind = "prompt_held"  // engines crash under a part of the prompt
 )
--- a/internal/decide/placement/balancer_choice.go
+++ b/internal/decide/placement/balancer_choice.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,9 @@
 	// copies are added. Copies also use the links on which KV caches are moved, and when
 	// targets leave, the others have to take over their generations.
 	totalCopyMemoryShare = 0.5
+	// limitedPenalty is added for a target that names a limit, so that others with room take
+	// requests first.
+	limitedPenalty = 0.5
 	// avoidPenalty ranks avoided targets behind all others.
 	avoidPenalty = 1000.0
 )
@@ -86,7 +90,7 @@
 			request.CopyAwayFrom = candidate.DataCentre
 		}
 	}
-	candidates = sample(candidates, request.ID)
+	candidates = sample(withoutLimited(candidates), request.ID)
 	holder := b.best(candidates, request, now, b.copyScore)
 	if holder == nil {
 		return Candidate{}, false
@@ -98,6 +102,15 @@
 	return *holder, true
 }
 
+// withoutLimited returns the candidates that name no limit.
+func withoutLimited(candidates []Candidate) []Candidate {
+	isLimited := func(c Candidate) bool { return c.Limited }
+	if !slices.ContainsFunc(candidates, isLimited) {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), isLimited)
+}
+
 // memoryShare returns the share of the candidates' total memory that is forecast to be
 // in use.
 func (b *Balancer) memoryShare(candidates []Candidate) float64 {
@@ -137,6 +150,9 @@
 		value = max(value, share) + overcommitPenalty*max(share-fullMemoryShare, 0)
 		value += float64(pending)/prefillScale + slowPrefillPenalty*max(float64(pending-slowPrefill), 0)/prefillScale
 	}
+	if c.Limited {
+		value += limitedPenalty
+	}
 	return value + distancePenalty(c, request) + b.healthPenalty(c, now)
 }
 
--- a/internal/decide/placement/candidate.go
+++ b/internal/decide/placement/candidate.go
@@ -9,4 +9,5 @@
 	DataCentre core.DataCentreID
 	Slots      int         // number of requests that counts as full load
 	Memory     core.Tokens // zero for plain services
+	Limited    bool        // the target is in need and takes only a limited rate of requests
 }
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -28,7 +28,7 @@
 	plan := s.chooser.Next(now, age, known, s.ownStoreReads.Within(now, ownReadMaxAge))
 	if plan.Hub != s.hub {
 		s.logHubChange(plan.Hub, age, known)
-		s.hub, s.loadChanged, s.hubLacksEvidence = plan.Hub, true, true
+		s.hub, s.loadChanged, s.hubLacksEvidence, s.hubLacksLimits = plan.Hub, true, true, true
 		s.balancer.SetHubFailureRates(nil)
 		s.subscription.renew(now)
 	}
--- a/internal/edgecontrol/hub_placement.go
+++ b/internal/edgecontrol/hub_placement.go
@@ -37,9 +37,14 @@
 		Number: number, Pool: e.req.Pool, Request: request.ID, DataCentre: request.DataCentre,
 		Memory: request.Memory, Prompt: request.Prompt, WantsCopy: request.WantsCopy, TransfersMemory: request.TransfersMemory, Avoid: avoid,
 		RunningOn: e.req.RunningOn, NeedsGrant: needsGrant, MayWait: e.req.MayWait,
+		Team: e.req.Team, Content: e.req.Content, Priority: e.req.Priority, TimeLeft: e.req.TimeLeft, MaxWait: e.req.MaxWait,
 	})
 	if sent {
-		timer := time.AfterFunc(placeTimeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
+		timeout := placeTimeout
+		if s.limited(e.req.Pool) {
+			timeout += e.req.waiter().LongestWait() // for a permit
+		}
+		timer := time.AfterFunc(timeout, func() { s.options.post(placeTimeoutEvent{number: number}) })
 		s.pending[number] = pendingPlacement{placeEvent: e, needsGrant: needsGrant, timer: timer}
 	}
 	return sent
@@ -69,8 +74,8 @@
 	}
 	delete(s.pending, m.Number)
 	waiting.timer.Stop()
-	if m.AtCapacity {
-		waiting.reply <- Assignment{AtCapacity: true}
+	if m.AtCapacity || m.RateLimited {
+		waiting.reply <- Assignment{AtCapacity: m.AtCapacity, RateLimited: m.RateLimited, RetryAfter: max(m.RetryAfter, 0)}
 		return
 	}
 	choice := placement.Choice{Target: s.candidate(m.Target)}
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -41,11 +41,14 @@
 		s.subscribers[from] = sub
 	}
 	if m.Subscription != sub.subscription {
-		sub.subscription, sub.lost, sub.lacksEvidence = m.Subscription, true, true
+		sub.subscription, sub.lost, sub.lacksEvidence, sub.lacksLimits = m.Subscription, true, true, true
 	}
 	if sub.lacksEvidence {
 		sub.lacksEvidence = !s.sendAllEvidence(from)
 	}
+	if sub.lacksLimits {
+		sub.lacksLimits = !s.sendAllLimits(from)
+	}
 	sub.request, sub.requestedAt, sub.responsePending = m, now, true
 	s.updateHub() // with its first subscriber, this host begins to read the store
 	s.respond(from, sub)
@@ -186,25 +189,13 @@
 
 // handlePlacementRequest chooses a target for a subscriber's request and sends the response.
 func (s *state) handlePlacementRequest(from core.HostID, m message.PlacementRequest) {
-	req := PlacementRequest{Pool: m.Pool, RunningOn: m.RunningOn, MayWait: m.MayWait, Request: placement.Request{
+	req := PlacementRequest{Pool: m.Pool, RunningOn: m.RunningOn, MayWait: m.MayWait, Team: m.Team, Content: m.Content, Priority: m.Priority, TimeLeft: m.TimeLeft, MaxWait: m.MaxWait, Request: placement.Request{
 		ID: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
 		WantsCopy: m.WantsCopy, TransfersMemory: m.TransfersMemory, Avoid: m.Avoid,
 	}}
-	response := message.PlacementResponse{Number: m.Number}
 	if m.NeedsGrant && !s.grantRetry(m.Pool) {
-		s.options.Send(from, response)
+		s.options.Send(from, message.PlacementResponse{Number: m.Number})
 		return
 	}
-	choice, ok := s.choose(req)
-	if ok && s.shouldWait(choice, req) {
-		response.AtCapacity = true
-	} else if ok {
-		response.Target, response.Copy = choice.Target.Target, choice.Copy.Target
-		loads := map[core.TargetID]placement.Load{response.Target: req.Request.Load()}
-		if choice.HasCopy() {
-			loads[response.Copy] = placement.Load{Copies: m.Memory}
-		}
-		s.balancer.AddPeerGrant(from, m.Number, loads, s.now())
-	}
-	s.options.Send(from, response)
+	s.place(req, true, subscriberReply{host: from, number: m.Number})
 }
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -95,6 +95,7 @@
 	s.respondAll()
 	s.sendLoad()
 	s.tickQuarantine()
+	s.tickLimits()
 }
 
 // View returns the latest view.
@@ -155,6 +156,15 @@
 	l.post(context.Background(), partSoundEvent{parts: parts, id: id})
 }
 
+// RecordRateLimit records whether the response to a request sent at sentAt has named a limit, in
+// requests per second over all hosts; rate is nil if it has not. notRun is set if the target did not
+// run the request.
+func (l *Loop) RecordRateLimit(target core.TargetID, rate *float64, notRun bool, sentAt time.Duration) {
+	if rate != nil || l.View().LimitedTargets[target] {
+		l.post(context.Background(), rateLimitEvent{target: target, rate: rate, notRun: notRun, sentAt: sentAt})
+	}
+}
+
 // Place assigns a target and adds the request's load to it until Release is called. It returns
 // false if no target was assigned, if the loop ended, or if the context ended before the
 // request was queued.
--- a/internal/edgecontrol/message_event.go
+++ b/internal/edgecontrol/message_event.go
@@ -27,5 +27,7 @@
 		s.handlePlacementResponse(m)
 	case message.PartEvidence:
 		s.handlePartEvidence(m)
+	case message.TargetLimits:
+		s.handleTargetLimits(m)
 	}
 }
--- a/internal/edgecontrol/message_event_test.go
+++ b/internal/edgecontrol/message_event_test.go
@@ -13,7 +13,7 @@
 
 // drawMessage draws a message of a kind that the control goroutine handles, with any values.
 func drawMessage(t *rapid.T) message.Message {
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		return rapid.Make[message.HubRequest]().Draw(t, "hub request")
 	case 1:
@@ -38,6 +38,8 @@
 		return rapid.Make[message.HostLoad]().Draw(t, "load")
 	case 4:
 		return rapid.Make[message.PlacementRequest]().Draw(t, "placement request")
+	case 5:
+		return rapid.Make[message.TargetLimits]().Draw(t, "limits")
 	default:
 		return rapid.Make[message.PlacementResponse]().Draw(t, "placement response")
 	}
--- a/internal/edgecontrol/place_event.go
+++ b/internal/edgecontrol/place_event.go
@@ -21,7 +21,8 @@
 	}
 	covered := !e.req.Retry || s.retryBudget(e.req.Pool).TrySpend(s.now(), len(s.hosts)) || s.grantRetry(e.req.Pool)
 	spec := s.view.Table.Pool(e.req.Pool)
-	if spec != nil && spec.Engine != nil && s.requestPlacement(e, !covered) {
+	placedByHub := spec != nil && spec.Engine != nil || !s.issuesOwnPermits() && s.limited(e.req.Pool)
+	if placedByHub && s.requestPlacement(e, !covered) {
 		return
 	}
 	if !covered {
@@ -40,16 +41,7 @@
 
 // placeLocally answers with a target chosen from this host's own state.
 func (e placeEvent) placeLocally(s *state) {
-	choice, ok := s.choose(e.req)
-	if !ok {
-		e.reply <- Assignment{}
-		return
-	}
-	if s.shouldWait(choice, e.req) {
-		e.reply <- Assignment{AtCapacity: true}
-		return
-	}
-	e.reply <- s.assign(choice, e.req.Request)
+	s.place(e.req, s.issuesOwnPermits(), localReply{reply: e.reply})
 }
 
 // shouldWait reports whether a request that may wait should do so, because even the chosen
@@ -59,15 +51,15 @@
 }
 
 // choose selects a target from this host's own state, or only a target for the copy if the
-// generation already runs.
-func (s *state) choose(req PlacementRequest) (placement.Choice, bool) {
+// generation already runs. Limited targets are chosen only with usePermits, and never for copies.
+func (s *state) choose(req PlacementRequest, usePermits bool) (placement.Choice, bool) {
 	if s.view.Table == nil {
 		return placement.Choice{}, false
 	}
-	candidates := s.candidates(req.Pool)
 	if req.RunningOn == "" {
-		return s.balancer.Choose(candidates, req.Request, s.now())
+		return s.balancer.Choose(s.permitted(s.candidates(req.Pool), usePermits), req.Request, s.now())
 	}
+	candidates := s.permitted(s.candidates(req.Pool), false)
 	choice := placement.Choice{Target: s.candidate(req.RunningOn)}
 	if req.Request.WantsCopy {
 		if holder, ok := s.balancer.ChooseCopy(candidates, req.Request, req.RunningOn, s.now()); ok {
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -11,6 +11,7 @@
 	"siskintide.example/siskintide/internal/decide/hub"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/quarantine"
+	"siskintide.example/siskintide/internal/decide/ratelimit"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/retrybudget"
 	"siskintide.example/siskintide/internal/message"
@@ -38,6 +39,13 @@
 	quarantine           *quarantine.Tracker
 	evidenceSentAt       time.Duration
 	hubLacksEvidence     bool // evidence on prompt parts has not been sent to the hub
+	limits               *ratelimit.Limits
+	hubLacksLimits       bool                                 // the targets' limits have not been sent to the hub
+	permits              map[core.TargetID]*ratelimit.Permits // issued by this host
+	gates                map[core.PoolID]*ratelimit.Gate
+	permitTimers         map[core.PoolID]bool // a permitsDueEvent will come
+	permitWaiters        map[uint64]permitWaiter
+	lastWaiter           uint64
 	startedAt            time.Duration
 	hosts                []core.Host // hosts of the deployment, this one included
 	hostsKnown           bool        // the list of hosts has been read
@@ -60,16 +68,21 @@
 
 func newState(options *Options) *state {
 	return &state{
-		options:      options,
-		log:          options.Log,
-		registry:     registry.New(),
-		balancer:     placement.NewBalancer(),
-		retryBudgets: map[core.PoolID]*retrybudget.Budget{},
-		grantBudgets: map[core.PoolID]*retrybudget.Budget{},
-		hosts:        []core.Host{options.Self},
-		quarantine:   quarantine.NewTracker(hostFraction(options.Self.ID)),
-		chooser:      hub.NewChooser(),
-		subscribers:  map[core.HostID]*subscriber{},
+		options:       options,
+		log:           options.Log,
+		registry:      registry.New(),
+		balancer:      placement.NewBalancer(),
+		retryBudgets:  map[core.PoolID]*retrybudget.Budget{},
+		grantBudgets:  map[core.PoolID]*retrybudget.Budget{},
+		hosts:         []core.Host{options.Self},
+		quarantine:    quarantine.NewTracker(hostFraction(options.Self.ID)),
+		limits:        ratelimit.NewLimits(),
+		permits:       map[core.TargetID]*ratelimit.Permits{},
+		gates:         map[core.PoolID]*ratelimit.Gate{},
+		permitTimers:  map[core.PoolID]bool{},
+		permitWaiters: map[uint64]permitWaiter{},
+		chooser:       hub.NewChooser(),
+		subscribers:   map[core.HostID]*subscriber{},
 		// Numbers begin where no former incarnation of this host has been.
 		subscription:  subscription{number: uint64(options.Clock())},
 		lastPlacement: uint64(options.Clock()),
--- a/internal/edgecontrol/subscriber.go
+++ b/internal/edgecontrol/subscriber.go
@@ -13,6 +13,7 @@
 	lost         bool   // the next update must be a first one: none was sent, or a later one was lost
 
 	lacksEvidence bool // evidence on prompt parts has not been sent
+	lacksLimits   bool // limits of targets have not been sent
 
 	request         message.HubRequest // latest
 	requestedAt     time.Duration
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -113,6 +113,7 @@
 		entry.WithField("pool", registration.Pool).WithField("data_centre", registration.DataCentre).Info("target registered")
 	case known.Born != registration.Born || known.Address != registration.Address:
 		entry.Info("target started again")
+		s.limits.Forget(registration.Target)
 		s.balancer.Forget(registration.Target)
 	case registration.Leaving && !known.Leaving:
 		entry.Info("target leaves")
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -18,14 +18,15 @@
 	RegistryLoaded   bool // the registry has been read
 	Targets          map[core.TargetID]registry.Entry
 	Evacuated        map[core.DataCentreID]bool
-	Holds            []quarantine.Hold // of prompt parts under which engines crash
-	Leaving          bool              // this host is shutting down
-	ReadsStore       bool              // this host reads the platform's store itself
-	StoreUnavailable bool              // the last call to the store failed
-	ReadsHosts       bool              // this host reads the list of hosts too
-	HasSubscribers   bool              // this host is the hub of other hosts
-	ReadInterval     time.Duration     // minimum time between two reads of a table of the store
-	Changed          <-chan struct{}   // closed when a newer view has been published
+	Holds            []quarantine.Hold      // of prompt parts under which engines crash
+	LimitedTargets   map[core.TargetID]bool // targets that take only a limited rate of requests
+	Leaving          bool                   // this host is shutting down
+	ReadsStore       bool                   // this host reads the platform's store itself
+	StoreUnavailable bool                   // the last call to the store failed
+	ReadsHosts       bool                   // this host reads the list of hosts too
+	HasSubscribers   bool                   // this host is the hub of other hosts
+	ReadInterval     time.Duration          // minimum time between two reads of a table of the store
+	Changed          <-chan struct{}        // closed when a newer view has been published
 }
 
 // Usable reports whether new work may be sent to a target.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,9 @@
 	// as a multiple of the route's AnswerGoal. Half of the time left is used if it is longer,
 	// and three quarters of the time left is the upper limit.
 	attemptTimeoutGoals = 2
+	// callWaitFraction is the part of the route's AnswerGoal for which a call waits for a permit of a
+	// limited target. The target needs the rest.
+	callWaitFraction = 0.25
 	// responseMargin is how long before the deadline the gateway stops waiting for targets,
 	// so that its own response reaches the caller in time.
 	responseMargin = 15 * time.Millisecond
@@ -44,7 +47,11 @@
 			h.refuse(refusal)
 			return
 		}
-		assignment, ok := h.gateway.options.Controller.Place(ctx, edgecontrol.PlacementRequest{Pool: h.pool, Request: h.placementRequest(avoid), Retry: h.attempts > 0})
+		assignment, ok := h.gateway.options.Controller.Place(ctx, h.callPlacement(avoid))
+		if assignment.RateLimited && h.possibleRuns == 0 && h.r.Context().Err() == nil {
+			h.refuse(rateLimitRefusal(assignment.RetryAfter))
+			return
+		}
 		if !ok {
 			break
 		}
@@ -64,6 +71,21 @@
 	h.finishFailed(ctx, fallback)
 }
 
+// callPlacement returns the request for a target other than those to avoid.
+func (h *requestHandler) callPlacement(avoid []core.TargetID) edgecontrol.PlacementRequest {
+	return edgecontrol.PlacementRequest{
+		Pool: h.pool, Request: h.placementRequest(avoid), Retry: h.attempts > 0,
+		Team: h.teamID(), Content: h.contentKey(), Priority: *h.priority(), TimeLeft: h.callerTimeLeft(), MaxWait: h.waitLeft(callWaitFraction),
+	}
+}
+
+// waitLeft returns what is left of the part of the route's AnswerGoal for which a request may wait for
+// a target.
+func (h *requestHandler) waitLeft(fraction float64) time.Duration {
+	wait := time.Duration(fraction*float64(h.route.AnswerGoal)) - (h.now() - h.arrived)
+	return max(min(wait, h.timeLeft()-responseMargin), 0)
+}
+
 // canRetry reports whether the request may be sent to another target.
 func (h *requestHandler) canRetry() bool {
 	if h.possibleRuns == 0 {
@@ -83,8 +105,12 @@
 	}
 	address := assignment.Target.Address
 	attempt := Attempt{Target: assignment.Target.Target, Priority: h.priority()}
+	sentAt := h.now()
 	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
 	response, err := h.readCallResponse(x, err)
+	if response != nil {
+		h.recordTargetState(attempt.Target, response.ResponseInfo, sentAt)
+	}
 	h.recordCallPrompt(ctx, attempt.Target, response, err)
 	h.recordAttempt(assignment, response, err)
 	return response, err
@@ -98,13 +124,22 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
-	h.rateLimit = info.RateLimit
 	if info.RequestID != "" && info.RequestID != h.request.ID {
 		return nil, &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
 	}
 	return x.readResponse(info, &h.gateway.buffers)
 }
 
+// recordTargetState records what a target says of itself in its response to an attempt that was sent
+// at sentAt. A misdirected attempt has reached another target.
+func (h *requestHandler) recordTargetState(target core.TargetID, info ResponseInfo, sentAt time.Duration) {
+	if info.Misdirected {
+		return
+	}
+	h.rateLimit = info.RateLimit
+	h.gateway.options.Controller.RecordRateLimit(target, info.RateLimit, info.NotRun, sentAt)
+}
+
 // recordAttempt counts an attempt, releases its assignment with the outcome, and logs a
 // failure.
 func (h *requestHandler) recordAttempt(assignment edgecontrol.Assignment, response *bufferedResponse, err error) {
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
@@ -21,6 +22,10 @@
 	RecordPartCrash(parts []core.PromptPart, id uint64)
 	// RecordPartSound records that a generation on the given prompt parts has begun.
 	RecordPartSound(parts []core.PromptPart, id uint64)
+	// RecordRateLimit records whether the response to a request sent at sentAt has named the requests
+	// per second that the target takes from all hosts together; nil if it named none. notRun is set if
+	// the target did not run the request.
+	RecordRateLimit(target core.TargetID, rate *float64, notRun bool, sentAt time.Duration)
 	// Place assigns a target to a request. It returns false if no target was assigned;
 	// Assignment.AtCapacity then says whether the request may wait and be placed again.
 	Place(ctx context.Context, request edgecontrol.PlacementRequest) (edgecontrol.Assignment, bool)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -14,6 +14,15 @@
 	return &core.Refusal{Kind: kind, Message: message, Run: core.NotRun, RetryAfter: retryAfter}
 }
 
+// rateLimitRefusal refuses a request because all targets are limited. retryAfter is the time until they
+// take another one; zero if it is not known.
+func rateLimitRefusal(retryAfter time.Duration) *core.Refusal {
+	if retryAfter <= 0 {
+		retryAfter = retrySoon
+	}
+	return notRunRefusal(core.RefusedRateLimited, "the rate limits of all targets are used up", retryAfter)
+}
+
 // httpStatus returns the HTTP status of a refusal. A request that may have run gets 502 or
 // 504; the other statuses promise that it was not run, so that it may be sent again.
 func httpStatus(refusal *core.Refusal) int {
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
@@ -44,6 +45,15 @@
 // timeLeft returns the time until the request's deadline.
 func (h *requestHandler) timeLeft() time.Duration { return h.arrived + h.deadline - h.now() }
 
+// callerTimeLeft returns the time that the caller still waits, also for an attempt after this one, which
+// the route's timeout does not bound.
+func (h *requestHandler) callerTimeLeft() time.Duration {
+	if h.request.Timeout == 0 {
+		return h.timeLeft()
+	}
+	return h.arrived + h.request.Timeout - h.now()
+}
+
 func (h *requestHandler) teamID() core.TeamID {
 	if h.team == nil {
 		return ""
@@ -71,6 +81,20 @@
 	return request
 }
 
+// contentKey identifies what the caller sends. It is the same when the caller sends the request again
+// under another id. It is zero while no target is limited, as nobody is told then when to come back.
+func (h *requestHandler) contentKey() uint64 {
+	if len(h.gateway.options.Controller.View().LimitedTargets) == 0 {
+		return 0
+	}
+	digest := xxhash.New()
+	for _, text := range append([]string{h.r.Method, h.r.Host, h.r.RequestURI, string(h.pool)}, h.request.PromptParts...) {
+		_, _ = digest.WriteString(text + "\x00") // never fails
+	}
+	_, _ = digest.Write(h.body)
+	return digest.Sum64()
+}
+
 // newAttemptRequest builds the HTTP request of one attempt.
 func (h *requestHandler) newAttemptRequest(ctx context.Context, address string, attempt Attempt) *http.Request {
 	attempt.RequestID = h.request.ID
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -29,7 +29,7 @@
 // handleOpened handles the header of the first engine's response.
 func (s *streamRelay) handleOpened(message upstreamMessage) bool {
 	s.attempts++
-	s.rateLimit = message.info.RateLimit
+	s.recordTargetState(s.current.assignment.Target.Target, message.info, s.current.sentAt)
 	if message.response == nil {
 		s.possibleRuns++
 		s.sendHeader()
@@ -151,6 +151,9 @@
 
 // handleNextMessage handles a message of the engine that takes over.
 func (s *streamRelay) handleNextMessage(message upstreamMessage) bool {
+	if message.kind == upstreamOpened {
+		s.recordTargetState(s.next.assignment.Target.Target, message.info, s.next.sentAt)
+	}
 	switch {
 	case message.kind == upstreamOpened && message.response == nil:
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -138,7 +138,7 @@
 	request := s.placementRequest(nil)
 	request.Prompt = 0 // the KV cache is there
 	request.WantsCopy = s.wantsCopy()
-	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request, RunningOn: to.Target, Retry: true})
+	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request, RunningOn: to.Target, Retry: true, Team: s.teamID(), Priority: *s.priority()})
 	if !ok {
 		s.failover.RecordSwitch(failover.NotDone, false, s.now())
 		return
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -17,6 +17,10 @@
 		s.refuse(notRunRefusal(core.RefusedQueueFull, "all engines are crowded", retryAtCapacity))
 		return false
 	}
+	if assignment.RateLimited && s.possibleRuns == 0 && s.ctx.Err() == nil {
+		s.refuse(rateLimitRefusal(assignment.RetryAfter))
+		return false
+	}
 	if !ok {
 		s.finishFailed(s.ctx, nil)
 		return false
@@ -41,8 +45,9 @@
 	}
 	request := s.placementRequest(s.tried)
 	request.WantsCopy = s.wantsCopy()
-	req := edgecontrol.PlacementRequest{Pool: s.pool, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0}
+	req := edgecontrol.PlacementRequest{Pool: s.pool, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0, Team: s.teamID(), Content: s.contentKey(), Priority: *s.priority()}
 	for {
+		req.TimeLeft, req.MaxWait = s.callerTimeLeft(), s.waitLeft(capacityWaitFraction)
 		assignment, ok := s.gateway.options.Controller.Place(s.ctx, req)
 		if !assignment.AtCapacity || !s.waitForCapacity() {
 			return assignment, ok
@@ -53,7 +58,7 @@
 // waitForCapacity waits for one retry interval. It returns false if the first event would
 // come too late, or the request has ended.
 func (s *streamRelay) waitForCapacity() bool {
-	if s.now()-s.arrived > time.Duration(capacityWaitFraction*float64(s.route.AnswerGoal)) {
+	if s.waitLeft(capacityWaitFraction) == 0 {
 		return false
 	}
 	timer := time.NewTimer(capacityRetryInterval)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/recovery"
@@ -18,12 +19,13 @@
 	messages   chan upstreamMessage
 	cancel     context.CancelFunc
 	header     http.Header // of the response; set before upstreamOpened is sent
+	sentAt     time.Duration
 }
 
 // startUpstream starts a goroutine that sends the request and reads the response.
 func (h *requestHandler) startUpstream(ctx context.Context, assignment edgecontrol.Assignment, attempt Attempt) *upstream {
 	ctx, cancel := context.WithCancel(ctx)
-	u := &upstream{assignment: assignment, messages: make(chan upstreamMessage), cancel: cancel}
+	u := &upstream{assignment: assignment, messages: make(chan upstreamMessage), cancel: cancel, sentAt: h.now()}
 	go func() {
 		defer cancel()
 		err := recovery.Run(func() error { u.run(ctx, h, attempt); return nil })
--- a/internal/message/kind.go
+++ b/internal/message/kind.go
@@ -25,4 +25,5 @@
 	KindPlacementRequest  Kind = 19
 	KindPlacementResponse Kind = 20
 	KindPartEvidence      Kind = 21
+	KindTargetLimits      Kind = 22
 )
--- a/internal/message/placement_request.go
+++ b/internal/message/placement_request.go
@@ -1,6 +1,10 @@
 package message
 
-import "siskintide.example/siskintide/internal/core"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // PlacementRequest requests a target from a hub.
 type PlacementRequest struct {
@@ -16,6 +20,13 @@
 	NeedsGrant      bool              `cbor:"11,keyasint,omitempty"` // the sender's share of the retry budget is used up
 	MayWait         bool              `cbor:"12,keyasint,omitempty"` // the request can wait while all targets are at capacity
 	TransfersMemory bool              `cbor:"10,keyasint,omitempty"` // see placement.Request
+	// The following decide which requests are served while all targets are limited; see
+	// edgecontrol.PlacementRequest.
+	Team     core.TeamID   `cbor:"13,keyasint,omitempty"`
+	Priority core.Priority `cbor:"14,keyasint,omitempty"`
+	TimeLeft time.Duration `cbor:"15,keyasint,omitempty"`
+	MaxWait  time.Duration `cbor:"16,keyasint,omitempty"`
+	Content  uint64        `cbor:"17,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/message/placement_response.go
+++ b/internal/message/placement_response.go
@@ -1,6 +1,10 @@
 package message
 
-import "siskintide.example/siskintide/internal/core"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // PlacementResponse names the targets that a hub chose. An empty name means none.
 type PlacementResponse struct {
@@ -8,6 +12,10 @@
 	Target     core.TargetID `cbor:"2,keyasint,omitempty"`
 	Copy       core.TargetID `cbor:"3,keyasint,omitempty"`
 	AtCapacity bool          `cbor:"4,keyasint,omitempty"` // all targets are at capacity
+	// RateLimited is set if all targets are limited and no permit is left for the request, and
+	// RetryAfter is the time until there is one.
+	RateLimited bool          `cbor:"5,keyasint,omitempty"`
+	RetryAfter  time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -37,6 +37,7 @@
 	message.KindPlacementRequest:  decodeBody[message.PlacementRequest],
 	message.KindPlacementResponse: decodeBody[message.PlacementResponse],
 	message.KindPartEvidence:      decodeBody[message.PartEvidence],
+	message.KindTargetLimits:      decodeBody[message.TargetLimits],
 }
 
 func mustEncoder() cbor.EncMode {
