Follow the store's era, so that a store restored from a copy is neither refused nor believed

Cause: revisions were compared as if they only grew, and the copy's content as if all that it shows were news. The class of fault is a position without the history that it belongs to.

All positions are now pairs of era and revision: reads, registry entries, removals, hubs' updates. With a new era a host reads whole tables, keeps what it knows to be newer (configuration by its own number, targets that leave, are gone or have started again, evacuations for two seconds), and counts reads of the configuration as proof only once the operator has written again or had the time to. Hosts write their own rows and key again.

--- a/internal/core/registration.go
+++ b/internal/core/registration.go
@@ -13,4 +13,10 @@
 	ColdLeft   time.Duration // remaining time for which the target is cold, as of the registration
 	Born       int64         // start of the target in Unix milliseconds; zero if unknown
 	Revision   uint64        // revision of the registry's row
+	Era        uint64        // of the store, in which Revision counts
+}
+
+// Position returns the position of the registry's row.
+func (r Registration) Position() StorePosition {
+	return StorePosition{Era: r.Era, Revision: r.Revision}
 }
--- a/internal/decide/registry/order_test.go
+++ b/internal/decide/registry/order_test.go
@@ -44,11 +44,11 @@
 			from, to := rapid.IntRange(0, len(h)).Draw(t, "from"), rapid.IntRange(0, len(h)).Draw(t, "to")
 			switch rapid.IntRange(0, 2).Draw(t, "source") {
 			case 0:
-				r.Replace(h.at(to), uint64(to), 0)
+				r.Replace(h.at(to), upTo(uint64(to)), 0)
 			case 1:
-				r.ReplaceNow(h.at(to), uint64(to), 0)
+				r.ReplaceNow(h.at(to), upTo(uint64(to)), 0)
 			default: // changes, which must begin where the registry is or before
-				from = min(from, int(r.Revision()))
+				from = min(from, int(r.Position().Revision))
 				for _, written := range h[from:max(from, to)] {
 					if written.Pool != "" {
 						r.Put(written, 0)
@@ -56,15 +56,15 @@
 						r.Remove(core.Removal{Target: written.Target, Revision: written.Revision}, 0)
 					}
 				}
-				r.Advance(uint64(max(from, to)))
+				r.Advance(upTo(uint64(max(from, to))))
 			}
 			want := map[core.TargetID]core.Registration{}
-			for _, entry := range h.at(int(r.Revision())) {
+			for _, entry := range h.at(int(r.Position().Revision)) {
 				want[entry.Target] = entry
 			}
 			got := r.Entries()
 			if len(got) != len(want) {
-				t.Fatalf("%d entries, want %d, as of revision %d", len(got), len(want), r.Revision())
+				t.Fatalf("%d entries, want %d, as of revision %d", len(got), len(want), r.Position().Revision)
 			}
 			for id, entry := range got {
 				if entry.Registration != want[id] {
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -17,31 +17,36 @@
 // Registry is one host's copy of the registry. It must be used by one goroutine only.
 type Registry struct {
 	entries     map[core.TargetID]Entry
-	revision    uint64 // all changes of the store up to this revision are included
+	position    core.StorePosition // all changes of the store up to this position are included
 	unavailable bool
 	currentAt   time.Duration // latest time at which the registry is known to have been current
 	availableAt time.Duration // end of the latest outage
 	outage      bool          // the store has been unavailable at least once
+	copied      copied        // what the store has had since it was restored from a copy
+	gone        map[core.TargetID]goneTarget
 }
 
 // New returns an empty registry.
-func New() *Registry { return &Registry{entries: map[core.TargetID]Entry{}} }
+func New() *Registry {
+	return &Registry{entries: map[core.TargetID]Entry{}, gone: map[core.TargetID]goneTarget{}}
+}
 
-// Revision returns the revision of the store up to which all changes are included.
-func (r *Registry) Revision() uint64 { return r.revision }
+// Position returns the position of the store up to which all changes are included.
+func (r *Registry) Position() core.StorePosition { return r.position }
 
-// Advance records that all changes of the store up to a revision are included.
-func (r *Registry) Advance(revision uint64) { r.revision = max(r.revision, revision) }
+// Advance records that all changes of the store up to a position are included.
+func (r *Registry) Advance(position core.StorePosition) { r.position = r.position.Later(position) }
 
 // Superseded reports whether this or a newer state of an entry is known, which may be that it has
-// been removed. The revision of an entry alone does not tell: a hub leaves out writes that change
+// been removed. The position of an entry alone does not tell: a hub leaves out writes that change
 // nothing.
 func (r *Registry) Superseded(registration core.Registration) bool {
-	return r.superseded(registration.Target, registration.Revision)
+	return r.superseded(registration.Target, registration.Position())
 }
 
-func (r *Registry) superseded(id core.TargetID, revision uint64) bool {
-	return revision <= r.revision || r.entries[id].Revision > revision
+func (r *Registry) superseded(id core.TargetID, position core.StorePosition) bool {
+	entry, known := r.entries[id]
+	return !r.position.Before(position) || known && position.Before(entry.Position())
 }
 
 // Put adds or replaces one entry. It returns false and changes nothing if it is superseded.
@@ -49,6 +54,14 @@
 	if r.Superseded(registration) {
 		return false
 	}
+	if r.copied.covers(registration.Position()) {
+		var ok bool
+		if registration, ok = r.reconcile(registration); !ok {
+			return false
+		}
+	}
+	delete(r.gone, registration.Target)
+	delete(r.copied.withheld, registration.Target)
 	entry := Entry{Registration: registration, SeenAt: now, MissingSince: present}
 	entry.ColdUntil = now + registration.ColdLeft
 	r.entries[registration.Target] = entry
@@ -59,12 +72,16 @@
 // outage a target that is not leaving is only marked as missing, because live targets whose
 // entries expired register again.
 func (r *Registry) Remove(removal core.Removal, now time.Duration) {
+	if r.superseded(removal.Target, removal.Position()) {
+		return
+	}
+	delete(r.copied.withheld, removal.Target)
 	entry, ok := r.entries[removal.Target]
-	if !ok || r.superseded(removal.Target, removal.Revision) {
+	if !ok {
 		return
 	}
 	if entry.Leaving || !r.InGracePeriod(now) {
-		delete(r.entries, removal.Target)
+		r.drop(entry, now)
 		return
 	}
 	if entry.MissingSince == present {
@@ -86,34 +103,44 @@
 }
 
 // RemoveNow removes an entry even during the grace period, unless a newer state of it is known.
-func (r *Registry) RemoveNow(removal core.Removal) {
-	if !r.superseded(removal.Target, removal.Revision) {
-		delete(r.entries, removal.Target)
+func (r *Registry) RemoveNow(removal core.Removal, now time.Duration) {
+	if r.superseded(removal.Target, removal.Position()) {
+		return
 	}
+	delete(r.copied.withheld, removal.Target)
+	if entry, ok := r.entries[removal.Target]; ok {
+		r.drop(entry, now)
+	}
+}
+
+// drop deletes an entry, and remembers which target it was for a while.
+func (r *Registry) drop(entry Entry, now time.Duration) {
+	delete(r.entries, entry.Target)
+	r.gone[entry.Target] = goneTarget{born: entry.Born, at: now}
 }
 
 // ReplaceNow replaces all entries that are not newer with the registry of another host as of a
-// revision, without a grace period: the other host has already waited for targets to register
+// position, without a grace period: the other host has already waited for targets to register
 // again if needed.
-func (r *Registry) ReplaceNow(all []core.Registration, revision uint64, now time.Duration) {
-	for _, removal := range r.merge(all, revision, now) {
-		r.RemoveNow(removal)
+func (r *Registry) ReplaceNow(all []core.Registration, position core.StorePosition, now time.Duration) {
+	for _, removal := range r.merge(all, position, now) {
+		r.RemoveNow(removal, now)
 	}
-	r.Advance(revision)
+	r.Advance(position)
 }
 
 // Replace replaces all entries that are not newer with those of a full read of the store as of a
-// revision. Entries that are missing from it are removed as by Remove.
-func (r *Registry) Replace(all []core.Registration, revision uint64, now time.Duration) {
-	for _, removal := range r.merge(all, revision, now) {
+// position. Entries that are missing from it are removed as by Remove.
+func (r *Registry) Replace(all []core.Registration, position core.StorePosition, now time.Duration) {
+	for _, removal := range r.merge(all, position, now) {
 		r.Remove(removal, now)
 	}
-	r.Advance(revision)
+	r.Advance(position)
 }
 
-// merge puts the entries of a full list as of a revision, and returns the removals of those that
+// merge puts the entries of a full list as of a position, and returns the removals of those that
 // are missing from it.
-func (r *Registry) merge(all []core.Registration, revision uint64, now time.Duration) []core.Removal {
+func (r *Registry) merge(all []core.Registration, position core.StorePosition, now time.Duration) []core.Removal {
 	listed := make(map[core.TargetID]bool, len(all))
 	for _, registration := range all {
 		listed[registration.Target] = true
@@ -122,7 +149,7 @@
 	var missing []core.Removal
 	for id := range r.entries {
 		if !listed[id] {
-			missing = append(missing, core.Removal{Target: id, Revision: revision})
+			missing = append(missing, core.Removal{Target: id, Revision: position.Revision, Era: position.Era})
 		}
 	}
 	return missing
@@ -149,20 +176,21 @@
 	}
 }
 
-// Expire removes targets that are still missing after the grace period, and reports
-// whether there were any.
+// Expire removes targets that are still missing after the grace period, and adds those that turned out
+// not to be gone. It reports whether there were any.
 func (r *Registry) Expire(now time.Duration) bool {
+	r.forgetGone(now)
+	changed := r.releaseWithheld(now)
 	if r.InGracePeriod(now) {
-		return false
+		return changed
 	}
-	removed := false
-	for id, entry := range r.entries {
+	for _, entry := range r.entries {
 		if entry.MissingSince != present {
-			delete(r.entries, id)
-			removed = true
+			r.drop(entry, now)
+			changed = true
 		}
 	}
-	return removed
+	return changed
 }
 
 // InGracePeriod reports whether missing entries are kept: during an outage of the store
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -13,9 +13,12 @@
 	return core.Registration{Target: id, Pool: "p", Revision: revision}
 }
 
+// upTo returns a position in the first era.
+func upTo(revision uint64) core.StorePosition { return core.StorePosition{Revision: revision} }
+
 func TestPutAndRemove(t *testing.T) {
 	r := New()
-	r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, 2, 0)
+	r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, upTo(2), 0)
 	require.Len(t, r.Entries(), 2)
 
 	leaving := entry("a", 5)
@@ -32,12 +35,12 @@
 // that all its subscribers leave it.
 func TestShortOutageHasNoGracePeriod(t *testing.T) {
 	r := New()
-	r.Replace([]core.Registration{entry("a", 1)}, 1, 10*time.Second)
+	r.Replace([]core.Registration{entry("a", 1)}, upTo(1), 10*time.Second)
 	r.HandleStoreLost(10 * time.Second)
 	require.True(t, r.InGracePeriod(11*time.Second))
 	r.HandleStoreRegained(10*time.Second + minOutage - 1)
 	require.False(t, r.InGracePeriod(10*time.Second+minOutage))
-	r.Replace(nil, 2, 10*time.Second+minOutage)
+	r.Replace(nil, upTo(2), 10*time.Second+minOutage)
 	require.Empty(t, r.Entries())
 }
 
@@ -58,10 +61,10 @@
 			r := New()
 			e := entry("a", 1)
 			e.Leaving = c.leaving
-			r.Replace([]core.Registration{e}, 1, 0)
+			r.Replace([]core.Registration{e}, upTo(1), 0)
 			r.HandleStoreLost(availableAt - minOutage)
 			r.HandleStoreRegained(availableAt)
-			r.Replace(nil, 2, availableAt)
+			r.Replace(nil, upTo(2), availableAt)
 			if c.putAt > 0 {
 				r.Put(entry("a", 9), c.putAt)
 			}
@@ -77,17 +80,17 @@
 func TestRemovedEntryIsNotRestoredByOlderState(t *testing.T) {
 	for name, apply := range map[string]func(*Registry){
 		"entry":               func(r *Registry) { r.Put(entry("b", 6), 0) },
-		"registry of a hub":   func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1), entry("b", 6)}, 7, 0) },
-		"full read":           func(r *Registry) { r.Replace([]core.Registration{entry("a", 1), entry("b", 6)}, 7, 0) },
-		"removal and put":     func(r *Registry) { r.RemoveNow(core.Removal{Target: "b", Revision: 5}); r.Put(entry("b", 6), 0) },
-		"hub without the new": func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1)}, 7, 0) },
+		"registry of a hub":   func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1), entry("b", 6)}, upTo(7), 0) },
+		"full read":           func(r *Registry) { r.Replace([]core.Registration{entry("a", 1), entry("b", 6)}, upTo(7), 0) },
+		"removal and put":     func(r *Registry) { r.RemoveNow(core.Removal{Target: "b", Revision: 5}, 0); r.Put(entry("b", 6), 0) },
+		"hub without the new": func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1)}, upTo(7), 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := New()
-			r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, 2, 0)
-			r.RemoveNow(core.Removal{Target: "b", Revision: 8})
+			r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, upTo(2), 0)
+			r.RemoveNow(core.Removal{Target: "b", Revision: 8}, 0)
 			r.Put(entry("c", 9), 0)
-			r.Advance(9)
+			r.Advance(upTo(9))
 			apply(r)
 			require.NotContains(t, r.Entries(), core.TargetID("b"))
 			require.Contains(t, r.Entries(), core.TargetID("c"))
@@ -102,9 +105,9 @@
 // removal last.
 func TestOlderRemovalKeepsANewerEntry(t *testing.T) {
 	r := New()
-	r.Replace([]core.Registration{entry("a", 1)}, 1, 0)
+	r.Replace([]core.Registration{entry("a", 1)}, upTo(1), 0)
 	r.Put(entry("a", 5), 0)
 	r.Remove(core.Removal{Target: "a", Revision: 4}, 0)
-	r.RemoveNow(core.Removal{Target: "a", Revision: 4})
+	r.RemoveNow(core.Removal{Target: "a", Revision: 4}, 0)
 	require.Contains(t, r.Entries(), core.TargetID("a"))
 }
--- a/internal/edgecontrol/first_update.go
+++ b/internal/edgecontrol/first_update.go
@@ -11,7 +11,8 @@
 // firstUpdate returns the update that begins a subscription: all of this host's state that the
 // subscriber does not have yet.
 func (s *state) firstUpdate(has message.HubRequest, now time.Duration) message.HubUpdate {
-	m := message.HubUpdate{First: true, ConfigRevision: s.configRevision, RegistryRevision: s.registry.Revision()}
+	m := s.newHubUpdate()
+	m.First = true
 	if s.view.Table != nil {
 		m.HasEvacuated = true
 		if s.view.Table.Config.Revision != has.Revision {
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -128,9 +128,9 @@
 	if len(m.Hosts) > 0 {
 		s.setHosts(m.Hosts)
 	}
-	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, ConfigRevision: m.ConfigRevision, RegistryRevision: m.RegistryRevision}
+	update := Update{FromHub: true, SentAt: s.now(), Registrations: m.Registrations, ConfigRevision: m.ConfigRevision, ConfigEra: m.ConfigEra, RegistryRevision: m.RegistryRevision, RegistryEra: m.RegistryEra}
 	for _, id := range m.Removed {
-		update.Removed = append(update.Removed, core.Removal{Target: id, Revision: m.RegistryRevision})
+		update.Removed = append(update.Removed, core.Removal{Target: id, Revision: m.RegistryRevision, Era: m.RegistryEra})
 	}
 	if m.Registry != nil {
 		update.FullRegistry, update.Registrations = true, m.Registry.Value()
@@ -154,7 +154,7 @@
 // this host, since its later updates leave out what changed there and back again in the meantime, or
 // if a read has changed the registry since the request.
 func (s *state) continues(m message.HubUpdate) bool {
-	behind := m.ConfigRevision < s.configRevision || m.RegistryRevision < s.registry.Revision()
+	behind := m.ConfigPosition().Before(s.configPosition) || m.RegistryPosition().Before(s.registry.Position())
 	return !behind && (m.Registry != nil || m.RegistryDigest == s.registryDigest())
 }
 
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -96,12 +96,21 @@
 	sub.lost = !s.options.Send(to, m)
 }
 
+// newHubUpdate returns an update without changes.
+func (s *state) newHubUpdate() message.HubUpdate {
+	registryPosition := s.registry.Position()
+	return message.HubUpdate{
+		ConfigRevision: s.configPosition.Revision, ConfigEra: s.configPosition.Era,
+		RegistryRevision: registryPosition.Revision, RegistryEra: registryPosition.Era,
+	}
+}
+
 // notifySubscribers sends the difference between two views to the subscribers.
 func (s *state) notifySubscribers(before, after *View) {
 	if len(s.subscribers) == 0 {
 		return
 	}
-	m := message.HubUpdate{ConfigRevision: s.configRevision, RegistryRevision: s.registry.Revision()}
+	m := s.newHubUpdate()
 	if after.Table != before.Table {
 		m.Config = s.sharedConfig
 	}
@@ -140,11 +149,11 @@
 	}
 }
 
-// registrationChanged reports whether two registrations differ in more than revision and
+// registrationChanged reports whether two registrations differ in more than position and
 // remaining cold time. Every write of a target raises the revision, and most writes change
 // nothing else.
 func registrationChanged(before, after core.Registration) bool {
-	before.Revision, before.ColdLeft = after.Revision, after.ColdLeft
+	before.Revision, before.Era, before.ColdLeft = after.Revision, after.Era, after.ColdLeft
 	return before != after
 }
 
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -90,6 +90,7 @@
 		s.log.Info("removed targets that did not register again after the outage")
 		s.registryChanged, s.lastRegistryDigest = true, 0
 	}
+	s.tickEra()
 	s.balancer.Expire(s.now())
 	s.updateHub()
 	s.respondAll()
--- a/internal/edgecontrol/news_order_test.go
+++ b/internal/edgecontrol/news_order_test.go
@@ -68,6 +68,7 @@
 	*state
 	reads        [2][]Update // of the operator's table and of the registry
 	readRevision [2]uint64   // changes after it have not been read
+	readEra      [2]uint64   // of the store, in which readRevision counts
 }
 
 // handle applies an event and sends what follows from it, as Loop.Run does.
@@ -90,15 +91,15 @@
 }
 
 // send begins a read of a table: of all of it, or of its changes.
-func (h *simulatedHost) send(store simulatedStore, operator, full bool, now time.Duration) {
+func (h *simulatedHost) send(store simulatedStore, era uint64, operator, full bool, now time.Duration) {
 	i := map[bool]int{true: 0, false: 1}[operator]
 	from, to := h.readRevision[i], uint64(len(store))
-	full = full || from == 0
+	full = full || from == 0 || era != h.readEra[i]
 	if len(h.reads[i]) > 0 || !h.view.ReadsStore {
 		return // a follower makes one call at a time
 	}
 	config, evacuated, targets := store.tables(to)
-	update := Update{SentAt: now, CoversConfig: operator, CoversRegistry: !operator, ConfigRevision: to, RegistryRevision: to}
+	update := Update{SentAt: now, CoversConfig: operator, CoversRegistry: !operator, ConfigRevision: to, RegistryRevision: to, ConfigEra: era, RegistryEra: era, FullConfig: full}
 	if operator && (full || store.lastChange(now, true) > from) {
 		update.Evacuated = evacuated
 		if config > 0 {
@@ -120,34 +121,69 @@
 			update.Registrations = append(update.Registrations, write.target)
 		}
 	}
-	h.reads[i], h.readRevision[i] = append(h.reads[i], update), to
+	for j := range update.Registrations {
+		update.Registrations[j].Era = era
+	}
+	for j := range update.Removed {
+		update.Removed[j].Era = era
+	}
+	h.reads[i], h.readRevision[i], h.readEra[i] = append(h.reads[i], update), to, era
 }
 
 // check fails if the host believes anything that was not so in the store, or takes it for more recent
 // than it is.
 func (h *simulatedHost) check(t *rapid.T, store simulatedStore, now time.Duration) {
-	_, evacuated, _ := store.tables(h.configRevision)
+	_, evacuated, _ := store.tables(h.configPosition.Revision)
 	if h.view.Evacuated != nil && !maps.Equal(evacuated, h.view.Evacuated) {
-		t.Fatalf("%s: evacuated %v, want %v as of %d", h.options.Self.ID, h.view.Evacuated, evacuated, h.configRevision)
+		t.Fatalf("%s: evacuated %v, want %v as of %d", h.options.Self.ID, h.view.Evacuated, evacuated, h.configPosition.Revision)
 	}
-	_, _, targets := store.tables(h.registry.Revision())
+	_, _, targets := store.tables(h.registry.Position().Revision)
 	for id, entry := range h.view.Targets {
-		if entry.Revision > h.registry.Revision() {
+		if entry.Revision > h.registry.Position().Revision {
 			continue // newer than all else that is known
 		}
 		if want, ok := targets[id]; !ok || registrationChanged(want, entry.Registration) {
-			t.Fatalf("%s: %+v, want %+v as of %d", h.options.Self.ID, entry.Registration, targets[id], h.registry.Revision())
+			t.Fatalf("%s: %+v, want %+v as of %d", h.options.Self.ID, entry.Registration, targets[id], h.registry.Position().Revision)
 		}
 	}
 	if age, known := h.view.ConfigProof.Age(now); known {
 		config, _, _ := store.tables(store.lastChange(now-age, true))
-		if h.view.Table.Config.Revision < config || h.configRevision < store.lastChange(now-age, true) {
-			t.Fatalf("%s: configuration %d as of %d counts as current %v ago", h.options.Self.ID, h.view.Table.Config.Revision, h.configRevision, age)
+		if h.view.Table.Config.Revision < config || h.configPosition.Revision < store.lastChange(now-age, true) {
+			t.Fatalf("%s: configuration %d as of %d counts as current %v ago", h.options.Self.ID, h.view.Table.Config.Revision, h.configPosition.Revision, age)
 		}
 	}
-	if age, known := h.view.RegistryProof.Age(now); known && h.registry.Revision() < store.lastChange(now-age, false) {
-		t.Fatalf("%s: registry as of %d counts as current %v ago", h.options.Self.ID, h.registry.Revision(), age)
+	if age, known := h.view.RegistryProof.Age(now); known && h.registry.Position().Revision < store.lastChange(now-age, false) {
+		t.Fatalf("%s: registry as of %d counts as current %v ago", h.options.Self.ID, h.registry.Position().Revision, age)
+	}
+}
+
+// simulatedHosts are the hosts of a simulation.
+var simulatedHosts = []core.HostID{"h", "host", "hosts"}
+
+// startSimulation returns hosts that are linked with each other, and the messages on their links.
+func startSimulation(now *time.Duration) (map[core.HostID]*simulatedHost, map[[2]core.HostID][]message.Message) {
+	hosts, ids := map[core.HostID]*simulatedHost{}, simulatedHosts
+	links := map[[2]core.HostID][]message.Message{}
+	var all []core.Host
+	for _, id := range ids {
+		all = append(all, host(string(id)))
+	}
+	for _, id := range ids {
+		hosts[id] = &simulatedHost{state: newState(&Options{
+			Self: host(string(id)), Clock: func() time.Duration { return *now }, Log: &log.Logger{Handler: discard.New()}, SetPeers: func([]core.Host) {},
+			Send: func(to core.HostID, m message.Message) bool {
+				links[[2]core.HostID{id, to}] = append(links[[2]core.HostID{id, to}], m)
+				return true
+			},
+		})}
+		hosts[id].handle(updateEvent{Update: Update{Hosts: all}})
+		for _, other := range ids {
+			if other != id {
+				hosts[id].handle(linkEvent{host: other, up: true})
+			}
+		}
 	}
+	return hosts, links
 }
 
 // Hosts learn of changes from their own reads, from hubs that are behind, and over links that break, in
@@ -156,31 +192,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Hour
 		var store simulatedStore
-		hosts, ids := map[core.HostID]*simulatedHost{}, []core.HostID{"h", "host", "hosts"}
-		links := map[[2]core.HostID][]message.Message{}
-		var all []core.Host
-		for _, id := range ids {
-			all = append(all, host(string(id)))
-		}
-		for _, id := range ids {
-			hosts[id] = &simulatedHost{state: newState(&Options{
-				Self: host(string(id)), Clock: func() time.Duration { return now }, Log: &log.Logger{Handler: discard.New()}, SetPeers: func([]core.Host) {},
-				Send: func(to core.HostID, m message.Message) bool {
-					links[[2]core.HostID{id, to}] = append(links[[2]core.HostID{id, to}], m)
-					return true
-				},
-			})}
-			hosts[id].handle(updateEvent{Update: Update{Hosts: all}})
-			for _, other := range ids {
-				if other != id {
-					hosts[id].handle(linkEvent{host: other, up: true})
-				}
-			}
-		}
+		hosts, links := startSimulation(&now)
 		store = append(store, storeWrite{at: now, config: 1})
 		for range rapid.IntRange(20, 250).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond
-			h := hosts[rapid.SampledFrom(ids).Draw(t, "host")]
+			h := hosts[rapid.SampledFrom(simulatedHosts).Draw(t, "host")]
 			operator := rapid.Bool().Draw(t, "operator's table")
 			h.handle(tickEvent{})
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
@@ -197,7 +213,7 @@
 				}
 				store = append(store, write)
 			case 1, 2:
-				h.send(store, operator, rapid.IntRange(0, 4).Draw(t, "full") == 0, now)
+				h.send(store, 0, operator, rapid.IntRange(0, 4).Draw(t, "full") == 0, now)
 			case 3, 4:
 				i := map[bool]int{true: 0, false: 1}[operator]
 				if len(h.reads[i]) > 0 {
@@ -206,7 +222,7 @@
 					h.handle(updateEvent{Update: read})
 				}
 			case 5:
-				other := rapid.SampledFrom(ids).Draw(t, "peer")
+				other := rapid.SampledFrom(simulatedHosts).Draw(t, "peer")
 				if other == h.options.Self.ID || rapid.IntRange(0, 3).Draw(t, "breaks") > 0 {
 					continue
 				}
@@ -217,7 +233,7 @@
 					hosts[other].handle(linkEvent{host: h.options.Self.ID, up: up})
 				}
 			default:
-				for _, from := range ids {
+				for _, from := range simulatedHosts {
 					link := [2]core.HostID{from, h.options.Self.ID}
 					for range min(len(links[link]), rapid.IntRange(0, 5).Draw(t, "messages")) {
 						m := links[link][0]
@@ -232,3 +248,92 @@
 		}
 	})
 }
+
+// A store that is restored from a copy shows older state under revisions that are given out again, until
+// the operator has written again. No host may go back, or take what it reads for current before that,
+// and all of them must take it for current afterwards.
+func TestNoHostTakesACopyOfTheStoreForCurrent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Hour
+		hosts, links := startSimulation(&now)
+		store, era := simulatedStore{{at: now, config: 1}}, uint64(1)
+		acknowledged := []storeWrite{store[0]} // configurations in all eras
+		var writeAgainAt time.Duration         // zero if the store lacks nothing
+		in := map[core.HostID]core.Revision{}
+		step := func(h *simulatedHost, operator bool, full bool, kind int) {
+			h.handle(tickEvent{})
+			i := map[bool]int{true: 0, false: 1}[operator]
+			switch kind {
+			case 0:
+				h.send(store, era, operator, full, now)
+			case 1:
+				if len(h.reads[i]) > 0 {
+					read := h.reads[i][0]
+					h.reads[i] = nil
+					h.handle(updateEvent{Update: read})
+				}
+			default:
+				for _, from := range simulatedHosts {
+					link := [2]core.HostID{from, h.options.Self.ID}
+					pending := links[link]
+					links[link] = nil
+					for _, m := range pending {
+						h.handle(messageEvent{from: from, message: m})
+					}
+				}
+			}
+		}
+		pass := func(pause time.Duration) {
+			now += pause
+			if writeAgainAt > 0 && now >= writeAgainAt {
+				newest := acknowledged[len(acknowledged)-1]
+				store, writeAgainAt = append(store, storeWrite{at: now, config: newest.config}), 0
+			}
+		}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			pass(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond)
+			h := hosts[rapid.SampledFrom(simulatedHosts).Draw(t, "host")]
+			switch kind := rapid.IntRange(0, 12).Draw(t, "step"); {
+			case kind == 0 && writeAgainAt == 0:
+				write := storeWrite{at: now, config: acknowledged[len(acknowledged)-1].config + 1}
+				store, acknowledged = append(store, write), append(acknowledged, write)
+			case kind == 1 && writeAgainAt == 0:
+				store = store[:rapid.IntRange(1, len(store)).Draw(t, "copy"):len(store)]
+				era++
+				writeAgainAt = now + time.Duration(rapid.IntRange(1, 1500).Draw(t, "written again after"))*time.Millisecond
+			default:
+				step(h, rapid.Bool().Draw(t, "operator's table"), rapid.IntRange(0, 4).Draw(t, "full") == 0, kind%3)
+			}
+			for id, host := range hosts {
+				if host.view.Table == nil {
+					continue
+				}
+				revision := host.view.Table.Config.Revision
+				if revision < in[id] {
+					t.Fatalf("%s: configuration %d after %d", id, revision, in[id])
+				}
+				in[id] = revision
+				age, known := host.view.ConfigProof.Age(now)
+				for _, write := range acknowledged {
+					if known && write.at <= now-age && write.config > revision {
+						t.Fatalf("%s: configuration %d counts as current %v ago, %d was acknowledged %v ago", id, revision, age, write.config, now-write.at)
+					}
+				}
+			}
+		}
+		for range 200 {
+			pass(30 * time.Millisecond)
+			for _, id := range simulatedHosts {
+				for kind := range 3 {
+					step(hosts[id], true, false, kind)
+					step(hosts[id], false, false, kind)
+				}
+			}
+		}
+		for id, host := range hosts {
+			if age, known := host.view.ConfigProof.Age(now); !known || age > 2*time.Second {
+				t.Fatalf("%s does not take its configuration for current: %v %v", id, known, age)
+			}
+		}
+	})
+}
--- a/internal/edgecontrol/options.go
+++ b/internal/edgecontrol/options.go
@@ -1,6 +1,8 @@
 package edgecontrol
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"siskintide.example/siskintide/internal/boottime"
@@ -14,7 +16,9 @@
 	Self        core.Host
 	RetryBudget retrybudget.Limits // retry budget of all hosts together
 	Clock       boottime.Clock
-	Log         log.Interface
+	// MaxConfigAge is the age up to which a configuration is used for API keys.
+	MaxConfigAge time.Duration
+	Log          log.Interface
 	// Send queues a message for another host and reports whether there is a link to it. It
 	// must not block.
 	Send func(to core.HostID, m message.Message) bool
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -24,7 +24,8 @@
 	view                 View // next view; published if changed
 	changed              bool
 	sharedConfig         *message.Shared[*core.RoutingConfig] // configuration of the view's table, as it is sent to subscribers
-	configRevision       uint64                               // revision of the store up to which all changes of configuration and evacuations are included
+	configPosition       core.StorePosition                   // of the store, up to which all changes of configuration and evacuations are included
+	restoration          restoration                          // of the store from a copy
 	registryChanged      bool
 	registry             *registry.Registry
 	sharedRegistry       *message.Shared[[]core.Registration] // as it is sent to subscribers; see registryForUpdate
--- a/internal/edgecontrol/update.go
+++ b/internal/edgecontrol/update.go
@@ -12,6 +12,8 @@
 	SentAt time.Duration
 	// Config is a configuration, or nil if it has not changed.
 	Config *core.RoutingConfig
+	// FullConfig is set if Config was read with the whole operator's table, not as a change.
+	FullConfig bool
 	// Evacuated is the set of data centres that get no new work; nil means unchanged.
 	Evacuated map[core.DataCentreID]bool
 	// CoversConfig is set if the read covered configuration and evacuations.
@@ -22,8 +24,9 @@
 	Removed []core.Removal
 	// ConfigRevision and RegistryRevision are the revisions of the store up to which the
 	// update has all changes of configuration and evacuations, and of the registry, as far as
-	// it covers them.
+	// it covers them. ConfigEra and RegistryEra are the eras of the store in which they count.
 	ConfigRevision, RegistryRevision uint64
+	ConfigEra, RegistryEra           uint64
 	// FromHub is set if the update came from the hub and not from a read of the store.
 	FromHub bool
 	// Hosts is the list of hosts; nil means unchanged.
@@ -34,3 +37,11 @@
 	// new and changed ones.
 	FullRegistry bool
 }
+
+func (u *Update) configPosition() core.StorePosition {
+	return core.StorePosition{Era: u.ConfigEra, Revision: u.ConfigRevision}
+}
+
+func (u *Update) registryPosition() core.StorePosition {
+	return core.StorePosition{Era: u.RegistryEra, Revision: u.RegistryRevision}
+}
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -14,24 +14,26 @@
 }
 
 func (e updateEvent) apply(s *state) {
+	s.followEra(&e.Update)
 	if e.Config != nil && (s.view.Table == nil || e.Config.Revision > s.view.Table.Config.Revision) {
 		s.log.WithField("revision", e.Config.Revision).WithField("read_age_ms", (s.now() - e.SentAt).Milliseconds()).
 			Info("configuration in force")
 		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewShared(e.Config)
 		s.changed = true
 	}
-	if e.Evacuated != nil && e.ConfigRevision >= s.configRevision {
-		s.setEvacuated(e.Evacuated)
+	if e.Evacuated != nil && !e.configPosition().Before(s.configPosition) {
+		s.setEvacuated(s.restoration.evacuated(e.Evacuated, s.now()))
 	}
-	// A read that lacks changes which this host knows proves nothing.
-	if e.CoversConfig && e.ConfigRevision >= s.configRevision {
+	// A read that lacks changes which this host knows proves nothing, nor does one of a copy that may lack
+	// some.
+	if e.CoversConfig && !e.configPosition().Before(s.configPosition) && s.provesConfig(&e.Update) {
 		s.view.ConfigProof = s.view.ConfigProof.Renew(e.SentAt)
 		s.changed = true
 	}
 	if e.CoversConfig || e.FromHub {
-		s.configRevision = max(s.configRevision, e.ConfigRevision)
+		s.configPosition = s.configPosition.Later(e.configPosition())
 	}
-	if e.CoversRegistry && e.RegistryRevision >= s.registry.Revision() {
+	if e.CoversRegistry && !e.registryPosition().Before(s.registry.Position()) {
 		s.view.RegistryProof = s.view.RegistryProof.Renew(e.SentAt)
 		s.changed = true
 		s.ownStoreReads = s.ownStoreReads.Renew(e.SentAt)
@@ -69,7 +71,7 @@
 // applyRegistry applies new, changed and removed entries of the registry.
 func (s *state) applyRegistry(update Update) {
 	if update.CoversRegistry || update.FromHub {
-		defer s.registry.Advance(update.RegistryRevision)
+		defer s.registry.Advance(update.registryPosition())
 	}
 	if !update.FullRegistry && len(update.Registrations) == 0 && len(update.Removed) == 0 {
 		return
@@ -82,9 +84,9 @@
 	}
 	switch {
 	case update.FullRegistry && update.FromHub:
-		s.registry.ReplaceNow(update.Registrations, update.RegistryRevision, now)
+		s.registry.ReplaceNow(update.Registrations, update.registryPosition(), now)
 	case update.FullRegistry:
-		s.registry.Replace(update.Registrations, update.RegistryRevision, now)
+		s.registry.Replace(update.Registrations, update.registryPosition(), now)
 	default:
 		for _, registration := range update.Registrations {
 			s.registry.Put(registration, now)
@@ -94,7 +96,7 @@
 	for _, removal := range update.Removed {
 		s.log.WithField("target", removal.Target).WithField("row_revision", removal.Revision).Info("target's entry removed")
 		if update.FromHub {
-			s.registry.RemoveNow(removal)
+			s.registry.RemoveNow(removal, now)
 		} else {
 			s.registry.Remove(removal, now)
 		}
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -21,6 +21,7 @@
 	Holds            []quarantine.Hold      // of prompt parts under which engines crash
 	LimitedTargets   map[core.TargetID]bool // targets that take only a limited rate of requests
 	Leaving          bool                   // this host is shutting down
+	StoreEra         uint64                 // latest era of the platform's store that is known
 	ReadsStore       bool                   // this host reads the platform's store itself
 	StoreUnavailable bool                   // the last call to the store failed
 	ReadsHosts       bool                   // this host reads the list of hosts too
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -82,12 +82,13 @@
 	entry := h.log.WithField("host", options.Self.ID)
 	h.linker = &linker{self: options.Self, log: entry}
 	h.loop = edgecontrol.NewLoop(edgecontrol.Options{
-		Self:        options.Self,
-		RetryBudget: options.RetryBudget,
-		Clock:       boottime.Now,
-		Log:         entry,
-		Send:        h.linker.Send,
-		SetPeers:    h.linker.SetPeers,
+		Self:         options.Self,
+		RetryBudget:  options.RetryBudget,
+		Clock:        boottime.Now,
+		Log:          entry,
+		Send:         h.linker.Send,
+		SetPeers:     h.linker.SetPeers,
+		MaxConfigAge: options.MaxConfigAge,
 	})
 	handler := gateway.New(gateway.Options{
 		Controller:    h.loop,
--- a/internal/message/hub_update.go
+++ b/internal/message/hub_update.go
@@ -19,6 +19,19 @@
 	RegistryDigest   uint64 `cbor:"12,keyasint,omitempty"` // of the hub's registry, in a first update that leaves it out
 	ConfigRevision   uint64 `cbor:"10,keyasint"`
 	RegistryRevision uint64 `cbor:"11,keyasint"`
+	ConfigEra        uint64 `cbor:"13,keyasint,omitempty"` // of the store, in which ConfigRevision counts
+	RegistryEra      uint64 `cbor:"14,keyasint,omitempty"` // of the store, in which RegistryRevision counts
+}
+
+// ConfigPosition returns the position of the store up to which the hub has all changes of configuration
+// and evacuations.
+func (m HubUpdate) ConfigPosition() core.StorePosition {
+	return core.StorePosition{Era: m.ConfigEra, Revision: m.ConfigRevision}
+}
+
+// RegistryPosition returns the position of the store up to which the hub has all changes of the registry.
+func (m HubUpdate) RegistryPosition() core.StorePosition {
+	return core.StorePosition{Era: m.RegistryEra, Revision: m.RegistryRevision}
 }
 
 // MessageKind implements Message.
