Send nothing new to a target that says in its responses that it leaves

Server-Leaving was not read, and a target that had said in a report that it leaves got requests again with the next write of its entry; many targets never write that they leave (DRAIN). Both now mark the target until it starts again.

--- a/internal/decide/registry/copied.go
+++ b/internal/decide/registry/copied.go
@@ -59,6 +59,7 @@
 	}
 	for id, row := range r.copied.withheld {
 		delete(r.gone, id)
+		row.Leaving = row.Leaving || r.hasSaidLeaving(row)
 		r.entries[id] = Entry{Registration: row, SeenAt: now, ColdUntil: now + row.ColdLeft, MissingSince: present}
 	}
 	clear(r.copied.withheld)
@@ -72,4 +73,9 @@
 			delete(r.gone, id)
 		}
 	}
+	for id, said := range r.saidLeaving {
+		if now-said.at >= leavingTTL {
+			delete(r.saidLeaving, id)
+		}
+	}
 }
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -24,11 +24,12 @@
 	outage      bool          // the store has been unavailable at least once
 	copied      copied        // what the store has had since it was restored from a copy
 	gone        map[core.TargetID]goneTarget
+	saidLeaving map[core.TargetID]goneTarget // targets that have said themselves that they leave
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: map[core.TargetID]Entry{}, gone: map[core.TargetID]goneTarget{}}
+	return &Registry{entries: map[core.TargetID]Entry{}, gone: map[core.TargetID]goneTarget{}, saidLeaving: map[core.TargetID]goneTarget{}}
 }
 
 // Position returns the position of the store up to which all changes are included.
@@ -62,6 +63,7 @@
 	}
 	delete(r.gone, registration.Target)
 	delete(r.copied.withheld, registration.Target)
+	registration.Leaving = registration.Leaving || r.hasSaidLeaving(registration)
 	entry := Entry{Registration: registration, SeenAt: now, MissingSince: present}
 	entry.ColdUntil = now + registration.ColdLeft
 	r.entries[registration.Target] = entry
@@ -90,11 +92,15 @@
 	}
 }
 
-// MarkLeaving marks an entry as leaving, whose target has said so itself, until a newer state of
-// the entry is known. It reports whether that changes the entry.
-func (r *Registry) MarkLeaving(id core.TargetID) bool {
+// MarkLeaving marks an entry as leaving, whose target has said so itself. It stays so until the target
+// starts again: many targets never write that they leave. It reports whether that changes the entry.
+func (r *Registry) MarkLeaving(id core.TargetID, now time.Duration) bool {
 	entry, ok := r.entries[id]
-	if !ok || entry.Leaving {
+	if !ok {
+		return false
+	}
+	r.saidLeaving[id] = goneTarget{born: entry.Born, at: now}
+	if entry.Leaving {
 		return false
 	}
 	entry.Leaving = true
@@ -102,6 +108,12 @@
 	return true
 }
 
+// hasSaidLeaving reports whether the target of an entry has said that it leaves.
+func (r *Registry) hasSaidLeaving(registration core.Registration) bool {
+	said, ok := r.saidLeaving[registration.Target]
+	return ok && registration.Born <= said.born
+}
+
 // RemoveNow removes an entry even during the grace period, unless a newer state of it is known.
 func (r *Registry) RemoveNow(removal core.Removal, now time.Duration) {
 	if r.superseded(removal.Target, removal.Position()) {
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -135,8 +135,8 @@
 // Leave marks this host as shutting down.
 func (l *Loop) Leave() { l.post(context.Background(), leaveEvent{}) }
 
-// MarkLeaving records that a target has said itself that it leaves. It gets no new work until a
-// newer state of its entry is known.
+// MarkLeaving records that a target has said itself that it leaves. It gets no new work until it has
+// started again.
 func (l *Loop) MarkLeaving(target core.TargetID) {
 	l.post(context.Background(), markLeavingEvent{target: target})
 }
--- a/internal/edgecontrol/mark_leaving_event.go
+++ b/internal/edgecontrol/mark_leaving_event.go
@@ -8,8 +8,8 @@
 }
 
 func (e markLeavingEvent) apply(s *state) {
-	if s.registry.MarkLeaving(e.target) {
+	if s.registry.MarkLeaving(e.target, s.now()) {
 		s.registryChanged, s.lastRegistryDigest = true, 0
-		s.log.WithField("target", e.target).Info("target leaves by its own report")
+		s.log.WithField("target", e.target).Info("target says that it leaves")
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -137,6 +137,9 @@
 		return
 	}
 	h.rateLimit = info.RateLimit
+	if info.Leaving && !h.gateway.options.Controller.View().TargetLeaves(target) {
+		h.gateway.options.Controller.MarkLeaving(target)
+	}
 	h.gateway.options.Controller.RecordRateLimit(target, info.RateLimit, info.NotRun, sentAt)
 }
 
--- a/internal/gateway/response_info.go
+++ b/internal/gateway/response_info.go
@@ -6,5 +6,6 @@
 	NotRun      bool     // the target did not run the request
 	Misdirected bool     // another target uses the address now
 	Signed      bool     // the response has a signature header
+	Leaving     bool     // the target says that it leaves
 	RateLimit   *float64 // requests per second that the target takes from all hosts together; nil if it names none
 }
