Leave a target alone for the time that it asks for with 503 and Retry-After

The time was not read: a target that had turned a request away got the next one 150 ms later (BUDGET). It now rests, for the host that it told; a request for which all targets rest is refused at once, with the time that is left.

--- a/internal/decide/placement/balancer_outcomes.go
+++ b/internal/decide/placement/balancer_outcomes.go
@@ -109,3 +109,20 @@
 	health := b.health[id]
 	return health != nil && (health.misdirected || now < health.avoidUntil)
 }
+
+// RecordRest records that a target has asked this host to send it nothing for a time.
+func (b *Balancer) RecordRest(id core.TargetID, rest, now time.Duration) {
+	health := b.healthOf(id)
+	health.restsUntil = max(health.restsUntil, now+min(rest, maxRest))
+}
+
+// Resting lists the targets that have asked this host to send them nothing now, with the time left.
+func (b *Balancer) Resting(now time.Duration) map[core.TargetID]time.Duration {
+	resting := map[core.TargetID]time.Duration{}
+	for id, health := range b.health {
+		if now < health.restsUntil {
+			resting[id] = health.restsUntil - now
+		}
+	}
+	return resting
+}
--- a/internal/decide/placement/target_health.go
+++ b/internal/decide/placement/target_health.go
@@ -16,6 +16,8 @@
 	minBackoff = 500 * time.Millisecond
 	// maxBackoff bounds how long a target is avoided before it is tried again.
 	maxBackoff = 4 * time.Second
+	// maxRest bounds the time for which a target can ask to be sent nothing.
+	maxRest = 10 * time.Minute
 	// fullBackoff is how long a target that refused for lack of room is avoided.
 	fullBackoff = 150 * time.Millisecond
 )
@@ -27,7 +29,8 @@
 	unsent      OutcomeCounts // own outcomes not yet sent to the hub
 	backoff     time.Duration // doubles with each attempt that finds the target unreachable
 	avoidUntil  time.Duration
-	misdirected bool // another target has its address
+	restsUntil  time.Duration // it has asked this host to send nothing until then
+	misdirected bool          // another target has its address
 }
 
 func (h *targetHealth) record(outcome Outcome, now time.Duration) {
--- a/internal/edgecontrol/assignment.go
+++ b/internal/edgecontrol/assignment.go
@@ -11,10 +11,11 @@
 type Assignment struct {
 	placement.Choice
 	AtCapacity bool // no target was assigned: all are at capacity and the request may wait
-	// RateLimited is set if no target was assigned because all of them are limited. RetryAfter is
-	// then the time until a permit is left for the request; zero if it is not known.
+	// RateLimited is set if no target was assigned because all of them are limited.
 	RateLimited bool
-	RetryAfter  time.Duration
-	load        placement.Load // added to the target
-	copy        placement.Load // added to the target that keeps the copy
+	// RetryAfter is the time until a permit is left for the request, or until a target that has asked to
+	// be sent nothing takes requests again; zero if it is not known.
+	RetryAfter time.Duration
+	load       placement.Load // added to the target
+	copy       placement.Load // added to the target that keeps the copy
 }
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// RecordRest records that a target has turned a request away and asked this host to send it nothing for a
+// time.
+func (l *Loop) RecordRest(target core.TargetID, rest time.Duration) {
+	l.post(context.Background(), restEvent{target: target, rest: rest})
+}
+
 // Place assigns a target and adds the request's load to it until Release is called. It returns
 // false if no target was assigned, if the loop ended, or if the context ended before the
 // request was queued.
--- a/internal/edgecontrol/permits.go
+++ b/internal/edgecontrol/permits.go
@@ -114,7 +114,7 @@
 		s.usePermit(req, choice.Target.Target)
 		reply.placed(s, choice, req.Request)
 	case req.Request.TransfersMemory || !s.awaitPermit(req, issuing, promised, reply):
-		reply.unplaced(s, Assignment{})
+		reply.unplaced(s, Assignment{RetryAfter: s.restLeft(req.Pool)})
 	}
 }
 
--- a/internal/edgecontrol/place_event.go
+++ b/internal/edgecontrol/place_event.go
@@ -19,6 +19,7 @@
 	if e.req.Request.DataCentre == "" {
 		e.req.Request.DataCentre = s.options.Self.DataCentre
 	}
+	s.avoidResting(&e.req)
 	covered := !e.req.Retry || s.retryBudget(e.req.Pool).TrySpend(s.now(), len(s.hosts)) || s.grantRetry(e.req.Pool)
 	spec := s.view.Table.Pool(e.req.Pool)
 	placedByHub := spec != nil && spec.Engine != nil || !s.issuesOwnPermits() && s.limited(e.req.Pool)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,8 +48,8 @@
 			return
 		}
 		assignment, ok := h.gateway.options.Controller.Place(ctx, h.callPlacement(avoid))
-		if assignment.RateLimited && h.possibleRuns == 0 && h.r.Context().Err() == nil {
-			h.refuse(rateLimitRefusal(assignment.RetryAfter))
+		if refusal := placementRefusal(assignment); refusal != nil && h.possibleRuns == 0 && h.r.Context().Err() == nil {
+			h.refuse(refusal)
 			return
 		}
 		if !ok {
@@ -140,6 +140,9 @@
 	if info.Leaving && !h.gateway.options.Controller.View().TargetLeaves(target) {
 		h.gateway.options.Controller.MarkLeaving(target)
 	}
+	if info.Rest > 0 {
+		h.gateway.options.Controller.RecordRest(target, info.Rest)
+	}
 	h.gateway.options.Controller.RecordRateLimit(target, info.RateLimit, info.NotRun, sentAt)
 }
 
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -26,6 +26,9 @@
 	// per second that the target takes from all hosts together; nil if it named none. notRun is set if
 	// the target did not run the request.
 	RecordRateLimit(target core.TargetID, rate *float64, notRun bool, sentAt time.Duration)
+	// RecordRest records that a target has turned a request away and asked this host to send it nothing
+	// for a time.
+	RecordRest(target core.TargetID, rest time.Duration)
 	// Place assigns a target to a request. It returns false if no target was assigned;
 	// Assignment.AtCapacity then says whether the request may wait and be placed again.
 	Place(ctx context.Context, request edgecontrol.PlacementRequest) (edgecontrol.Assignment, bool)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/edgecontrol"
 )
 
 // notRunRefusal returns a refusal that states that the request was not run and will not be.
@@ -14,13 +15,17 @@
 	return &core.Refusal{Kind: kind, Message: message, Run: core.NotRun, RetryAfter: retryAfter}
 }
 
-// rateLimitRefusal refuses a request because all targets are limited. retryAfter is the time until they
-// take another one; zero if it is not known.
-func rateLimitRefusal(retryAfter time.Duration) *core.Refusal {
-	if retryAfter <= 0 {
-		retryAfter = retrySoon
+// placementRefusal returns the refusal of a request to which no target was assigned for a reason that ends
+// at a known time, or because all targets are limited. It returns nil for any other assignment.
+func placementRefusal(assignment edgecontrol.Assignment) *core.Refusal {
+	switch {
+	case assignment.RateLimited:
+		return notRunRefusal(core.RefusedRateLimited, "the rate limits of all targets are used up", max(assignment.RetryAfter, retrySoon))
+	case assignment.Target.Target == "" && assignment.RetryAfter > 0:
+		return notRunRefusal(core.RefusedNoCapacity, "all targets have asked to be sent nothing for a while", assignment.RetryAfter)
+	default:
+		return nil
 	}
-	return notRunRefusal(core.RefusedRateLimited, "the rate limits of all targets are used up", retryAfter)
 }
 
 // httpStatus returns the HTTP status of a refusal. A request that may have run gets 502 or
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -17,8 +17,8 @@
 		s.refuse(notRunRefusal(core.RefusedQueueFull, "all engines are crowded", retryAtCapacity))
 		return false
 	}
-	if assignment.RateLimited && s.possibleRuns == 0 && s.ctx.Err() == nil {
-		s.refuse(rateLimitRefusal(assignment.RetryAfter))
+	if refusal := placementRefusal(assignment); refusal != nil && s.possibleRuns == 0 && s.ctx.Err() == nil {
+		s.refuse(refusal)
 		return false
 	}
 	if !ok {
