Do not take a refusal without a request id for the response to a request

Connections to targets are not reused, and a refusal with a foreign id proved nothing already; one without an id, in front of the response, was believed: the request ran at a second target (TWICE) and could be refused as not run (REFUSED). Such a response now counts as a failure after which the request may have run. A head that is cut off was no answer already (the test proves it, for calls and streams).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -124,12 +124,22 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
-	if info.RequestID != "" && info.RequestID != h.request.ID {
-		return nil, &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
+	if err := h.checkOwner(info); err != nil {
+		return nil, err
 	}
 	return x.readResponse(info, &h.gateway.buffers)
 }
 
+// checkOwner returns a *ResponseMismatchError if a response belongs to another request. A response without
+// an id may be an earlier refusal that was written again, so it proves nothing if it says that the request
+// was not run.
+func (h *requestHandler) checkOwner(info ResponseInfo) error {
+	if info.RequestID == h.request.ID || info.RequestID == "" && !info.NotRun {
+		return nil
+	}
+	return &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
+}
+
 // recordTargetState records what a target says of itself in its response to an attempt that was sent
 // at sentAt. A misdirected attempt has reached another target.
 func (h *requestHandler) recordTargetState(target core.TargetID, info ResponseInfo, sentAt time.Duration) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -56,8 +56,8 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
-	if info.RequestID != "" && info.RequestID != h.request.ID {
-		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}})
+	if err := h.checkOwner(info); err != nil {
+		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 		return
 	}
 	if x.response.StatusCode != http.StatusOK {
