--- a/internal/decide/hub/chooser.go
+++ b/internal/decide/hub/chooser.go
@@ -218,5 +218,8 @@
 	return ids
 }
 
+// SubscriberCount returns the number of hosts that use this one as their hub.
+func (c *Chooser) SubscriberCount() int { return len(c.subscribers) }
+
 // Hub returns the current hub, or an empty identifier.
 func (c *Chooser) Hub() core.HostID { return c.current }
--- a/internal/edgecontrol/permits.go
+++ b/internal/edgecontrol/permits.go
@@ -24,7 +24,7 @@
 // permitShare returns the share of all permits that this host issues. Each host counts for one share: at
 // its hub, or at itself if it has none.
 func (s *state) permitShare() float64 {
-	shares := len(s.chooser.Subscribers())
+	shares := s.chooser.SubscriberCount()
 	if s.issuesOwnPermits() {
 		shares++
 	}
