--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -85,6 +85,9 @@
 	entry := h.log.WithField("kind", refusal.Kind).WithField("run", refusal.Run).
 		WithField("cause", refusal.Message).WithField("sends", h.attempts).
 		WithField("took_ms", (h.now() - h.arrived).Milliseconds())
+	if refusal.RetryAfter > 0 {
+		entry = entry.WithField("retry_after_ms", refusal.RetryAfter.Milliseconds())
+	}
 	if view := h.gateway.options.Controller.View(); view.Table != nil {
 		age, _ := view.ConfigProof.Age(h.now())
 		entry = entry.WithField("revision", view.Table.Config.Revision).WithField("config_age_ms", age.Milliseconds())
