Give each deployment of the daemon's tests keys of its own, so that test programs do not link to each other

TestBringIn hung in 3 of 160 runs, 160 test programs at a time, twice (passing runs take 28 s at most, these more than 60: not load). Cause: hosts of all test programs have the same names, keys and loopback address. A host that looks for a former peer at its old port links to the host of another program that has got the port: the log of a failed run has 'version ready' v2 at an engine 50 ms after the start, without an order, and links of a2 that end every half second. Ruled out: a fault of the product (keys of two deployments differ there).

--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/core"
@@ -35,7 +36,10 @@
 
 // deployment runs real hosts and stand-ins in the test process, on loopback.
 type deployment struct {
-	t        *testing.T
+	t *testing.T
+	// id is part of the keys. A host of another test program, which looks for a former peer at a port
+	// that was used again, must not link to a host of this deployment.
+	id       string
 	platform *httptest.Server
 	engines  []*httptest.Server
 	services []*httptest.Server
@@ -65,6 +69,7 @@
 func (d *deployment) start(hosts int) {
 	t := d.t
 	t.Helper()
+	d.id = uuid.NewString()
 	store := platformserver.New(platformserver.Options{})
 	d.platform = httptest.NewServer(store)
 	t.Cleanup(func() { d.platform.Close(); store.Close() })
@@ -123,9 +128,9 @@
 		DataCentre:      "oslo-a",
 		Listen:          addresses,
 		PlatformAddress: address(d.platform),
-		PeerKey:         "peer-key-0123456789abcdef-0123456789",
+		PeerKey:         "peer-key-" + d.id,
 		OperatorKey:     operatorKey,
-		EventKey:        "event-key-0123456789abcdef-0123456789",
+		EventKey:        "event-key-" + d.id,
 		Timing:          settings.DefaultTiming(),
 		LogLevel:        "error",
 	}
