Do not end on a placement request before the first configuration; the soak restores the store

TestPlacementRequestBeforeTheFirstConfiguration fails before (panic); TestAnyMessageIsHandled now also draws hosts without state.

--- a/internal/edgecontrol/message_event_test.go
+++ b/internal/edgecontrol/message_event_test.go
@@ -54,7 +54,9 @@
 		for _, id := range []core.HostID{"h", "peer"} {
 			h.chooser.SetLinked(id, true)
 		}
-		h.read(engineConfig(3), engines(3))
+		if rapid.Bool().Draw(t, "has state") {
+			h.read(engineConfig(3), engines(3))
+		}
 		for range rapid.IntRange(1, 20).Draw(t, "messages") {
 			from := core.HostID(rapid.SampledFrom([]string{"peer", "stranger"}).Draw(t, "from"))
 			messageEvent{from: from, message: drawMessage(t)}.apply(h.state)
@@ -77,3 +79,12 @@
 	h.handleHubUpdate("big", message.HubUpdate{Number: 1, First: true, Config: message.NewShared[*core.RoutingConfig](nil)})
 	require.Nil(t, h.view.Table)
 }
+
+// A host that has just started gets the placement requests of its former subscribers before it knows any
+// target.
+func TestPlacementRequestBeforeTheFirstConfiguration(t *testing.T) {
+	h := newHubState()
+	h.setHosts([]core.Host{host("h"), host("peer")})
+	h.handlePlacementRequest("peer", message.PlacementRequest{Number: 7, Pool: "llm", Request: "r"})
+	require.Equal(t, []message.Message{message.PlacementResponse{Number: 7}}, h.sent)
+}
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -112,7 +112,7 @@
 // list.
 func (s *state) candidates(pool core.PoolID) []placement.Candidate {
 	all, listed := s.candidatesByPool[pool]
-	if listed {
+	if listed || s.view.Table == nil {
 		return all
 	}
 	spec := s.view.Table.Pool(pool)
--- a/tools/soak/changes.go
+++ b/tools/soak/changes.go
@@ -40,6 +40,7 @@
 	s.targets = slices.Delete(s.targets, index, index+1)
 	stop()
 	t.Unregister()
+	s.gone = append(s.gone, t)
 	if _, err := s.addTarget(t.engine, t.zone); err != nil {
 		s.violations = append(s.violations, fmt.Sprintf("target was not replaced: %v", err))
 	}
@@ -72,6 +73,9 @@
 }
 
 func (s *soak) setEvacuated(zone string, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated[zone] = evacuated
 	s.platformStore.SetEvacuated(zone, evacuated)
 }
 
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -45,6 +45,8 @@
 	version             int      // of the configuration in the store
 	keys                []string // valid API keys, oldest first
 	revokedAt           map[string]time.Time
+	gone                []*target            // stopped
+	evacuated           map[string]bool      // by zone, as the operator has written it last
 	leavingSince        map[string]time.Time // when each leaving target was registered as draining
 	timeBoundsSuspended []interval
 	sent                []*sentRequest
@@ -65,7 +67,7 @@
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
 	s := &soak{options: options, dir: dir, recorder: platformtest.NewRecorder(), platformStore: platformtest.NewStore(), version: 1,
-		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}}
+		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, evacuated: map[string]bool{}}
 	s.storeServer = httptest.NewServer(s.platformStore)
 	s.platformStore.PutConfig(s.version, s.keys)
 	for i := range options.Engines + options.Services {
@@ -128,7 +130,12 @@
 	for number := range clientCount {
 		wg.Go(func() { s.runClient(ctx, number) })
 	}
+	restorations, end := context.WithCancel(ctx)
+	var restoring sync.WaitGroup
+	restoring.Go(func() { s.injectRestorations(restorations, rand.New(rand.NewPCG(s.options.Seed, 1))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
+	end()
+	restoring.Wait()
 	if !s.awaitReady() {
 		s.recordViolation("hosts were not ready %s after the last fault", readyTimeout)
 	}
