Answer each request that waits for a permit, once

Found by reading the change: if a permit was issued between the choice and the gate's decision, the gate admitted the request and nobody replied, so that it waited until its deadline. TestEachRequestGetsOneReply (property-based, time passes at each look at the clock) fails before and passes 5,000 draws. Waiting requests now also go to a target without limit as soon as the pool has one; TestWaitingRequestGoesToATargetWithoutLimit.

--- a/internal/decide/ratelimit/gate.go
+++ b/internal/decide/ratelimit/gate.go
@@ -159,6 +159,13 @@
 	return next, true
 }
 
+// TakeAll removes all waiting requests.
+func (g *Gate) TakeAll() []Waiter {
+	all := g.waiting
+	g.waiting = nil
+	return all
+}
+
 // Expire removes the requests that cannot wait any longer.
 func (g *Gate) Expire(supply Supply, now time.Duration) []Rejection {
 	var rejections []Rejection
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -26,6 +26,7 @@
 	h.state = newState(&Options{
 		Self: host("h"), Clock: func() time.Duration { return h.clock }, Log: &log.Logger{Handler: discard.New()},
 		Send: func(_ core.HostID, m message.Message) bool { h.sent = append(h.sent, m); return true }, SetPeers: func([]core.Host) {},
+		post: func(event) {}, // timers are played by the tests
 	})
 	return h
 }
--- a/internal/edgecontrol/permits.go
+++ b/internal/edgecontrol/permits.go
@@ -130,16 +130,31 @@
 		return true
 	}
 	s.lastWaiter++
-	id := s.lastWaiter
-	s.permitWaiters[id] = permitWaiter{req: req, reply: reply}
 	waiter := req.waiter()
-	waiter.ID = id
-	_, rejections := s.gate(req.Pool).Arrive(waiter, promised, supply, s.now())
+	waiter.ID = s.lastWaiter
+	s.permitWaiters[waiter.ID] = permitWaiter{req: req, reply: reply}
+	verdict, rejections := s.gate(req.Pool).Arrive(waiter, promised, supply, s.now())
+	if verdict == ratelimit.Admitted { // a permit has been issued since the choice
+		s.serveWaiter(waiter.ID)
+	}
 	s.rejectWaiters(rejections)
 	s.schedulePermits(req.Pool)
 	return true
 }
 
+// serveWaiter sends a request that may use a permit to a target.
+func (s *state) serveWaiter(id uint64) {
+	w := s.permitWaiters[id]
+	delete(s.permitWaiters, id)
+	choice, ok := s.choose(w.req, true)
+	if !ok {
+		w.reply.unplaced(s, Assignment{RateLimited: true})
+		return
+	}
+	s.usePermit(w.req, choice.Target.Target)
+	w.reply.placed(s, choice, w.req.Request)
+}
+
 func (s *state) rejectWaiters(rejections []ratelimit.Rejection) {
 	for _, rejection := range rejections {
 		w := s.permitWaiters[rejection.ID]
@@ -152,21 +167,18 @@
 // cannot wait any longer. If the pool has other targets by now, the requests go there.
 func (s *state) servePermitWaiters(pool core.PoolID) {
 	gate := s.gate(pool)
+	if len(s.permitted(s.candidates(pool), false)) > 0 {
+		for _, w := range gate.TakeAll() {
+			s.serveWaiter(w.ID)
+		}
+	}
 	for {
 		supply, _ := s.supply(pool, nil)
 		next, ok := gate.Next(supply, s.now())
 		if !ok {
 			break
 		}
-		w := s.permitWaiters[next.ID]
-		delete(s.permitWaiters, next.ID)
-		choice, ok := s.choose(w.req, true)
-		if !ok {
-			w.reply.unplaced(s, Assignment{RateLimited: true})
-			continue
-		}
-		s.usePermit(w.req, choice.Target.Target)
-		w.reply.placed(s, choice, w.req.Request)
+		s.serveWaiter(next.ID)
 	}
 	supply, _ := s.supply(pool, nil)
 	s.rejectWaiters(gate.Expire(supply, s.now()))
--- a/internal/edgecontrol/permits_test.go
+++ b/internal/edgecontrol/permits_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
@@ -141,3 +142,60 @@
 	h.hub = "further"
 	require.InDelta(t, 0.5, h.permitShare(), 1e-9, "its own requests get permits from its hub")
 }
+
+// Permits are issued at any moment, also between two looks at the clock. A request that is forgotten then
+// occupies its caller until the deadline.
+func TestEachRequestGetsOneReply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHubState()
+		h.options.Clock = func() time.Duration {
+			h.clock += time.Duration(rapid.IntRange(0, 3).Draw(t, "time passes")) * time.Millisecond
+			return h.clock
+		}
+		h.setHosts([]core.Host{host("h")})
+		all := engines(2)
+		for i := range all {
+			all[i].Pool = "web"
+		}
+		h.read(&core.RoutingConfig{Revision: 3, Pools: []core.PoolSpec{{ID: "web"}}}, all)
+		rate := rapid.SampledFrom([]float64{1, 10, 100}).Draw(t, "rate")
+		for _, target := range all {
+			rateLimitEvent{target: target.Target, rate: &rate, sentAt: h.clock}.apply(h.state)
+		}
+		var replies []chan Assignment
+		for i := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			reply := make(chan Assignment, 2)
+			replies = append(replies, reply)
+			request := placement.Request{ID: fmt.Sprint(i), Avoid: []core.TargetID{"e0", "e1"}[:rapid.IntRange(0, 2).Draw(t, "avoided")]}
+			h.place(PlacementRequest{Pool: "web", Request: request, MaxWait: 40 * time.Millisecond, TimeLeft: time.Second}, true, localReply{reply: reply})
+			permitsDueEvent{pool: "web"}.apply(h.state)
+		}
+		h.clock += time.Second
+		permitsDueEvent{pool: "web"}.apply(h.state)
+		for i, reply := range replies {
+			if len(reply) != 1 {
+				t.Fatalf("request %d got %d replies", i, len(reply))
+			}
+		}
+	})
+}
+
+// A request that waits for a permit must not be rejected once its pool has a target without a limit.
+func TestWaitingRequestGoesToATargetWithoutLimit(t *testing.T) {
+	h := newHubState()
+	h.setHosts([]core.Host{host("h")})
+	limited, free := engines(2)[0], engines(2)[1]
+	limited.Pool, free.Pool, free.Revision = "web", "web", 20
+	h.read(&core.RoutingConfig{Revision: 3, Pools: []core.PoolSpec{{ID: "web"}}}, []core.Registration{limited})
+	rate := 10.0
+	rateLimitEvent{target: limited.Target, rate: &rate, sentAt: h.clock}.apply(h.state)
+	reply := make(chan Assignment, 1)
+	request := PlacementRequest{Pool: "web", Request: placement.Request{ID: "r"}, MaxWait: time.Second, TimeLeft: 3 * time.Second}
+	h.place(request, true, localReply{reply: reply})
+	require.Empty(t, reply, "waits")
+	h.read(nil, []core.Registration{limited, free})
+	h.candidatesByPool = nil
+	permitsDueEvent{pool: "web"}.apply(h.state)
+	require.Len(t, reply, 1)
+	require.Equal(t, free.Target, (<-reply).Target.Target)
+}
