--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
+	"cut-event":     cutEvent,
 	"crash-spreads": crashSpreads,
 	"move-ends":     moveEnds,
 }
