Review case 4: large bodies that come at once end the process

Cause: each body is kept whole, and nothing bounds all of them together. Change: the case as a script. No code of the project changes.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"cut-event":     cutEvent,
+	"large-bodies":  largeBodies,
 	"crash-spreads": crashSpreads,
 	"move-ends":     moveEnds,
 }
