Review case 2: generations that the host stops to move are cut once the retry budget is used up

Cause: the retry that a moved generation needs is asked for only after its run was stopped; if the budget does not cover it, the moved memory is dropped and the caller's connection closed. Change: the case as a script. No code of the project changes.

--- a/review/harness/case_move_ends.go
+++ b/review/harness/case_move_ends.go
@@ -24,7 +24,7 @@
 	if err := d.putConfig(1, 4<<20); err != nil {
 		return false, err
 	}
-	pool := newEnginePool(d)
+	pool := newEnginePool(d, moveEvents, movePause, false)
 	for number := range moveEngines {
 		_, err := d.addRunner("llm", zoneName(number), 24, pool.serve)
 		if err != nil {
@@ -63,7 +63,7 @@
 	}
 	<-time.After(time.Second)
 	if trouble {
-		pool.leave(d.runners[leavingEngine])
+		pool.leave(d.runners[leavingEngine], leavesAfter)
 	}
 	all.Wait()
 	d.record.add("%d streams: %d whole, %d failed visibly, %d complete in form before their last event", moveDrafts, whole, failed, broken)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,8 +22,8 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"cut-event":     cutEvent,
 	"large-bodies":  largeBodies,
-	"double-slash":  doubleSlash,
 	"crash-spreads": crashSpreads,
+	"move-budget":   moveBudget,
 	"move-ends":     moveEnds,
 }
 
