--- a/review/harness/case_cut_event.go
+++ b/review/harness/case_cut_event.go
@@ -4,16 +4,20 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
+	cutEngines    = 8
+	cutFaulty     = 3 // of the engines
 	streamEvents  = 20
-	streamPause   = 5 * time.Millisecond
+	streamPause   = 3 * time.Millisecond
 	cutAfter      = 12 // events of a stream that is cut off within the next one
-	cutOneIn      = 20 // share of the answers that a faulty runner cuts off
-	cutStreams    = 150
-	cutClients    = 6 // that send streams at the same time
+	cutOneIn      = 40 // share of the answers that the faulty runners cut off
+	cutFor        = 4 * time.Second
+	cutStreams    = 400
+	cutClients    = 10 // that send streams at the same time
 	streamHeaders = "Model: m\r\nToken-Usage: 400,80\r\nPrompt-Prefix: 5c1e07a2:300,e4402b7d:100\r\n"
 )
 
@@ -37,12 +41,8 @@
 	c.chunk("")
 }
 
-// serveCutStream ends the body of one stream in cutOneIn within an event.
+// serveCutStream ends the body of a stream within an event.
 func serveCutStream(r *runner, c *exchange) {
-	if c.number%cutOneIn != 0 {
-		serveStream(r, c)
-		return
-	}
 	r.run(c)
 	c.beginStream()
 	for event := range cutAfter {
@@ -61,10 +61,20 @@
 	if err := d.putConfig(1, 4<<20); err != nil {
 		return false, err
 	}
-	for number := range 4 {
+	var answers atomic.Int64 // of the faulty runners
+	var began atomic.Int64   // Unix nanoseconds of the first stream
+	serveFaulty := func(r *runner, c *exchange) {
+		began.CompareAndSwap(0, time.Now().UnixNano())
+		if answers.Add(1)%cutOneIn == 0 && time.Since(time.Unix(0, began.Load())) < cutFor {
+			serveCutStream(r, c)
+			return
+		}
+		serveStream(r, c)
+	}
+	for number := range cutEngines {
 		serve := serveStream
-		if trouble && number%2 == 0 {
-			serve = serveCutStream
+		if trouble && number < cutFaulty {
+			serve = serveFaulty
 		}
 		if _, err := d.addRunner("llm", zoneName(number), 24, serve); err != nil {
 			return false, err
@@ -105,7 +115,7 @@
 		})
 	}
 	all.Wait()
-	d.record.add("%d streams: %d whole, %d failed visibly, %d complete in form but cut off", cutStreams, whole, failed, broken)
+	d.record.add("%d streams, %d answers of faulty runners: %d whole, %d failed visibly, %d complete in form but cut off", cutStreams, answers.Load(), whole, failed, broken)
 	if !trouble && whole < cutStreams {
 		return false, fmt.Errorf("only %d of %d streams were whole without trouble", whole, cutStreams)
 	}
--- a/review/harness/case_move_budget.go
+++ b/review/harness/case_move_budget.go
@@ -56,7 +56,11 @@
 		mu.Lock()
 		defer mu.Unlock()
 		changedAt = time.Now()
-		d.record.add("the configuration changes: %v", d.putConfig(2, 2<<20))
+		d.lookupTimeout = 4500
+		if err := d.putConfig(2, 4<<20); err != nil {
+			d.record.add("%v", err)
+		}
+		d.record.add("the configuration changes: another timeout of the lookups")
 	})
 	for number := range releaseDrafts {
 		all.Go(func() {
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -32,6 +32,8 @@
 	runners     []*runner
 	stop        chan struct{}
 	closing     sync.Once
+	// lookupTimeout is the timeout of the route of the lookups, in milliseconds.
+	lookupTimeout int
 }
 
 func newDeployment(folder string) (*deployment, error) {
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
 	}
-	d := &deployment{record: r, dir: dir, store: platformtest.NewStore(), storeAddr: listener.Addr().String(), stop: make(chan struct{})}
+	d := &deployment{record: r, dir: dir, store: platformtest.NewStore(), storeAddr: listener.Addr().String(), lookupTimeout: 5000, stop: make(chan struct{})}
 	d.storeServer = &http.Server{Handler: d.store}
 	go func() { _ = d.storeServer.Serve(listener) }() // returns when the store is closed
 	return d, nil
@@ -65,7 +67,7 @@
 		"routes": []any{
 			route("drafts", "/draft/", "streaming", "llm", 1, 39000, 1800),
 			route("bookings", "/book/", "non_idempotent", "web", 1, 5000, 300),
-			route("lookups", "/", "idempotent", "web", 2, 5000, 300),
+			route("lookups", "/", "idempotent", "web", 2, d.lookupTimeout, 300),
 		},
 		"services": []any{
 			map[string]any{"name": "web", "health-path": "/health", "max-conns": 100, "protocol": "h1", "tls": false, "cold-start-s": 0.0, "cold-per-s": 0.0},
