Do not take the end of a stream that the host has stopped for the end of its generation

Cause: to move a generation the host has the engine stop it. The engine closes the stream some 20 ms before it responds to the move. A response with neither a length nor chunks ends with its connection, so the close was taken for the end of the generation, and the move's result was never read. Ruled out: that the engine had sent all events (it had the memory moved); that the destination ends the stream (the broken streams never ran there); streams with a copy (they were whole). Change: failover.Stream decides what the end of a response means. While a stop is pending, the result of the move decides; a generation that was stopped without a move is lost visibly. The mover tells whether the engine has stopped the generation. A stream that breaks off because it is being stopped does not count as a crash under its prompt. Why it works: the engine responds 200 only for a generation that was running, and 404 for one that had ended.

--- a/internal/decide/failover/result.go
+++ b/internal/decide/failover/result.go
@@ -10,4 +10,6 @@
 	NotDone
 	// Unknown means that no answer arrived, so the step may or may not have had its effect.
 	Unknown
+	// StoppedOnly means that StopAndCopyMemory has stopped the generation, but not moved its memory.
+	StoppedOnly
 )
--- a/internal/decide/failover/step_kind.go
+++ b/internal/decide/failover/step_kind.go
@@ -16,4 +16,6 @@
 	SwitchToMoved
 	// GiveUp means that the generation is lost.
 	GiveUp
+	// Finish means that the generation has ended by itself.
+	Finish
 )
--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -18,13 +18,17 @@
 type Stream struct {
 	timing       Timing
 	canMove      bool
-	copied       bool          // another engine keeps a copy
-	started      bool          // an event has arrived since the last switch
-	disconnected bool          // the connection to the engine ended before the generation did
-	leaving      bool          // the engine is leaving
-	precopied    bool          // the memory has been pre-copied to the destination
-	linksFree    bool          // the last pre-copy was fast, so the links are free
+	copied       bool // another engine keeps a copy
+	started      bool // an event has arrived since the last switch
+	disconnected bool // the connection to the engine ended before the generation did
+	leaving      bool // the engine is leaving
+	precopied    bool // the memory has been pre-copied to the destination
+	linksFree    bool // the last pre-copy was fast, so the links are free
+	stop         stopState
 	memoryMoved  bool          // the generation was stopped and its memory moved
+	ended        bool          // the engine's response has ended in order while its stop was pending
+	endMarked    bool          // a length or a last chunk marked that end
+	finished     bool          // the generation has ended by itself
 	pending      StepKind      // step whose result has not been recorded; zero if none
 	leavingSince time.Duration // notice that the engine is leaving
 	lastEvent    time.Duration
@@ -84,6 +88,31 @@
 // RecordDisconnect records that the connection to the engine ended before the generation did.
 func (s *Stream) RecordDisconnect() { s.disconnected = true }
 
+// StopRequested reports whether the engine has been asked to stop the generation.
+func (s *Stream) StopRequested() bool {
+	return s.pending == StopAndCopyMemory || s.memoryMoved || s.stop != notStopped
+}
+
+// RecordEnd records that the engine's response has ended in order, and returns whether the generation is
+// complete. marked reports whether a length or a last chunk marked the end. An engine also closes its
+// response when it stops a generation, so while a stop is pending, its result decides: Next returns Finish
+// or another step after it.
+func (s *Stream) RecordEnd(marked bool) bool {
+	if s.pending == StopAndCopyMemory {
+		s.ended, s.endMarked = true, marked
+		return false
+	}
+	s.settleEnd(marked)
+	return s.finished
+}
+
+// settleEnd decides whether the end of the engine's response is that of the generation. The response of a
+// stopped generation has no marked end.
+func (s *Stream) settleEnd(marked bool) {
+	s.finished = s.stop == notStopped || s.stop == maybeStopped && marked
+	s.disconnected = s.disconnected || !s.finished
+}
+
 // Next returns the step to take now. A step other than Wait is pending until its result is
 // recorded.
 func (s *Stream) Next(now time.Duration) Step {
@@ -107,6 +136,8 @@
 	switch {
 	case s.pending != 0:
 		return Step{Kind: Wait}
+	case s.finished:
+		return Step{Kind: Finish}
 	case s.memoryMoved && s.destinationGone(now):
 		return Step{Kind: GiveUp}
 	case s.memoryMoved:
@@ -185,6 +216,22 @@
 		s.precopied, s.linksFree = false, false // the next attempt chooses another engine
 		s.moves++
 		s.retryMoveAt = now + moveRetryDelay
+		if step == StopAndCopyMemory {
+			s.recordFailedStop(result)
+		}
+	}
+}
+
+// recordFailedStop records that the generation's memory has not been moved after StopAndCopyMemory.
+func (s *Stream) recordFailedStop(result Result) {
+	switch result {
+	case StoppedOnly:
+		s.stop = stopped
+	case Unknown:
+		s.stop = max(s.stop, maybeStopped)
+	}
+	if s.ended {
+		s.settleEnd(s.endMarked)
 	}
 }
 
@@ -200,5 +247,6 @@
 	}
 	s.switches++
 	s.copied, s.started, s.disconnected, s.leaving, s.precopied, s.linksFree = copied, false, false, false, false, false
+	s.stop, s.ended = notStopped, false
 	s.moves, s.retryMoveAt, s.lastEvent = 0, 0, now
 }
--- a/internal/decide/failover/stream_test.go
+++ b/internal/decide/failover/stream_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,6 +87,66 @@
 	s.RecordDisconnect()
 }
 
+// TestEndOfStoppedGeneration guards against an engine's response that counts as a complete generation because
+// it ended in order, though the engine was asked to stop the generation.
+func TestEndOfStoppedGeneration(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		results []Result // of the stops that are requested one after the other
+		marked  bool
+		want    StepKind
+	}{
+		"moved":                             {[]Result{Done}, false, SwitchToMoved},
+		"moved, end marked":                 {[]Result{Done}, true, SwitchToMoved},
+		"ended before the stop":             {[]Result{NotDone}, false, Finish},
+		"no room":                           {[]Result{StoppedOnly}, false, GiveUp},
+		"no room, end marked":               {[]Result{StoppedOnly}, true, GiveUp},
+		"no response":                       {[]Result{Unknown}, false, GiveUp},
+		"no response, end marked":           {[]Result{Unknown}, true, Finish},
+		"not known to the engine afterward": {[]Result{Unknown, NotDone}, false, GiveUp},
+		"stopped for certain, then unknown": {[]Result{StoppedOnly, Unknown}, true, GiveUp},
+	} {
+		for _, endsFirst := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/before the result %t", name, endsFirst), func(t *testing.T) {
+				stream := New(timing, true, false, 0)
+				stream.RecordEvent(0)
+				stream.RecordLeaving(0)
+				now := time.Duration(0)
+				for i, result := range c.results {
+					now = stepUntil(t, stream, StopAndCopyMemory, now)
+					if endsFirst && i == len(c.results)-1 {
+						require.False(t, stream.RecordEnd(c.marked))
+						require.Equal(t, Step{Kind: Wait}, stream.Next(now))
+					}
+					stream.RecordMove(result, 10*ms, now)
+				}
+				if !endsFirst && !stream.memoryMoved {
+					require.Equal(t, c.want == Finish, stream.RecordEnd(c.marked))
+				}
+				require.Equal(t, c.want, stream.Next(now).Kind)
+			})
+		}
+	}
+}
+
+// stepUntil lets all moves succeed until a step of the given kind is due, and returns its time.
+func stepUntil(t *testing.T, stream *Stream, kind StepKind, now time.Duration) time.Duration {
+	t.Helper()
+	for range 100 {
+		step := stream.Next(now)
+		switch {
+		case step.Kind == kind:
+			return now
+		case step.Kind == Wait:
+			now = max(now+time.Millisecond, step.At)
+		default:
+			stream.RecordMove(Done, time.Millisecond, now)
+		}
+	}
+	require.Fail(t, "step is never due", "%v", kind)
+	return now
+}
+
 // For any sequence of events, at most one step is pending at a time and a copy is used at
 // most once.
 func TestOneStepAtATime(t *testing.T) {
@@ -99,7 +160,7 @@
 		open := StepKind(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0:
 				stream.RecordEvent(now)
 			case 1:
@@ -112,7 +173,7 @@
 			case 4:
 				stream.RecordDestinationLeaving(now)
 			case 5:
-				result := Result(rapid.IntRange(1, 3).Draw(t, "result"))
+				result := Result(rapid.IntRange(1, 4).Draw(t, "result"))
 				switch open {
 				case SwitchToCopy, SwitchToMoved:
 					copied := rapid.Bool().Draw(t, "next copy")
@@ -125,6 +186,10 @@
 					stream.RecordMove(result, time.Duration(rapid.IntRange(0, 100).Draw(t, "took"))*time.Millisecond, now)
 				}
 				open = 0
+			case 6:
+				if stream.RecordEnd(rapid.Bool().Draw(t, "marked")) {
+					return
+				}
 			default:
 				step := stream.Next(now)
 				if open != 0 {
@@ -134,7 +199,7 @@
 				if step.Kind == SwitchToCopy {
 					require.Equal(t, 1, copies, "no unused copy")
 				}
-				if step.Kind == GiveUp {
+				if step.Kind == GiveUp || step.Kind == Finish {
 					return
 				}
 				if step.Kind != Wait {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -10,8 +10,20 @@
 	"siskintide.example/siskintide/internal/decide/quarantine"
 )
 
-// handleEnd ends the request after a complete stream.
-func (s *streamRelay) handleEnd() bool {
+// handleEnd handles the end of the current engine's response. It reports whether the generation, and so the
+// request, is finished.
+func (s *streamRelay) handleEnd(marked bool) bool {
+	if s.failover.RecordEnd(marked) {
+		s.finish()
+		return true
+	}
+	s.log.WithField("target", s.current.assignment.Target.Target).WithField("last_event", s.lastID).WithField("end_marked", marked).
+		Info("engine's response ended after it was asked to stop the generation")
+	return false
+}
+
+// finish ends the request after a complete stream.
+func (s *streamRelay) finish() {
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
 	if s.events > 0 && s.events < soundEvents {
@@ -19,7 +31,6 @@
 	}
 	s.current = nil
 	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
-	return true
 }
 
 // endLost ends a request whose generation cannot be continued.
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -20,7 +20,7 @@
 	case upstreamEvent:
 		return s.forwardEvent(message.event)
 	case upstreamEnded:
-		return s.handleEnd()
+		return s.handleEnd(message.marked)
 	default:
 		return s.handleFailure(message.err)
 	}
@@ -116,11 +116,11 @@
 	s.failover.RecordEvent(now)
 }
 
-// failedAtStart reports whether an engine broke the stream off as it began to respond: the response
-// header has arrived, and hardly any event.
+// failedAtStart reports whether an engine broke the stream off by itself as it began to respond: the
+// response header has arrived, and hardly any event.
 func (s *streamRelay) failedAtStart(cause error) bool {
 	var failed *ExchangeError
-	return s.events < soundEvents && s.ctx.Err() == nil && errors.As(cause, &failed) && failed.Phase == phaseStream
+	return s.events < soundEvents && s.ctx.Err() == nil && !s.failover.StopRequested() && errors.As(cause, &failed) && failed.Phase == phaseStream
 }
 
 // handleFailure handles a failed exchange with the current engine. If the engine was never
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
@@ -24,9 +25,8 @@
 	startedAt, clock := s.now(), s.gateway.options.Clock
 	go func() {
 		handle, err := s.gateway.options.Mover.Move(ctx, from, id, to, final)
-		result := failover.Done
+		result := moveOutcome(err)
 		if err != nil {
-			result = failover.NotDone
 			entry.WithError(err).Info("move failed")
 		} else {
 			entry.WithField("took_ms", (clock() - startedAt).Milliseconds()).Info("generation's memory has moved")
@@ -39,6 +39,21 @@
 	}()
 }
 
+// moveOutcome returns the result of a move for the failover decision.
+func moveOutcome(err error) failover.Result {
+	var refused *MoveRefusedError
+	switch {
+	case err == nil:
+		return failover.Done
+	case !errors.As(err, &refused):
+		return failover.Unknown
+	case refused.Stopped:
+		return failover.StoppedOnly
+	default:
+		return failover.NotDone
+	}
+}
+
 // chooseMoveTarget chooses the engine that the generation moves to and reserves capacity
 // there. It returns false if there is none.
 func (s *streamRelay) chooseMoveTarget() bool {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -128,6 +128,9 @@
 	case failover.GiveUp:
 		s.endLost()
 		return true
+	case failover.Finish:
+		s.finish()
+		return true
 	case failover.Wait:
 	}
 	return false
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -98,7 +98,7 @@
 			return
 		}
 		if err != nil {
-			u.send(ctx, upstreamMessage{kind: upstreamEnded})
+			u.send(ctx, upstreamMessage{kind: upstreamEnded, marked: !x.endsWithConnection()})
 			return
 		}
 		begun = true
--- a/internal/gateway/upstream_message.go
+++ b/internal/gateway/upstream_message.go
@@ -6,5 +6,6 @@
 	info     ResponseInfo      // for upstreamOpened
 	response *bufferedResponse // for upstreamOpened, if the response is not a stream
 	event    streamEvent       // for upstreamEvent
+	marked   bool              // for upstreamEnded: a length or a last chunk marked the end
 	err      error             // for upstreamFailed
 }
