Take a stream that ends within an event for broken off, however its end is marked

Cause: the upstream reader trusted the framing of HTTP. It took bytes after the last complete event for a failure only if the response had neither a length nor chunks; an engine whose generator fails ends its body properly. Ruled out: bytes lost by the host (the engine's record has the same bytes). Change: the end of a response is that of its generation only after the first event, and after an empty line or whole comment lines. Anything else is broken off: the generation goes on at its copy, or the connection is closed. An end that is marked does not count as a crash under the prompt. The engine's Content-Length is not forwarded with a stream: with a length of zero, even an aborted connection was a complete response. Why it works: an event ends with its empty line, so what follows the last one is an event that is not whole.

--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -73,3 +73,28 @@
 	var large *TooLargeError
 	require.ErrorAs(t, err, &large)
 }
+
+// TestRestOfAStream guards against a stream that ends within an event and counts as complete, and against a
+// complete one that counts as cut off because of a comment after its last event.
+func TestRestOfAStream(t *testing.T) {
+	for rest, want := range map[string]bool{
+		"":                 false,
+		": x\n":            false,
+		": x\n: y\r\n":     false,
+		": x":              true,
+		"i":                true,
+		"id: 1":            true,
+		"id: 1\n":          true,
+		"id: 1\ndata: x\n": true,
+		": x\nid: 1\n":     true,
+		": x\ndata":        true,
+		"id: 1\r\n\r":      true,
+	} {
+		reader := newEventReader(strings.NewReader("id: 0\ndata: a\n\n" + rest))
+		_, err := reader.next()
+		require.NoError(t, err)
+		event, err := reader.next()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, want, event.startsEvent(), "%q", rest)
+	}
+}
--- a/internal/gateway/stream_event.go
+++ b/internal/gateway/stream_event.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "bytes"
+
 // streamEvent is one server-sent event, as received from a target.
 type streamEvent struct {
 	bytes []byte // including the empty line that ends the event
@@ -9,3 +11,9 @@
 	// connection open.
 	isComment bool
 }
+
+// startsEvent reports whether bytes that no empty line follows belong to an event: they are more than complete
+// comment lines.
+func (e streamEvent) startsEvent() bool {
+	return len(e.bytes) > 0 && !(e.isComment && bytes.HasSuffix(e.bytes, []byte("\n")))
+}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -55,6 +55,7 @@
 	for name, values := range s.current.header {
 		header[name] = values
 	}
+	header.Del("Content-Length") // the stream may break off, or go on at an engine that sends other comments
 	if s.gateway.options.Controller.View().Leaving {
 		header.Set("Connection", "close")
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -78,32 +78,43 @@
 	}
 }
 
-// readEvents sends the events of the response. A generation that has begun at another target may end
-// without a further one.
+// readEvents sends the events of the response. begun reports whether the generation has begun at another
+// target, so that it may end without a further event.
 func (u *upstream) readEvents(ctx context.Context, x *exchange, begun bool) {
 	events := newEventReader(x.response.Body)
 	for {
 		event, err := events.next()
-		if err != nil && !errors.Is(err, io.EOF) {
-			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}})
-			return
-		}
-		if err != nil && (len(event.bytes) > 0 || !begun) && x.endsWithConnection() {
-			// Nothing but the end of the connection marks the end of this response, and a target
-			// that crashes closes it too, within an event or before the first one.
-			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
+		switch {
+		case errors.Is(err, io.EOF):
+			u.sendEnd(ctx, x, event, begun)
 			return
-		}
-		if len(event.bytes) > 0 && !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}) {
+		case err != nil:
+			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}})
 			return
-		}
-		if err != nil {
-			u.send(ctx, upstreamMessage{kind: upstreamEnded, marked: !x.endsWithConnection()})
+		case !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}):
 			return
 		}
 		begun = true
 	}
 }
 
+// sendEnd sends the end of the response. rest is what came after the last complete event. A response that
+// ends within an event, or before the first one, is not that of a complete generation, however its end is
+// marked.
+func (u *upstream) sendEnd(ctx context.Context, x *exchange, rest streamEvent, begun bool) {
+	complete := begun && !rest.startsEvent() || x.response.Request.Method == http.MethodHead
+	switch {
+	case !complete && x.endsWithConnection(): // as that of a target that crashes
+		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
+		return
+	case !complete:
+		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &TruncatedStreamError{Address: x.address, Rest: len(rest.bytes)}})
+		return
+	}
+	if len(rest.bytes) == 0 || u.send(ctx, upstreamMessage{kind: upstreamEvent, event: rest}) {
+		u.send(ctx, upstreamMessage{kind: upstreamEnded, marked: !x.endsWithConnection()})
+	}
+}
+
 // stop closes the exchange. The target then cancels the generation.
 func (u *upstream) stop() { u.cancel() }
