Do not take the end of an engine's process for the end of its generation

Callers would have seen: a draft that stops between two events, with status 200 and the last chunk. Cause: the connections of a process that ends are closed in order, and a response with neither a length nor chunks ends with its connection. Ruled out: resets, ends within an event, ends that are marked (handled before, cases of the test). Change: after an end that nothing marks, the host connects to the engine; if it refuses, the stream is broken off. Why it works: an engine that has ended no longer listens, and one that leaves serves until it ends.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -95,6 +97,18 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
+// refusesConnections reports whether the target no longer listens. Nothing is sent to it. A target that does
+// not respond at all may be cut off from this host.
+func (x *exchange) refusesConnections(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", x.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // close closes the connection. The target then cancels the request.
 func (x *exchange) close() {
 	x.detach()
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -100,11 +100,14 @@
 
 // sendEnd sends the end of the response. rest is what came after the last complete event. A response that
 // ends within an event, or before the first one, is not that of a complete generation, however its end is
-// marked.
+// marked. One whose end is not marked is not either if the target is gone: its connections end with it.
 func (u *upstream) sendEnd(ctx context.Context, x *exchange, rest streamEvent, begun bool) {
 	complete := begun && !rest.startsEvent() || x.response.Request.Method == http.MethodHead
+	if complete && x.endsWithConnection() {
+		complete = !x.refusesConnections(ctx)
+	}
 	switch {
-	case !complete && x.endsWithConnection(): // as that of a target that crashes
+	case !complete && x.endsWithConnection(): // as after a crash
 		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
 		return
 	case !complete:
