Refuse requests that a host which shuts down could not finish in time

Cause: a host that shuts down took every call, and every stream whose forecast was below half of a fixed 5.5 s. The time that was left played no part. Ruled out: new connections (all were opened before); engines that broke off; streams alone (calls with a long timeout too). Change: internal/decide/shutdown decides by the time that is left when the request is complete, and again before each send. Whoever is not admitted gets 503, not run, and the end of the connection, at once. Calls that still run half a second before the end of the grace get 504; bodies that are not complete then are refused. No move begins in the last second. Why it works: a request that is admitted late ends by its deadline, or by twice its longest forecast, before its host does.

--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -7,6 +7,7 @@
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
+	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/message"
 )
 
@@ -132,8 +133,10 @@
 	l.post(context.Background(), messageEvent{from: from, message: m})
 }
 
-// Leave marks this host as shutting down.
-func (l *Loop) Leave() { l.post(context.Background(), leaveEvent{}) }
+// Leave marks this host as shutting down by a schedule.
+func (l *Loop) Leave(schedule *shutdown.Schedule) {
+	l.post(context.Background(), leaveEvent{schedule: schedule})
+}
 
 // MarkLeaving records that a target has said itself that it leaves. It gets no new work until it has
 // started again.
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -8,6 +8,7 @@
 	"siskintide.example/siskintide/internal/decide/quarantine"
 	"siskintide.example/siskintide/internal/decide/registry"
 	"siskintide.example/siskintide/internal/decide/routetable"
+	"siskintide.example/siskintide/internal/decide/shutdown"
 )
 
 // View is an immutable snapshot of the control state.
@@ -20,7 +21,7 @@
 	Evacuated        map[core.DataCentreID]bool
 	Holds            []quarantine.Hold      // of prompt parts under which engines crash
 	LimitedTargets   map[core.TargetID]bool // targets that take only a limited rate of requests
-	Leaving          bool                   // this host is shutting down
+	Shutdown         *shutdown.Schedule     // of this host; nil unless it shuts down
 	StoreEra         uint64                 // latest era of the platform's store that is known
 	ReadsStore       bool                   // this host reads the platform's store itself
 	StoreUnavailable bool                   // the last call to the store failed
@@ -30,6 +31,9 @@
 	Changed          <-chan struct{}        // closed when a newer view has been published
 }
 
+// Leaving reports whether this host shuts down.
+func (v *View) Leaving() bool { return v.Shutdown != nil }
+
 // Usable reports whether new work may be sent to a target.
 func (v *View) Usable(id core.TargetID) bool {
 	entry, ok := v.Targets[id]
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"siskintide.example/siskintide/internal/boottime"
+	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/eventlog"
 	"siskintide.example/siskintide/internal/gateway"
@@ -27,9 +28,10 @@
 	// drainDelay is the time for which a leaving host still accepts connections. The load
 	// balancer checks once a second and removes a host after two failed checks.
 	drainDelay = 2500 * time.Millisecond
-	// exitMargin is the time before the end of the grace period at which running requests
-	// are cut off.
+	// exitMargin is the time before the end of the grace period at which all connections are closed.
 	exitMargin = 400 * time.Millisecond
+	// closeDelay is the time for the last responses to reach their callers before that.
+	closeDelay = 100 * time.Millisecond
 	// logFlushTimeout bounds the time to flush the log at exit.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -45,6 +47,8 @@
 	callers         *http.Server
 	internalServers []*http.Server
 	running         sync.WaitGroup
+	stopping        context.Context // ends when all requests that are still served get their responses
+	endRequests     context.CancelFunc
 }
 
 // Run serves until the context ends, then shuts down gracefully. It returns an error when
@@ -80,6 +84,7 @@
 	h := &Host{options: options, sink: eventlog.NewSink(clockwork.NewRealClock()), metrics: telemetry.NewRegistry()}
 	h.log = &log.Logger{Handler: jsonlog.New(h.sink), Level: log.InfoLevel}
 	entry := h.log.WithField("host", options.Self.ID)
+	h.stopping, h.endRequests = context.WithCancel(context.Background())
 	h.linker = &linker{self: options.Self, log: entry}
 	h.loop = edgecontrol.NewLoop(edgecontrol.Options{
 		Self:         options.Self,
@@ -91,15 +96,15 @@
 		MaxConfigAge: options.MaxConfigAge,
 	})
 	handler := gateway.New(gateway.Options{
-		Controller:    h.loop,
-		Codec:         options.Codec,
-		Mover:         options.Mover,
-		Reporter:      options.Reporter,
-		Metrics:       telemetry.NewRequestMetrics(h.metrics.Scope),
-		Log:           entry,
-		Clock:         boottime.Now,
-		MaxConfigAge:  options.MaxConfigAge,
-		ShutdownGrace: options.ShutdownGrace - drainDelay,
+		Controller:   h.loop,
+		Codec:        options.Codec,
+		Mover:        options.Mover,
+		Reporter:     options.Reporter,
+		Metrics:      telemetry.NewRequestMetrics(h.metrics.Scope),
+		Log:          entry,
+		Clock:        boottime.Now,
+		MaxConfigAge: options.MaxConfigAge,
+		Stopping:     h.stopping,
 	})
 	h.callers = &http.Server{
 		Handler:           handler,
@@ -167,7 +172,7 @@
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
 	view := h.loop.View()
 	switch {
-	case view.Leaving:
+	case view.Leaving():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
 		http.Error(w, "configuration or registry is not known to be recent", http.StatusServiceUnavailable)
@@ -180,18 +185,30 @@
 // and then waits for running requests until shortly before the end of the grace period.
 func (h *Host) shutDown() {
 	h.log.WithField("grace_ms", h.options.ShutdownGrace.Milliseconds()).Info("host leaves")
-	h.loop.Leave()
-	started := time.Now()
-	<-time.After(drainDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.options.ShutdownGrace-exitMargin))
+	now := boottime.Now()
+	schedule := shutdownSchedule(now, h.options.ShutdownGrace)
+	h.loop.Leave(schedule)
+	responses := time.AfterFunc(schedule.ResponsesUntil-now, h.endRequests)
+	defer responses.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.ResponsesUntil-now+closeDelay)
 	defer cancel()
+	<-time.After(schedule.ConnectionsUntil - now)
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("requests were still running at the end of the grace period")
 	}
 }
 
+// shutdownSchedule returns the schedule of a host that is told to stop and is killed after the grace period.
+func shutdownSchedule(now, grace time.Duration) *shutdown.Schedule {
+	return &shutdown.Schedule{
+		ConnectionsUntil: now + min(drainDelay, grace/2),
+		ResponsesUntil:   now + max(grace-exitMargin-closeDelay, grace/2),
+	}
+}
+
 // closeAll closes all listeners and connections.
 func (h *Host) closeAll() {
+	h.endRequests()
 	for _, server := range append([]*http.Server{h.callers}, h.internalServers...) {
 		if err := server.Close(); err != nil {
 			h.log.WithError(err).Warn("listener could not be closed")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,7 @@
 
 // serveCall serves a call to a plain service.
 func (h *requestHandler) serveCall() {
-	ctx, cancel := context.WithTimeout(h.r.Context(), h.timeLeft()-responseMargin)
+	ctx, cancel := h.requestContext()
 	defer cancel()
 	var avoid []core.TargetID
 	var fallback *bufferedResponse
@@ -55,6 +55,14 @@
 		if !ok {
 			break
 		}
+		if refusal := h.shutdownRefusal(); refusal != nil {
+			h.gateway.options.Controller.Release(assignment, placement.Inconclusive)
+			if h.possibleRuns > 0 {
+				break
+			}
+			h.refuse(refusal)
+			return
+		}
 		avoid = append(avoid, assignment.Target.Target)
 		response, err := h.attemptCall(ctx, assignment)
 		if response != nil && !response.NotRun {
@@ -184,7 +192,7 @@
 // outcome classifies the result of an attempt for the placement of later requests.
 func (h *requestHandler) outcome(response *bufferedResponse, err error) placement.Outcome {
 	switch {
-	case err != nil && h.r.Context().Err() != nil:
+	case err != nil && (h.r.Context().Err() != nil || h.gateway.options.Stopping.Err() != nil):
 		return placement.Inconclusive
 	case err != nil && errors.Is(err, context.DeadlineExceeded):
 		return placement.Failed
@@ -210,7 +218,7 @@
 	if h.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(response.body)))
 	}
-	if h.gateway.options.Controller.View().Leaving {
+	if h.gateway.options.Controller.View().Leaving() {
 		header.Set("Connection", "close")
 	}
 	h.w.WriteHeader(response.status)
@@ -232,6 +240,8 @@
 		h.recordEnd("caller_left", nil)
 	case fallback != nil:
 		h.writeResponse(fallback, edgecontrol.Assignment{})
+	case h.possibleRuns == 0 && h.gateway.options.Stopping.Err() != nil:
+		h.refuse(leavingRefusal())
 	case h.possibleRuns == 0:
 		h.refuse(notRunRefusal(core.RefusedNoCapacity, "no target took the request", retrySoon))
 	case ctx.Err() != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -53,7 +54,9 @@
 	control := http.NewResponseController(w)
 	h.setDeadline(control.SetReadDeadline, bodyTimeout)
 	h.setDeadline(control.SetWriteDeadline, bodyTimeout+writeMargin)
+	detach := context.AfterFunc(g.options.Stopping, func() { h.setDeadline(control.SetReadDeadline, time.Nanosecond) })
 	refusal := h.prepare()
+	detach()
 	h.setDeadline(control.SetReadDeadline, 0)
 	if refusal != nil {
 		h.refuse(refusal)
@@ -67,6 +70,10 @@
 		h.refuse(refusal)
 		return
 	}
+	if refusal := h.shutdownRefusal(); refusal != nil {
+		h.refuse(refusal)
+		return
+	}
 	if h.route.Kind == core.RouteStream {
 		h.serveStream()
 	} else {
@@ -99,7 +106,10 @@
 	if limits.HeaderBytes > 0 && headerBytes(h.r) > limits.HeaderBytes {
 		return notRunRefusal(core.RefusedHeaderTooLarge, (&TooLargeError{Part: "header", Limit: limits.HeaderBytes}).Error(), 0)
 	}
-	if h.body, err = io.ReadAll(io.LimitReader(h.r.Body, limits.BodyBytes+1)); err != nil {
+	if h.body, err = io.ReadAll(io.LimitReader(h.r.Body, limits.BodyBytes+1)); err != nil && h.gateway.options.Stopping.Err() != nil {
+		return leavingRefusal()
+	}
+	if err != nil {
 		return notRunRefusal(core.RefusedBadRequest, "the body could not be read", 0)
 	}
 	if int64(len(h.body)) > limits.BodyBytes {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -19,6 +20,7 @@
 	Clock      boottime.Clock
 	// MaxConfigAge bounds the age of the configuration under which API keys are accepted.
 	MaxConfigAge time.Duration
-	// ShutdownGrace is the time that a host has to finish its streams when it shuts down.
-	ShutdownGrace time.Duration
+	// Stopping ends when a host that shuts down responds to all requests that it still serves, shortly before it
+	// closes their connections.
+	Stopping context.Context
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -15,6 +15,11 @@
 	return &core.Refusal{Kind: kind, Message: message, Run: core.NotRun, RetryAfter: retryAfter}
 }
 
+// leavingRefusal returns the refusal of a request for which this host has too little time left.
+func leavingRefusal() *core.Refusal {
+	return notRunRefusal(core.RefusedLeaving, "the host shuts down", retrySoon)
+}
+
 // placementRefusal returns the refusal of a request to which no target was assigned for a reason that ends
 // at a known time, or because all targets are limited. It returns nil for any other assignment.
 func placementRefusal(assignment edgecontrol.Assignment) *core.Refusal {
@@ -73,7 +78,7 @@
 		retryAfter = refusal.RetryAfter.Seconds()
 	}
 	h.gateway.options.Codec.EncodeRefusal(header, retryAfter)
-	if h.gateway.options.Controller.View().Leaving {
+	if h.gateway.options.Controller.View().Leaving() {
 		header.Set("Connection", "close")
 	}
 	h.w.WriteHeader(httpStatus(refusal))
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -99,7 +99,7 @@
 func (h *requestHandler) newAttemptRequest(ctx context.Context, address string, attempt Attempt) *http.Request {
 	attempt.RequestID = h.request.ID
 	attempt.Team = h.teamID()
-	attempt.TimeLeft = max(h.timeLeft(), time.Millisecond)
+	attempt.TimeLeft = max(h.gateway.options.Controller.View().Shutdown.Left(h.now(), h.timeLeft()), time.Millisecond)
 	header := forwardedHeader(h.r.Header)
 	h.gateway.options.Codec.EncodeAttempt(header, attempt)
 	if _, ok := header["User-Agent"]; !ok {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -61,7 +61,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// endEarly ends a request whose caller has disconnected or whose deadline has passed.
+// endEarly ends a request whose caller has disconnected, whose deadline has passed, or that outlasts the host.
 func (s *streamRelay) endEarly() {
 	if s.r.Context().Err() != nil {
 		s.recordEnd("caller_left", s.fields(s.targetFields()))
@@ -73,7 +73,11 @@
 		s.finishFailed(s.ctx, nil)
 		return
 	}
-	s.recordEnd("timed_out", s.fields(s.targetFields()))
+	outcome := "timed_out"
+	if s.gateway.options.Stopping.Err() != nil {
+		outcome = "host_stopped"
+	}
+	s.recordEnd(outcome, s.fields(s.targetFields()))
 	s.releaseAll()
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -56,7 +56,7 @@
 		header[name] = values
 	}
 	header.Del("Content-Length") // the stream may break off, or go on at an engine that sends other comments
-	if s.gateway.options.Controller.View().Leaving {
+	if s.gateway.options.Controller.View().Leaving() {
 		header.Set("Connection", "close")
 	}
 	s.w.WriteHeader(http.StatusOK)
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -11,9 +11,10 @@
 )
 
 // startMove starts a goroutine that copies the generation's KV cache to another engine. It
-// chooses the engine first unless a pre-copy has been made.
+// chooses the engine first unless a pre-copy has been made. A host that is about to stop moves nothing.
 func (s *streamRelay) startMove(final bool) {
-	if !s.failover.Precopied() && !s.chooseMoveTarget() {
+	allowed := s.gateway.options.Controller.View().Shutdown.AllowsMove(s.now())
+	if !allowed || !s.failover.Precopied() && !s.chooseMoveTarget() {
 		s.failover.RecordMove(failover.NotDone, 0, s.now())
 		return
 	}
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -42,7 +42,7 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (h *requestHandler) serveStream() {
-	ctx, cancel := context.WithTimeout(h.r.Context(), h.timeLeft()-responseMargin)
+	ctx, cancel := h.requestContext()
 	defer cancel()
 	relay := &streamRelay{
 		requestHandler:     h,
@@ -51,22 +51,9 @@
 		moveResults:        make(chan moveResult, 1),
 		reportResults:      make(chan reportResult, 1),
 	}
-	if view := h.gateway.options.Controller.View(); view.Leaving && h.likelyExceeds(h.gateway.options.ShutdownGrace) {
-		h.refuse(notRunRefusal(core.RefusedLeaving, "the host shuts down", retrySoon))
-		return
-	}
 	relay.run()
 }
 
-// likelyExceeds reports whether the forecast duration of the generation is more than half
-// of the limit.
-func (h *requestHandler) likelyExceeds(limit time.Duration) bool {
-	return time.Duration(h.request.ForecastTokens())*typicalTokenTime > limit/2
-}
-
-// typicalTokenTime is the time per token on an engine with a typical load.
-const typicalTokenTime = 9 * time.Millisecond
-
 // run relays the stream until it has ended or failed.
 func (s *streamRelay) run() {
 	if !s.startAttempt() {
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -30,6 +30,11 @@
 		s.refuse(refusal)
 		return false
 	}
+	if refusal := s.shutdownRefusal(); refusal != nil {
+		s.gateway.options.Controller.Release(assignment, placement.Inconclusive)
+		s.refuse(refusal)
+		return false
+	}
 	s.waited = s.now() - s.arrived
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
