Let bodies and events without end leave room for the answers of others

Callers would have seen: 502 for a call that a sound target had answered, beside a target that sends bytes without end. Cause: all responses being buffered shared 16 MiB, first come first served; two bodies of up to 8 MiB used it up, and whichever response was read next failed. Events of streams, up to 1 MiB each, were not counted. Ruled out: memory of heads (bounded at 64 KiB each, TestEndlessHead). Why it works: k buffers that grow without end get 1/(k+1) of the budget each, so the same is left for the next one.

--- a/internal/gateway/budget_reader.go
+++ b/internal/gateway/budget_reader.go
@@ -5,19 +5,14 @@
 // budgetReader counts what it reads against a budget.
 type budgetReader struct {
 	source io.Reader
-	budget *bufferBudget
-	taken  int64
+	share  bufferShare
 }
 
 // Read implements io.Reader. It returns a *TooLargeError if the budget is exhausted.
 func (r *budgetReader) Read(p []byte) (int, error) {
 	n, err := r.source.Read(p)
-	if !r.budget.take(int64(n)) {
-		return 0, &TooLargeError{Part: "answers together", Limit: maxBufferedBytes}
+	if growErr := r.share.grow(int64(n)); growErr != nil {
+		return 0, growErr
 	}
-	r.taken += int64(n)
 	return n, err
 }
-
-// release returns what was taken to the budget.
-func (r *budgetReader) release() { r.budget.give(r.taken) }
--- a/internal/gateway/buffer_budget.go
+++ b/internal/gateway/buffer_budget.go
@@ -2,23 +2,30 @@
 
 import "sync/atomic"
 
-// maxBufferedBytes bounds the memory for all responses that are being buffered. Responses of
-// plain services have a few kilobytes; only those that do not end come near the bound together.
+// maxBufferedBytes bounds the memory for all responses and events that are being buffered.
+// Responses of plain services have a few kilobytes; only those that do not end come near the
+// bound together.
 const maxBufferedBytes = 16 << 20
 
-// bufferBudget counts the bytes of responses that are being buffered. It is safe for concurrent
-// use.
+// bufferBudget counts the bytes of responses and events that are being buffered. It is safe for
+// concurrent use.
 type bufferBudget struct {
 	used atomic.Int64
 }
 
-// take counts n more bytes. It returns false, and counts nothing, if they exceed the budget.
-func (b *bufferBudget) take(n int64) bool {
-	if b.used.Add(n) <= maxBufferedBytes {
-		return true
+// take counts n more bytes for a buffer that has held bytes of the budget. It returns false, and
+// counts nothing, if the buffer would have more than is left for all others: buffers that
+// grow without end thereby leave room for the rest, however many they are.
+func (b *bufferBudget) take(held, n int64) bool {
+	for {
+		used := b.used.Load()
+		if held+n > maxBufferedBytes-used {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	b.used.Add(-n)
-	return false
 }
 
 // give releases bytes that were taken.
--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -23,8 +23,8 @@
 // readResponse reads the body of an exchange's response. It returns an *ExchangeError if the
 // body is cut off, and a *TooLargeError if it exceeds its limit or the budget of all responses.
 func (x *exchange) readResponse(info ResponseInfo, budget *bufferBudget) (*bufferedResponse, error) {
-	limited := &budgetReader{source: io.LimitReader(x.response.Body, maxResponseBytes+1), budget: budget}
-	defer limited.release()
+	limited := &budgetReader{source: io.LimitReader(x.response.Body, maxResponseBytes+1), share: bufferShare{budget: budget}}
+	defer limited.share.release()
 	body, err := io.ReadAll(limited)
 	if err != nil {
 		return nil, &ExchangeError{Address: x.address, Phase: phaseAnswer, Cause: err}
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -13,16 +13,22 @@
 // eventReader splits a stream into complete events.
 type eventReader struct {
 	lines *bufio.Reader
+	share bufferShare // of the event that is being read
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(body, readBufferBytes)}
+func newEventReader(body io.Reader, budget *bufferBudget) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(body, readBufferBytes), share: bufferShare{budget: budget}}
 }
 
+// close releases the memory of the last event.
+func (r *eventReader) close() { r.share.release() }
+
 // next returns the next complete event. At the end of the stream it returns io.EOF
 // together with any bytes after the last complete event. An event that a read error cuts
-// off is not returned.
+// off is not returned. An event that is too large, or for which the budget has no room, is a
+// *TooLargeError.
 func (r *eventReader) next() (streamEvent, error) {
+	r.share.release()
 	event := streamEvent{isComment: true}
 	for {
 		line, err := r.lines.ReadSlice('\n')
@@ -30,6 +36,9 @@
 		if len(event.bytes) > maxEventBytes {
 			return streamEvent{}, &TooLargeError{Part: "event", Limit: maxEventBytes}
 		}
+		if err := r.share.grow(int64(len(line))); err != nil {
+			return streamEvent{}, err
+		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -12,7 +12,7 @@
 )
 
 func readAll(body io.Reader) (events []streamEvent, err error) {
-	reader := newEventReader(body)
+	reader := newEventReader(body, &bufferBudget{})
 	for {
 		event, err := reader.next()
 		if len(event.bytes) > 0 {
@@ -90,7 +90,7 @@
 		": x\ndata":        true,
 		"id: 1\r\n\r":      true,
 	} {
-		reader := newEventReader(strings.NewReader("id: 0\ndata: a\n\n" + rest))
+		reader := newEventReader(strings.NewReader("id: 0\ndata: a\n\n"+rest), &bufferBudget{})
 		_, err := reader.next()
 		require.NoError(t, err)
 		event, err := reader.next()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -160,7 +162,7 @@
 			require.NoError(t, err)
 			defer x.close()
 			budget := &bufferBudget{}
-			require.True(t, budget.take(c.used))
+			require.True(t, budget.take(0, c.used))
 			_, err = x.readResponse(ResponseInfo{}, budget)
 			var large *TooLargeError
 			require.ErrorAs(t, err, &large)
@@ -170,6 +172,55 @@
 	}
 }
 
+// Bodies and events without end, of one target or many, must leave room for the responses of others: a
+// response that ends must be read whole beside them.
+func TestResponseBesideEndlessOnes(t *testing.T) {
+	const endless = 40
+	budget := &bufferBudget{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	body := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	read := func(x *exchange) error {
+		_, err := x.readResponse(ResponseInfo{}, budget)
+		return err
+	}
+	readEvent := func(x *exchange) error {
+		events := newEventReader(x.response.Body, budget)
+		defer events.close()
+		_, err := events.next()
+		return err
+	}
+	for i := range endless {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				x, err := open(ctx, body, requestTo(body))
+				if err != nil {
+					continue
+				}
+				if i%2 == 0 {
+					assert.Error(t, read(x))
+				} else {
+					assert.Error(t, readEvent(x))
+				}
+				x.close()
+			}
+		})
+	}
+	sound := server(t, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("y", 100_000))
+	for range 50 {
+		x, err := open(ctx, sound, requestTo(sound))
+		require.NoError(t, err)
+		require.NoError(t, read(x))
+		x.close()
+		require.LessOrEqual(t, budget.used.Load(), int64(maxBufferedBytes))
+	}
+	cancel()
+	running.Wait()
+	require.Zero(t, budget.used.Load())
+}
+
 // An answer that breaks off at any byte, by a clean close of the connection, must not be taken for a
 // complete one if it has a length or chunks.
 func TestAnswerCutAtEachByte(t *testing.T) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -74,14 +74,15 @@
 	}
 	u.header = forwardedHeader(x.response.Header)
 	if u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info}) {
-		u.readEvents(ctx, x, attempt.ResumeFrom != nil)
+		u.readEvents(ctx, x, &h.gateway.buffers, attempt.ResumeFrom != nil)
 	}
 }
 
 // readEvents sends the events of the response. begun reports whether the generation has begun at another
 // target, so that it may end without a further event.
-func (u *upstream) readEvents(ctx context.Context, x *exchange, begun bool) {
-	events := newEventReader(x.response.Body)
+func (u *upstream) readEvents(ctx context.Context, x *exchange, budget *bufferBudget, begun bool) {
+	events := newEventReader(x.response.Body, budget)
+	defer events.close()
 	for {
 		event, err := events.next()
 		switch {
