Bound the memory for large request bodies

Cause: each body was read whole, without a bound on all of them together, into a buffer that doubles as it grows. One that finds no room holds its caller back for up to a second, and is then refused as not run; what its caller still sends is dropped, so that the response arrives. Why it works: what is held is bounded before it is read, and each body reserves once, so that bodies cannot block each other.

--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -104,6 +104,7 @@
 		Log:          entry,
 		Clock:        boottime.Now,
 		MaxConfigAge: options.MaxConfigAge,
+		BodyMemory:   options.BodyMemory,
 		Stopping:     h.stopping,
 	})
 	h.callers = &http.Server{
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -36,6 +36,7 @@
 	FollowStore   func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
 	RetryBudget   retrybudget.Limits
 	MaxConfigAge  time.Duration // see gateway.Options.MaxConfigAge
+	BodyMemory    int64         // see gateway.Options.BodyMemory
 	ShutdownGrace time.Duration // from the signal to stop until the process is killed
 	Output        io.Writer     // destination of the log
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/routetable"
 	"siskintide.example/siskintide/internal/edgecontrol"
@@ -30,10 +31,13 @@
 type Gateway struct {
 	options Options
 	buffers bufferBudget
+	bodies  *semaphore.Weighted // bytes of large request bodies
 }
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options} }
+func New(options Options) *Gateway {
+	return &Gateway{options: options, bodies: semaphore.NewWeighted(options.BodyMemory)}
+}
 
 // ServeHTTP implements http.Handler. Routes match the path as it was sent, so the gateway
 // must not be mounted behind a mux that cleans paths.
@@ -58,6 +62,11 @@
 	refusal := h.prepare()
 	detach()
 	h.setDeadline(control.SetReadDeadline, 0)
+	defer h.releaseBody()
+	if refusal != nil && h.bodyUnread {
+		h.refuseBody(control, refusal)
+		return
+	}
 	if refusal != nil {
 		h.refuse(refusal)
 		return
@@ -106,14 +115,9 @@
 	if limits.HeaderBytes > 0 && headerBytes(h.r) > limits.HeaderBytes {
 		return notRunRefusal(core.RefusedHeaderTooLarge, (&TooLargeError{Part: "header", Limit: limits.HeaderBytes}).Error(), 0)
 	}
-	if h.body, err = io.ReadAll(io.LimitReader(h.r.Body, limits.BodyBytes+1)); err != nil && h.gateway.options.Stopping.Err() != nil {
-		return leavingRefusal()
-	}
-	if err != nil {
-		return notRunRefusal(core.RefusedBadRequest, "the body could not be read", 0)
-	}
-	if int64(len(h.body)) > limits.BodyBytes {
-		return notRunRefusal(core.RefusedTooLarge, (&TooLargeError{Part: "body", Limit: limits.BodyBytes}).Error(), 0)
+	if refusal := h.readBody(limits.BodyBytes); refusal != nil {
+		h.bodyUnread = true
+		return refusal
 	}
 	return h.admit(h.gateway.options.Controller.View())
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -20,6 +20,9 @@
 	Clock      boottime.Clock
 	// MaxConfigAge bounds the age of the configuration under which API keys are accepted.
 	MaxConfigAge time.Duration
+	// BodyMemory bounds the bytes of large request bodies that are held at a time. A body larger than that is
+	// refused.
+	BodyMemory int64
 	// Stopping ends when a host that shuts down responds to all requests that it still serves, shortly before it
 	// closes their connections.
 	Stopping context.Context
--- /dev/null
+++ b/internal/gateway/request_body.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// smallBodyBytes is the size up to which the body of a request needs no reservation.
+	smallBodyBytes = 64 << 10
+	// bodyWait and bodyWaitFraction bound the wait of a body for its reservation, absolutely and as a part of
+	// the time that the caller waits. After it, callers give a host up that does not read their request.
+	bodyWait         = time.Second
+	bodyWaitFraction = 1.0 / 3
+	// refusedBodyTimeout bounds the time for which the body of a refused request is read and dropped. Without
+	// that, the close of the connection could destroy the response before its caller has read it.
+	refusedBodyTimeout = time.Second
+)
+
+// readBody reads the body of the request, which has at most limit bytes. A large one waits until the memory for
+// large bodies has room for it, and its caller is held back as long.
+func (h *requestHandler) readBody(limit int64) *core.Refusal {
+	if h.r.ContentLength > limit {
+		return h.bodyTooLarge(limit)
+	}
+	head, err := io.ReadAll(io.LimitReader(h.r.Body, min(smallBodyBytes, limit)+1))
+	h.body = head
+	if err != nil {
+		return h.bodyUnreadable()
+	}
+	if int64(len(head)) <= min(smallBodyBytes, limit) {
+		return nil
+	}
+	if !h.reserveBody(limit) {
+		return notRunRefusal(core.RefusedNoCapacity, "the bodies of other requests use up the memory", retryAtCapacity)
+	}
+	h.body = append(make([]byte, 0, max(h.r.ContentLength+1, 2*smallBodyBytes)), head...)
+	for err == nil {
+		if int64(len(h.body)) > limit {
+			return h.bodyTooLarge(limit)
+		}
+		if len(h.body) == cap(h.body) {
+			h.body = append(make([]byte, 0, min(2*int64(cap(h.body)), limit+1)), h.body...)
+		}
+		var n int
+		n, err = h.r.Body.Read(h.body[len(h.body):cap(h.body)])
+		h.body = h.body[:len(h.body)+n]
+	}
+	if err != io.EOF {
+		return h.bodyUnreadable()
+	}
+	return nil
+}
+
+// reserveBody reserves the memory for a large body: what it has announced, or else the most it may have.
+func (h *requestHandler) reserveBody(limit int64) bool {
+	size := limit
+	if h.r.ContentLength > 0 {
+		size = h.r.ContentLength
+	}
+	wait := bodyWait
+	if h.request.Timeout > 0 {
+		wait = min(wait, time.Duration(bodyWaitFraction*float64(h.request.Timeout)))
+	}
+	ctx, cancel := context.WithTimeout(h.r.Context(), wait)
+	defer cancel()
+	detach := context.AfterFunc(h.gateway.options.Stopping, cancel)
+	defer detach()
+	if err := h.gateway.bodies.Acquire(ctx, size); err != nil {
+		h.log.WithError(err).WithField("bytes", size).Info("no memory for the body of a request")
+		return false
+	}
+	h.reserved = size
+	return true
+}
+
+// releaseBody returns the memory reserved for the body.
+func (h *requestHandler) releaseBody() {
+	if h.reserved > 0 {
+		h.gateway.bodies.Release(h.reserved)
+	}
+}
+
+func (h *requestHandler) bodyTooLarge(limit int64) *core.Refusal {
+	return notRunRefusal(core.RefusedTooLarge, (&TooLargeError{Part: "body", Limit: limit}).Error(), 0)
+}
+
+// bodyUnreadable returns the refusal of a request whose body has ended early, or not before this host stops.
+func (h *requestHandler) bodyUnreadable() *core.Refusal {
+	if h.gateway.options.Stopping.Err() != nil {
+		return leavingRefusal()
+	}
+	return notRunRefusal(core.RefusedBadRequest, "the body could not be read", 0)
+}
+
+// refuseBody refuses a request whose body has not been read completely. The response is sent at once; what the
+// caller still sends is dropped.
+func (h *requestHandler) refuseBody(control *http.ResponseController, refusal *core.Refusal) {
+	if err := control.EnableFullDuplex(); err != nil {
+		h.log.WithError(err).Debug("response cannot be sent before the body has been read")
+	}
+	h.w.Header().Set("Connection", "close")
+	h.refuse(refusal)
+	if err := control.Flush(); err != nil {
+		return // the caller has left
+	}
+	h.setDeadline(control.SetReadDeadline, refusedBodyTimeout)
+	if _, err := io.Copy(io.Discard, h.r.Body); err != nil {
+		h.log.WithError(err).Debug("body of a refused request was not read to its end")
+	}
+}
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -28,6 +28,8 @@
 	arrived      time.Duration
 	request      Request
 	body         []byte
+	reserved     int64             // bytes of the memory for large bodies
+	bodyUnread   bool              // the body has not been read completely
 	view         *edgecontrol.View // view under which the request was admitted
 	route        *core.Route
 	team         *core.TeamKeys // nil if no key was needed
