Ask the retry budget before a generation is stopped to be moved

Cause: the host had the generation stopped and its memory moved, and asked the retry budget for the request that goes on only then. Refused, it dropped the memory and closed the caller's connection. Ruled out: that the engines were gone (their drains had seconds left); that the deployment's bound was broken otherwise (some 85 streams have to move in ten seconds, it covers 72). Change: the destination is assigned, and the budget asked, before the stop. Without cover the generation keeps running, and the budget is asked again. Why it works: a generation is stopped only when the request that goes on with it may be sent.

--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -11,6 +11,8 @@
 	// moveRetryDelay is the wait after a failed move. Even while all engines are at
 	// capacity, a generation ends every few milliseconds and makes room.
 	moveRetryDelay = 100 * time.Millisecond
+	// budgetRetryDelay is the wait until the retry budget is asked again. It frees up over seconds.
+	budgetRetryDelay = 250 * time.Millisecond
 )
 
 // Stream is the state of one relayed generation. It is used only by the goroutine that
@@ -34,7 +36,7 @@
 	lastEvent    time.Duration
 	switches     int
 	moves        int
-	retryMoveAt  time.Duration // earliest next move after a failed one
+	retryMoveAt  time.Duration // earliest next move after a failed one, or one that the retry budget does not cover
 
 	// destinationLeavingSince is the notice that the destination of the move is leaving; zero if it is not.
 	destinationLeavingSince time.Duration
@@ -187,7 +189,7 @@
 	switch due := s.leavingSince + s.timing.StopAndCopyAfter; {
 	case !s.started:
 		return Step{Kind: Wait}
-	case !s.precopied && now < s.retryMoveAt:
+	case now < s.retryMoveAt:
 		return Step{Kind: Wait, At: s.retryMoveAt}
 	case !s.precopied && now > s.leavingSince+s.timing.PrecopyDeadline:
 		return Step{Kind: Wait}
@@ -222,6 +224,13 @@
 	}
 }
 
+// RecordUncovered records that StopAndCopyMemory was not begun, because the retry budget does not cover the
+// request that would go on at the destination. The generation keeps running.
+func (s *Stream) RecordUncovered(now time.Duration) {
+	s.pending = 0
+	s.retryMoveAt = now + budgetRetryDelay
+}
+
 // recordFailedStop records that the generation's memory has not been moved after StopAndCopyMemory.
 func (s *Stream) recordFailedStop(result Result) {
 	switch result {
--- a/internal/decide/failover/stream_test.go
+++ b/internal/decide/failover/stream_test.go
@@ -48,6 +48,9 @@
 			s.RecordMove(Done, 10*ms, 1110*ms)
 			s.RecordDisconnect()
 		}, 1110 * ms, Step{Kind: SwitchToMoved}},
+		"retry budget is used up":         {true, false, func(s *Stream) { precopied(s); s.Next(1100 * ms); s.RecordUncovered(1100 * ms) }, 1200 * ms, Step{Wait, 1350 * ms}},
+		"retry budget may have room":      {true, false, func(s *Stream) { precopied(s); s.Next(1100 * ms); s.RecordUncovered(1100 * ms) }, 1350 * ms, Step{Kind: StopAndCopyMemory}},
+		"ends without the budget":         {true, false, func(s *Stream) { precopied(s); s.Next(1100 * ms); s.RecordUncovered(1100 * ms); s.RecordEnd(false) }, 1200 * ms, Step{Kind: Finish}},
 		"destination leaves too":          {true, false, func(s *Stream) { precopied(s); s.RecordDestinationLeaving(100 * ms) }, 100 * ms, Step{Kind: PrecopyMemory}},
 		"destination leaves in pre-copy":  {true, false, func(s *Stream) { leavingWhilePrecopied(s); s.RecordDestinationLeaving(300 * ms) }, 300 * ms, Step{Kind: PrecopyMemory}},
 		"no time for another destination": {true, false, func(s *Stream) { precopied(s); s.RecordDestinationLeaving(900 * ms) }, 1100 * ms, Step{Kind: StopAndCopyMemory}},
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -112,6 +112,7 @@
 	default:
 	}
 	s.releaseMove()
+	s.releaseSwitch()
 	for _, open := range []*upstream{s.current, s.next} {
 		if open != nil {
 			open.stop()
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -18,6 +18,10 @@
 		s.failover.RecordMove(failover.NotDone, 0, s.now())
 		return
 	}
+	if final && !s.coverSwitch() {
+		s.failover.RecordUncovered(s.now())
+		return
+	}
 	from, to, id := s.current.assignment.Target.Address, s.moveAssignment.Target.Address, s.request.ID
 	streamCtx, moveResults := s.ctx, s.moveResults
 	ctx := context.WithoutCancel(streamCtx) // the engine does not abort a copy when the call is cancelled
@@ -55,6 +59,32 @@
 	}
 }
 
+// coverSwitch assigns the destination of the move to the request that will go on there, before the generation is
+// stopped for it. It returns false if the retry budget does not cover that request.
+func (s *streamRelay) coverSwitch() bool {
+	s.releaseSwitch()
+	s.switchAssignment = s.placeSwitch(s.moveAssignment.Target)
+	return s.switchAssignment != nil
+}
+
+// releaseSwitch releases the assignment of a request that was not sent.
+func (s *streamRelay) releaseSwitch() {
+	if s.switchAssignment == nil {
+		return
+	}
+	s.gateway.options.Controller.Release(*s.switchAssignment, placement.Inconclusive)
+	s.switchAssignment = nil
+}
+
+// handleMove records the result of a move.
+func (s *streamRelay) handleMove(moved moveResult) {
+	s.storeHandle(moved.handle)
+	if moved.result != failover.Done {
+		s.releaseSwitch()
+	}
+	s.failover.RecordMove(moved.result, moved.took, s.now())
+}
+
 // chooseMoveTarget chooses the engine that the generation moves to and reserves capacity
 // there. It returns false if there is none.
 func (s *streamRelay) chooseMoveTarget() bool {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -27,6 +27,8 @@
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
 	handle             KVHandle                // of the moved KV cache
+	switchAssignment   *edgecontrol.Assignment // for the request at the destination of a pending stop-and-copy
+	retryCovered       bool                    // the retry budget covers the next switch
 	headerSent         bool                    // the response header has been sent to the caller
 	waited             time.Duration           // from the request's arrival until an engine was assigned
 	events             int                     // events of the generation that have been sent to the caller
@@ -103,11 +105,13 @@
 	switch s.failover.Next(s.now()).Kind {
 	case failover.SwitchToCopy:
 		assignment := s.current.assignment
-		s.switchTo(assignment.Copy, KVHandle{Address: assignment.Copy.Address, ID: s.request.ID})
+		s.switchTo(assignment.Copy, KVHandle{Address: assignment.Copy.Address, ID: s.request.ID}, nil)
 	case failover.SwitchToMoved:
 		handle := s.handle
 		s.handle = KVHandle{} // a handle can be used only once
-		s.switchTo(s.moveAssignment.Target, handle)
+		placed := s.switchAssignment
+		s.switchAssignment = nil
+		s.switchTo(s.moveAssignment.Target, handle, placed)
 	case failover.PrecopyMemory:
 		s.startMove(false)
 	case failover.StopAndCopyMemory:
@@ -123,17 +127,33 @@
 	return false
 }
 
-// switchTo sends the request to the engine that has the generation's KV cache.
-func (s *streamRelay) switchTo(to placement.Candidate, handle KVHandle) {
+// placeSwitch assigns the engine that has the generation's KV cache, or will have it, to the request that goes on
+// there. It returns nil if the retry budget does not cover that request.
+func (s *streamRelay) placeSwitch(to placement.Candidate) *edgecontrol.Assignment {
 	request := s.placementRequest(nil)
 	request.Prompt = 0 // the KV cache is there
 	request.WantsCopy = s.wantsCopy()
-	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request, RunningOn: to.Target, Retry: true, Team: s.teamID(), Priority: *s.priority()})
+	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request, RunningOn: to.Target, Retry: !s.retryCovered, Team: s.teamID(), Priority: *s.priority()})
 	if !ok {
+		return nil
+	}
+	s.retryCovered = true
+	assignment.Target = to // its registry entry may be gone
+	return &assignment
+}
+
+// switchTo sends the request to the engine that has the generation's KV cache, with the assignment if it has been
+// made already.
+func (s *streamRelay) switchTo(to placement.Candidate, handle KVHandle, placed *edgecontrol.Assignment) {
+	if placed == nil {
+		placed = s.placeSwitch(to)
+	}
+	if placed == nil {
 		s.failover.RecordSwitch(failover.NotDone, false, s.now())
 		return
 	}
-	assignment.Target = to // its registry entry may be gone
+	s.retryCovered = false
+	assignment := *placed
 	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", to.Target).
 		WithField("after_event", s.lastID).WithField("silent_ms", (s.now()-s.lastEventAt).Milliseconds()).
 		WithField("copied", handle.ID == s.request.ID).Info("stream goes on at another engine")
@@ -160,8 +180,7 @@
 	case message := <-next:
 		return s.handleNextMessage(message)
 	case moved := <-s.moveResults:
-		s.storeHandle(moved.handle)
-		s.failover.RecordMove(moved.result, moved.took, s.now())
+		s.handleMove(moved)
 	case reported := <-s.reportResults:
 		s.handleReport(reported)
 	case <-view.Changed:
