Count the crash of one engine once, however many requests it breaks off

Cause: a part on which no generation has begun is held after two crashes, and crashes were counted by request. Ruled out: a second crash (one engine went down); that the part crashes engines (all later requests with it are served now). Change: evidence names the engine, and crashes of one engine within a second count once. Why it works: a part is held only when it was there as two engines ended, or one ended twice.

--- a/internal/core/engine_crash.go
+++ b/internal/core/engine_crash.go
@@ -4,6 +4,7 @@
 
 // EngineCrash is one engine that broke off as it began to respond to a request.
 type EngineCrash struct {
-	ID  uint64        `cbor:"1,keyasint"` // of the request and its target
-	Age time.Duration `cbor:"2,keyasint"`
+	ID     uint64        `cbor:"1,keyasint"` // of the request and its target
+	Age    time.Duration `cbor:"2,keyasint"`
+	Engine uint64        `cbor:"3,keyasint,omitempty"` // identifies the target; zero if the host that reports it does not tell
 }
--- a/internal/decide/quarantine/candidate.go
+++ b/internal/decide/quarantine/candidate.go
@@ -16,6 +16,9 @@
 	// sameCause is the time within which crashes count once for a known part: many engines that
 	// end together have another cause.
 	sameCause = 250 * time.Millisecond
+	// restartTime is the time within which an engine crashes once. All requests that it was about to
+	// begin break off with it.
+	restartTime = time.Second
 	// firstHold is how long a part is held at first, after which single requests may show that it
 	// is sound. From manyCrashes crashes on it is held for longHold, and twice as long with each
 	// further crash, up to maxHold. See Tracker.spread for what is added.
@@ -42,18 +45,19 @@
 
 // count returns the number of crashes in a row.
 func (c *candidate) count() int {
-	if !c.known {
-		return len(c.crashes)
-	}
-	crashes := 0
-	var last time.Duration
-	for i, crash := range c.crashes {
-		if i == 0 || crash.at-last > sameCause {
-			crashes++
-			last = crash.at
+	var counted []crash
+	for _, next := range c.crashes {
+		if !slices.ContainsFunc(counted, func(former crash) bool { return c.sameCrash(former, next) }) {
+			counted = append(counted, next)
 		}
 	}
-	return crashes
+	return len(counted)
+}
+
+// sameCrash reports whether a later crash counts as the former one.
+func (c *candidate) sameCrash(former, later crash) bool {
+	apart := later.at - former.at
+	return former.engine == later.engine && later.engine != 0 && apart <= restartTime || c.known && apart <= sameCause
 }
 
 // hold returns the hold of the parts, longer by a fraction. They must have reached their limit.
--- a/internal/decide/quarantine/crash.go
+++ b/internal/decide/quarantine/crash.go
@@ -4,6 +4,7 @@
 
 // crash is one crash of an engine.
 type crash struct {
-	id uint64
-	at time.Duration
+	id     uint64
+	engine uint64 // zero if unknown
+	at     time.Duration
 }
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -41,10 +41,10 @@
 }
 
 // RecordCrash records that an engine crashed as it began to respond to a request with the parts.
-// The id is that of the request and the engine.
-func (t *Tracker) RecordCrash(parts []core.PromptPart, id uint64, now time.Duration) {
+// Its age is not used.
+func (t *Tracker) RecordCrash(parts []core.PromptPart, c core.EngineCrash, now time.Duration) {
 	for _, part := range parts {
-		t.addCrash(part, crash{id: id, at: now})
+		t.addCrash(part, crash{id: c.ID, engine: c.Engine, at: now})
 	}
 }
 
@@ -62,7 +62,7 @@
 		last, known := t.sound(evidence.Part)
 		for _, c := range evidence.Crashes {
 			if at := now - c.Age; !known || at > last.at {
-				t.addCrash(evidence.Part, crash{id: c.ID, at: at})
+				t.addCrash(evidence.Part, crash{id: c.ID, engine: c.Engine, at: at})
 			}
 		}
 	}
@@ -113,7 +113,7 @@
 func (t *Tracker) evidence(part core.PromptPart, s *suspect, now time.Duration) core.PartEvidence {
 	evidence := core.PartEvidence{Part: part}
 	for _, c := range s.crashes {
-		evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Age: now - c.at})
+		evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Engine: c.engine, Age: now - c.at})
 	}
 	if last, known := t.sound(part); known {
 		evidence.Sound, evidence.SoundID, evidence.SoundAge = true, last.id, now-last.at
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -151,8 +151,8 @@
 
 // RecordPartCrash records that an engine crashed as it began to respond to a request with the given
 // prompt parts. The id is that of the request and the engine.
-func (l *Loop) RecordPartCrash(parts []core.PromptPart, id uint64) {
-	l.post(context.Background(), partCrashEvent{parts: parts, id: id})
+func (l *Loop) RecordPartCrash(parts []core.PromptPart, crash core.EngineCrash) {
+	l.post(context.Background(), partCrashEvent{parts: parts, crash: crash})
 }
 
 // RecordPartSound records that a generation on the given prompt parts has begun.
--- a/internal/edgecontrol/part_crash_event.go
+++ b/internal/edgecontrol/part_crash_event.go
@@ -5,10 +5,10 @@
 // partCrashEvent reports that an engine crashed as it began to respond to a request with the parts.
 type partCrashEvent struct {
 	parts []core.PromptPart
-	id    uint64 // of the request and the engine
+	crash core.EngineCrash
 }
 
 func (e partCrashEvent) apply(s *state) {
-	s.quarantine.RecordCrash(e.parts, e.id, s.now())
+	s.quarantine.RecordCrash(e.parts, e.crash, s.now())
 	s.shareEvidence()
 }
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -19,7 +19,7 @@
 	CountRequest(pool core.PoolID)
 	// RecordPartCrash records that an engine crashed as it began to respond to a request with the
 	// given prompt parts.
-	RecordPartCrash(parts []core.PromptPart, id uint64)
+	RecordPartCrash(parts []core.PromptPart, crash core.EngineCrash)
 	// RecordPartSound records that a generation on the given prompt parts has begun.
 	RecordPartSound(parts []core.PromptPart, id uint64)
 	// RecordRateLimit records whether the response to a request sent at sentAt has named the requests
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -48,7 +48,7 @@
 // recordPromptCrash records that a target crashed as it began to respond.
 func (h *requestHandler) recordPromptCrash(target core.TargetID) {
 	if len(h.parts) > 0 {
-		h.gateway.options.Controller.RecordPartCrash(h.parts, h.runKey(target))
+		h.gateway.options.Controller.RecordPartCrash(h.parts, core.EngineCrash{ID: h.runKey(target), Engine: xxhash.Sum64String(string(target))})
 	}
 }
 
