Send a path that begins with two slashes as it came

Cause: net/http writes the opaque part of a URL behind its scheme if it begins with two slashes. Change: the writer of the connection drops the scheme again. URL.Path is no way out, as net/http escapes some bytes anew. Evidence: TestRequestTargetIsSentUnchanged failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,11 +60,11 @@
 // roundTrip writes the request and reads the response's header. A target may respond before
 // it has read the complete body, so a failed write alone does not fail the exchange.
 func (x *exchange) roundTrip(request *http.Request) error {
-	written := make(chan error, 1)
+	written, destination := make(chan error, 1), targetWriter(x.conn, request)
 	if request.ContentLength <= inlineBodyBytes {
-		written <- request.Write(x.conn)
+		written <- request.Write(destination)
 	} else {
-		go func() { written <- request.Write(x.conn) }()
+		go func() { written <- request.Write(destination) }()
 	}
 	response, err := x.readFinalHead(request)
 	if err == nil {
