Do not promise that a request has not run because its target's status says so

Cause: the target's status was forwarded unchanged, and to a caller 408, 429 and 503 promise that nothing has run. A target promises that only by its header. Change: a request that may not be repeated gets 502, run unknown, if its target answers so without that header. Evidence: TestRunnerFaults (unavailable) and TestStreamWithoutProof failed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,9 @@
 		}
 		avoid = append(avoid, assignment.Target.Target)
 		response, err := h.attemptCall(ctx, assignment)
+		if response != nil && h.promisesTooMuch(response) {
+			break
+		}
 		if response != nil && !response.NotRun {
 			if !response.failed() || !h.canRetry() {
 				h.writeResponse(response, assignment)
@@ -148,6 +151,20 @@
 	return &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
 }
 
+// promisesTooMuch reports whether the status of a response would promise the caller that the request was not
+// run, though the target does not say so. A caller may send a request again after such a promise.
+func (h *requestHandler) promisesTooMuch(response *bufferedResponse) bool {
+	if response.NotRun || h.route.Kind == core.RouteIdempotent {
+		return false
+	}
+	switch response.status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordTargetState records what a target says of itself in its response to an attempt that was sent
 // at sentAt. A misdirected attempt has reached another target.
 func (h *requestHandler) recordTargetState(target core.TargetID, info ResponseInfo, sentAt time.Duration) {
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -41,6 +41,10 @@
 	if !message.info.NotRun {
 		s.possibleRuns++
 		s.current = nil
+		if s.promisesTooMuch(message.response) {
+			s.finishFailed(s.ctx, nil)
+			return true
+		}
 		s.writeResponse(message.response, assignment)
 		return true
 	}
