Do not pass on a success that no target has signed

Cause: the signature was decoded and read by nobody. Change: a success without it is a failed exchange. Evidence: TestRunnerFaults (no signature) and TestStreamWithoutProof (no signature) failed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,6 +31,8 @@
 	// responseMargin is how long before the deadline the gateway stops waiting for targets,
 	// so that its own response reaches the caller in time.
 	responseMargin = 15 * time.Millisecond
+	// successClass is the first digit of the statuses of successes.
+	successClass = 2
 )
 
 // serveCall serves a call to a plain service.
@@ -135,20 +137,23 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
-	if err := h.checkOwner(info); err != nil {
+	if err := h.checkOwner(x.response.StatusCode, info); err != nil {
 		return nil, err
 	}
 	return x.readResponse(info, &h.gateway.buffers)
 }
 
-// checkOwner returns a *ResponseMismatchError if a response belongs to another request. A response without
-// an id may be an earlier refusal that was written again, so it proves nothing if it says that the request
-// was not run.
-func (h *requestHandler) checkOwner(info ResponseInfo) error {
-	if info.RequestID == h.request.ID || info.RequestID == "" && !info.NotRun {
-		return nil
+// checkOwner returns a *ResponseMismatchError if a response belongs to another request, and an
+// *UnsignedResponseError if a success is not that of a target. A response without an id may be an earlier
+// refusal that was written again, so it proves nothing if it says that the request was not run.
+func (h *requestHandler) checkOwner(status int, info ResponseInfo) error {
+	if info.RequestID != h.request.ID && (info.RequestID != "" || info.NotRun) {
+		return &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
 	}
-	return &ResponseMismatchError{Want: h.request.ID, Got: info.RequestID}
+	if status/100 == successClass && !info.Signed {
+		return &UnsignedResponseError{Status: status}
+	}
+	return nil
 }
 
 // promisesTooMuch reports whether the status of a response would promise the caller that the request was not
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -56,7 +56,7 @@
 	}
 	defer x.close()
 	info := h.gateway.options.Codec.DecodeResponse(x.response.StatusCode, x.response.Header)
-	if err := h.checkOwner(info); err != nil {
+	if err := h.checkOwner(x.response.StatusCode, info); err != nil {
 		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 		return
 	}
