Let the ids of a stream's events rise by more than one

Cause: each event had to have the id of the last one plus one, although only an engine that goes on with a stream can leave events out unnoticed. Change: eventSequence checks that engine's first event, by the largest step of the stream. Within one response, ids may rise by any number.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -17,7 +17,7 @@
 		s.finish()
 		return true
 	}
-	s.log.WithField("target", s.current.assignment.Target.Target).WithField("last_event", s.lastID).WithField("end_marked", marked).
+	s.log.WithField("target", s.current.assignment.Target.Target).WithField("last_event", s.ids.last).WithField("end_marked", marked).
 		Info("engine's response ended after it was asked to stop the generation")
 	return false
 }
@@ -88,7 +88,7 @@
 	fields["switches"] = s.switches
 	fields["worst_gap_ms"] = s.worstGap.Milliseconds()
 	fields["worst_gap_after"] = s.worstGapAfter
-	fields["last_event"] = s.lastID
+	fields["last_event"] = s.ids.last
 	fields["forecast_tokens"] = s.request.ForecastTokens()
 	if s.firstEventAt > 0 {
 		fields["first_event_ms"] = (s.firstEventAt - s.arrived).Milliseconds()
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -75,22 +75,20 @@
 }
 
 // forwardEvent sends one event to the caller. An event that the caller already has is
-// dropped. After a gap the engine's stream counts as failed.
+// dropped. If an engine that goes on with the stream has left events out, its stream counts as failed.
 func (s *streamRelay) forwardEvent(event streamEvent) bool {
-	if event.hasID && s.hasLastID {
-		if event.id <= s.lastID {
-			return false
-		}
-		if event.id != s.lastID+1 {
-			return s.handleFailure(&EventGapError{Last: s.lastID, Got: event.id})
-		}
+	switch {
+	case event.hasID && s.ids.repeats(event.id):
+		return false
+	case event.hasID && s.ids.skips(event.id):
+		return s.handleFailure(&EventGapError{Last: s.ids.last, Got: event.id})
 	}
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
 		return true
 	}
 	s.flush()
-	if event.isComment || s.hasLastID && !event.hasID {
+	if event.isComment || s.ids.known && !event.hasID {
 		return false // keeps the connection open, but is no progress of the generation
 	}
 	s.recordProgress(event)
@@ -107,7 +105,7 @@
 	} else {
 		s.gateway.options.Metrics.TokenGap(s.teamID(), s.class(), now-s.lastEventAt)
 		if now-s.lastEventAt > s.worstGap {
-			s.worstGap, s.worstGapAfter = now-s.lastEventAt, s.lastID
+			s.worstGap, s.worstGapAfter = now-s.lastEventAt, s.ids.last
 		}
 	}
 	s.events++
@@ -116,7 +114,7 @@
 	}
 	s.lastEventAt = now
 	if event.hasID {
-		s.lastID, s.hasLastID = event.id, true
+		s.ids.record(event.id)
 	}
 	s.failover.RecordEvent(now)
 }
@@ -133,7 +131,7 @@
 func (s *streamRelay) handleFailure(cause error) bool {
 	var unsent *UnsentError
 	target := s.current.assignment.Target.Target
-	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.lastID)
+	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.ids.last)
 	if s.failedAtStart(cause) {
 		s.recordPromptCrash(target)
 		s.failover.RecordCopyLost() // the engine with the copy would crash too
@@ -164,6 +162,7 @@
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.current.stop()
 		s.current, s.next = s.next, nil
+		s.ids.resume()
 		s.switches++
 		s.releaseMove()
 		s.moveExclusions = nil
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -36,8 +36,7 @@
 	lastEventAt        time.Duration
 	worstGap           time.Duration // longest time between two events
 	worstGapAfter      int64         // id of the event before that gap
-	lastID             int64
-	hasLastID          bool
+	ids                eventSequence
 	switches           int
 	tried              []core.TargetID
 }
@@ -80,8 +79,8 @@
 	if assignment.HasCopy() {
 		attempt.CopyTo = assignment.Copy.Address
 	}
-	if from != nil && s.hasLastID {
-		attempt.LastEventID = formatID(s.lastID)
+	if from != nil && s.ids.known {
+		attempt.LastEventID = formatID(s.ids.last)
 	}
 	return attempt
 }
@@ -155,7 +154,7 @@
 	s.retryCovered = false
 	assignment := *placed
 	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", to.Target).
-		WithField("after_event", s.lastID).WithField("silent_ms", (s.now()-s.lastEventAt).Milliseconds()).
+		WithField("after_event", s.ids.last).WithField("silent_ms", (s.now()-s.lastEventAt).Milliseconds()).
 		WithField("copied", handle.ID == s.request.ID).Info("stream goes on at another engine")
 	s.next = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, &handle))
 	s.overlapDeadline = s.now() + maxSwitchOverlap
