Remove a target that the hub has dropped without a write to the store

Cause: a hub drops a missing entry after its grace period. The removal bears the position of the last read, and a host at that position took it for superseded. Change: a removal by a hub counts at the position that is known, too, unless the entry itself is newer. Evidence: 3 of 3 cases of TestRemovalByAHubWithoutAWriteToTheStore failed before; the property-based tests of the registry and of the control state hold.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -114,13 +114,16 @@
 	return ok && registration.Born <= said.born
 }
 
-// RemoveNow removes an entry even during the grace period, unless a newer state of it is known.
+// RemoveNow removes an entry that another host does not have any more, even during the grace period, unless a
+// newer state is known. The position may be the one that is known: a host drops a missing entry after its
+// grace period, without a write to the store.
 func (r *Registry) RemoveNow(removal core.Removal, now time.Duration) {
-	if r.superseded(removal.Target, removal.Position()) {
+	entry, known := r.entries[removal.Target]
+	if removal.Position().Before(r.position) || known && removal.Position().Before(entry.Position()) {
 		return
 	}
 	delete(r.copied.withheld, removal.Target)
-	if entry, ok := r.entries[removal.Target]; ok {
+	if known {
 		r.drop(entry, now)
 	}
 }
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// A hub drops a target whose entry is still missing after the grace period, which is no write to the store. A host
+// that is up to date already would keep the target, and send to it.
+func TestRemovalByAHubWithoutAWriteToTheStore(t *testing.T) {
+	for name, remove := range map[string]func(*Registry){
+		"removal":       func(r *Registry) { r.RemoveNow(core.Removal{Target: "b", Revision: 9}, 0) },
+		"whole list":    func(r *Registry) { r.ReplaceNow([]core.Registration{entry("a", 1)}, upTo(9), 0) },
+		"removal again": func(r *Registry) { r.RemoveNow(core.Removal{Target: "b", Revision: 9}, 0); r.Put(entry("b", 2), 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Replace([]core.Registration{entry("a", 1), entry("b", 2)}, upTo(2), 0)
+			r.Advance(upTo(9))
+			remove(r)
+			require.NotContains(t, r.Entries(), core.TargetID("b"))
+			require.Contains(t, r.Entries(), core.TargetID("a"))
+		})
+	}
+}
+
 // The changes of a target that left and registered again under its id may arrive in one read, the
 // removal last.
 func TestOlderRemovalKeepsANewerEntry(t *testing.T) {
