Keep the time for which a target wants nothing while its entry is missing

Cause: with a target's entry all that was recorded of the target was dropped, although the entry may only be missing for a while. Change: the time is kept until it is over, or until the target has started again. Evidence: TestRestOutlastsAMissingEntry.

--- a/internal/decide/placement/balancer.go
+++ b/internal/decide/placement/balancer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -58,12 +59,26 @@
 // ForgetPeer drops the load of a host that is gone.
 func (b *Balancer) ForgetPeer(host core.HostID) { b.peers.forget(host) }
 
-// Expire drops the load of hosts that have not reported for peerLoadTTL.
-func (b *Balancer) Expire(now time.Duration) { b.peers.expire(now) }
+// Expire drops the load of hosts that have not reported for peerLoadTTL, and the time for which targets that
+// are gone have asked to be sent nothing once it is over.
+func (b *Balancer) Expire(now time.Duration) {
+	b.peers.expire(now)
+	maps.DeleteFunc(b.health, func(_ core.TargetID, health *targetHealth) bool {
+		return health.removed && now >= health.restsUntil
+	})
+}
 
-// Forget drops the recorded outcomes of a target that is gone or has restarted.
+// Forget drops all that is recorded of a target that has restarted.
 func (b *Balancer) Forget(id core.TargetID) { delete(b.health, id) }
 
+// ForgetRemoved drops the recorded outcomes of a target whose entry has been removed. It may only be missing for
+// a while, so the time for which it has asked to be sent nothing is kept.
+func (b *Balancer) ForgetRemoved(id core.TargetID) {
+	if health := b.health[id]; health != nil {
+		b.health[id] = &targetHealth{restsUntil: health.restsUntil, removed: true}
+	}
+}
+
 // load returns the load of all hosts on a target.
 func (b *Balancer) load(id core.TargetID) Load {
 	return b.own[id].plus(b.peers.totals[id])
--- a/internal/decide/placement/balancer_outcomes.go
+++ b/internal/decide/placement/balancer_outcomes.go
@@ -52,7 +52,9 @@
 
 // AddPeerOutcomes adds outcomes of another host's attempts.
 func (b *Balancer) AddPeerOutcomes(id core.TargetID, counts OutcomeCounts, now time.Duration) {
-	b.healthOf(id).addPeerOutcomes(counts, now)
+	health := b.healthOf(id)
+	health.removed = false
+	health.addPeerOutcomes(counts, now)
 }
 
 // HighFailureRates returns the failure rates of at least minSharedRate, computed from the
@@ -113,6 +115,7 @@
 // RecordRest records that a target has asked this host to send it nothing for a time.
 func (b *Balancer) RecordRest(id core.TargetID, rest, now time.Duration) {
 	health := b.healthOf(id)
+	health.removed = false
 	health.restsUntil = max(health.restsUntil, now+min(rest, maxRest))
 }
 
--- a/internal/decide/placement/balancer_test.go
+++ b/internal/decide/placement/balancer_test.go
@@ -245,3 +245,25 @@
 		balancer.Choose(candidates, request, 0)
 	}
 }
+
+// TestRestOutlastsAMissingEntry guards against requests to a target that has asked to be sent nothing for a time:
+// its entry in the registry is missing for a while.
+func TestRestOutlastsAMissingEntry(t *testing.T) {
+	balancer, target := NewBalancer(), Candidate{Target: "t"}
+	balancer.RecordRest("t", 10*time.Second, 0)
+	balancer.RecordOutcome(target, Unreachable, 0)
+	balancer.ForgetRemoved("t")
+	require.False(t, balancer.Avoided("t", time.Millisecond), "outcomes are kept")
+	balancer.Expire(9 * time.Second)
+	require.Equal(t, map[core.TargetID]time.Duration{"t": time.Second}, balancer.Resting(9*time.Second))
+	balancer.Expire(10 * time.Second)
+	require.Empty(t, balancer.health)
+
+	balancer.RecordRest("t", 10*time.Second, 0)
+	balancer.ForgetRemoved("t")
+	balancer.RecordOutcome(target, Full, 0)
+	balancer.Expire(20 * time.Second)
+	require.NotEmpty(t, balancer.health, "recorded since")
+	balancer.Forget("t")
+	require.Empty(t, balancer.Resting(0), "has restarted")
+}
--- a/internal/decide/placement/target_health.go
+++ b/internal/decide/placement/target_health.go
@@ -31,9 +31,11 @@
 	avoidUntil  time.Duration
 	restsUntil  time.Duration // it has asked this host to send nothing until then
 	misdirected bool          // another target has its address
+	removed     bool          // its entry has been removed, and nothing has been recorded since
 }
 
 func (h *targetHealth) record(outcome Outcome, now time.Duration) {
+	h.removed = false
 	switch outcome {
 	case Answered:
 		h.count(false, now)
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// Restarted reports whether an entry that is not known is that of a target which was dropped a while ago and has
+// started again since.
+func (r *Registry) Restarted(registration core.Registration) bool {
+	former, ok := r.gone[registration.Target]
+	return ok && former.born != registration.Born
+}
+
 // drop deletes an entry, and remembers which target it was for a while.
 func (r *Registry) drop(entry Entry, now time.Duration) {
 	delete(r.entries, entry.Target)
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -100,7 +100,7 @@
 		} else {
 			s.registry.Remove(removal, now)
 		}
-		s.balancer.Forget(removal.Target)
+		s.balancer.ForgetRemoved(removal.Target)
 	}
 	s.registryChanged, s.lastRegistryDigest = true, 0
 }
@@ -113,6 +113,9 @@
 	switch {
 	case !ok:
 		entry.WithField("pool", registration.Pool).WithField("data_centre", registration.DataCentre).Info("target registered")
+		if s.registry.Restarted(registration) {
+			s.balancer.Forget(registration.Target)
+		}
 	case known.Born != registration.Born || known.Address != registration.Address:
 		entry.Info("target started again")
 		s.limits.Forget(registration.Target)
