Refuse a request of the product's own daemon whose body is complete after the host began to leave

Callers would have seen: a request that a leaving host accepted, cut at the end of the grace period. Change: it looks again when the body is complete. Evidence: TestRequestThatIsCompleteAfterTheHostLeaves failed before.

--- a/internal/callerapi/caller.go
+++ b/internal/callerapi/caller.go
@@ -35,7 +35,7 @@
 func (h *Handler) identify(r *http.Request) (*caller, *core.Refusal) {
 	view := h.options.Controller.Snapshot()
 	if view.Leaving || view.Catalog == nil {
-		return &caller{}, &core.Refusal{Kind: core.RefusedLeaving, Message: "this host takes no callers; use another one", Run: core.NotRun, RetryAfter: leavingRetryAfter}
+		return &caller{}, leaving()
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || len(key) > maxAPIKeyBytes {
@@ -56,6 +56,18 @@
 	return &caller{team: team.ID, class: *class, view: view}, nil
 }
 
+// refuseIfLeaving returns the refusal of a request whose body has become complete after the host began to leave.
+func (h *Handler) refuseIfLeaving() *core.Refusal {
+	if !h.options.Controller.Snapshot().Leaving {
+		return nil
+	}
+	return leaving()
+}
+
+func leaving() *core.Refusal {
+	return &core.Refusal{Kind: core.RefusedLeaving, Message: "this host takes no callers; use another one", Run: core.NotRun, RetryAfter: leavingRetryAfter}
+}
+
 func unauthorized() *core.Refusal {
 	return &core.Refusal{Kind: core.RefusedUnauthorized, Message: "an API key is needed as Authorization: Bearer", Run: core.NotRun}
 }
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -38,6 +38,9 @@
 // generate runs a validated request from its start, or resumes it after the event in the
 // Last-Event-ID header.
 func (h *Handler) generate(w http.ResponseWriter, r *http.Request, from *caller, req *generationRequest) *core.Refusal {
+	if refusal := h.refuseIfLeaving(); refusal != nil {
+		return refusal
+	}
 	streamReq := &relay.StreamRequest{TicketRequest: newTicketRequest(from, req), Request: req.engineRequest, Rerunnable: true, Resumable: req.stream}
 	if lastEventID := r.Header.Get(headerLastEventID); lastEventID != "" {
 		return h.resumeRequest(w, r, from, req, streamReq, lastEventID)
--- a/internal/callerapi/handler_test.go
+++ b/internal/callerapi/handler_test.go
@@ -7,7 +7,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -167,6 +169,32 @@
 	requireRefusal(t, call(t, server, "POST", completionsURL, streamRequestBody), 429, core.RefusedQueueFull)
 }
 
+// TestRequestThatIsCompleteAfterTheHostLeaves guards against a request that a leaving host accepts because its head
+// came before: it may run into the end of the grace period.
+func TestRequestThatIsCompleteAfterTheHostLeaves(t *testing.T) {
+	for _, path := range []string{completionsURL, "/services/booking/book"} {
+		controller := &fakeController{}
+		server := newTestServer(t, controller, &fakeEngines{tokens: []string{"a"}})
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: front\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", path, testKey, len(streamRequestBody))
+		require.NoError(t, err)
+		reader := bufio.NewReader(conn)
+		line, err := reader.ReadString('\n') // the body is awaited, so the request has been identified
+		require.NoError(t, err)
+		require.Contains(t, line, "100 Continue")
+		_, err = reader.ReadString('\n')
+		require.NoError(t, err)
+		controller.leaving.Store(true)
+		_, err = io.WriteString(conn, streamRequestBody)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		requireRefusal(t, response, http.StatusServiceUnavailable, core.RefusedLeaving)
+	}
+}
+
 // TestLeavingHost guards against a leaving host that accepts new requests or aborts running
 // streams.
 func TestLeavingHost(t *testing.T) {
--- a/internal/callerapi/service_handler.go
+++ b/internal/callerapi/service_handler.go
@@ -32,6 +32,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if refusal := h.refuseIfLeaving(); refusal != nil {
+		return refusal
+	}
 	if call.nonIdempotent && call.idempotencyKey != "" {
 		h.callAtMostOnce(w, r, from, call)
 		return nil
