Soak: streams of all framings, streams cut within an event, late bodies, and requests lost in planned stops

Measured: the soak checked that successes are whole, but its engines sent chunks only and never ended a stream within an event, bodies came at once, and a request that was passed on and not answered counted as failed and nothing else. Change: engines frame their streams by chunks, length or connection in turn, and end streams within an event where plain services omit the length; one body in sixteen comes with a pause of up to 4.5 s; a request that a target got must be answered unless its host was killed or paused or one of its targets had a fault. Two parts of the soak were wrong, and are replaced by stricter ones. Its proxy closed connections in order that it was to reset, and lost bytes in the middle of a connection that went on: it resets now, and a connection that loses bytes stays silent.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -25,7 +25,7 @@
 	complete, sent := 0, 0
 	for _, request := range s.sent {
 		s.checkRequest(request)
-		if request.sentAt.After(from) && request.sentAt.Before(to.Add(-2*time.Second)) && s.isCurrentKey(request.key) {
+		if request.sentAt.After(from) && request.sentAt.Add(request.uploading).Before(to.Add(-2*time.Second)) && s.isCurrentKey(request.key) {
 			sent++
 			if request.outcome == outcomeComplete {
 				complete++
@@ -64,11 +64,31 @@
 			s.recordViolation("request %s was sent to %s %s after it announced that it leaves", request.id, run.Runner, run.Started.Sub(leavingSince))
 		}
 	}
+	if !request.answered && !request.abandoned && len(runs) > 0 && !s.lossExcused(request, runs) {
+		s.recordViolation("request %s was passed on by %s to %s and ended without an answer, %s after it was sent", request.id, request.host, runs[len(runs)-1].Runner, request.endedAt.Sub(request.sentAt))
+	}
 	if request.stream && s.timeBoundsApply(request.sentAt, request.endedAt) && len(s.recorder.Overlaps(request.id)) > 0 {
 		s.recordViolation("request %s ran at two targets at once", request.id)
 	}
 }
 
+// lossExcused reports whether the host or a target of a request had a fault other than a planned stop, a moment
+// before the request was sent or later.
+func (s *soak) lossExcused(request *sentRequest, runs []platformtest.Run) bool {
+	names := []string{request.host}
+	for _, run := range runs {
+		names = append(names, run.Runner)
+	}
+	for _, name := range names {
+		for _, period := range s.broken[name] {
+			if period.start.Before(request.endedAt) && period.end.Add(reconnectTime).After(request.sentAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // timeBoundsApply reports whether no fault suspended the time bounds in a period.
 func (s *soak) timeBoundsApply(from, to time.Time) bool {
 	for _, period := range s.timeBoundsSuspended {
--- a/tools/soak/client.go
+++ b/tools/soak/client.go
@@ -25,7 +25,7 @@
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%d-%d-%d", s.options.Seed, number, n)
-		s.sendRequest(ctx, &http.Client{Transport: transport}, r, id)
+		s.sendRequest(ctx, &http.Client{Transport: transport}, r, id, uploadPause(n))
 		select {
 		case <-time.After(time.Duration(r.IntN(int(2 * meanRequestPause)))):
 		case <-ctx.Done():
@@ -33,9 +33,17 @@
 	}
 }
 
+// uploadPause returns the pause within the body of a client's n-th request; zero for most.
+func uploadPause(n int) time.Duration {
+	if n%16 != 5 {
+		return 0
+	}
+	return time.Duration(n/16%6) * 900 * time.Millisecond
+}
+
 // sendRequest sends one request and records its outcome.
-func (s *soak) sendRequest(ctx context.Context, client *http.Client, r *rand.Rand, id string) {
-	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+func (s *soak) sendRequest(runCtx context.Context, client *http.Client, r *rand.Rand, id string, upload time.Duration) {
+	ctx, cancel := context.WithTimeout(runCtx, 20*time.Second)
 	defer cancel()
 	path, method, events := platformtest.IdempotentPrefix, http.MethodGet, 0
 	switch r.IntN(6) {
@@ -45,31 +53,37 @@
 		path, method, events = platformtest.StreamPrefix, http.MethodPost, 4+r.IntN(120)
 	}
 	key := s.randomKey(r)
-	address := s.hosts[r.IntN(len(s.hosts))].callerAddress()
-	request, err := platformtest.NewRequest(ctx, address, method, path+"1", id, key, events)
+	host := s.hosts[r.IntN(len(s.hosts))]
+	request, err := platformtest.NewRequest(ctx, host.callerAddress(), method, path+"1", id, key, events)
 	if err != nil {
 		s.recordViolation("request could not be built: %v", err)
 		return
 	}
-	record := &sentRequest{id: id, atMostOnce: path != platformtest.IdempotentPrefix, stream: events > 0, key: key, sentAt: time.Now()}
-	record.outcome = s.classify(client, request, id, events)
+	record := &sentRequest{id: id, atMostOnce: path != platformtest.IdempotentPrefix, stream: events > 0, key: key, host: host.boot.Node, sentAt: time.Now()}
+	if upload > 0 && method == http.MethodPost {
+		record.uploading = upload
+		request.Body = io.NopCloser(newLateBody(id, upload))
+		request.GetBody = nil
+	}
+	record.outcome, record.answered = s.classify(client, request, id, events)
+	record.abandoned = !record.answered && runCtx.Err() != nil
 	record.endedAt = time.Now()
 	s.recordRequest(record)
 }
 
-// classify sends a request, checks the response and returns its outcome.
-func (s *soak) classify(client *http.Client, request *http.Request, id string, events int) outcome {
+// classify sends a request, checks the response and returns its outcome, and whether the response was complete.
+func (s *soak) classify(client *http.Client, request *http.Request, id string, events int) (result outcome, answered bool) {
 	response, err := client.Do(request)
 	if err != nil {
-		return outcomeFailed
+		return outcomeFailed, false
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if response.StatusCode != http.StatusOK {
 		if refusalStatuses[response.StatusCode] {
-			return outcomeRefused
+			return outcomeRefused, err == nil
 		}
-		return outcomeFailed
+		return outcomeFailed, err == nil
 	}
 	want := platformtest.Body(id)
 	if events > 0 {
@@ -83,7 +97,7 @@
 	case err == nil && string(body) != want:
 		s.recordViolation("request %s: complete response with %d of %d bytes", id, len(body), len(want))
 	case err == nil:
-		return outcomeComplete
+		return outcomeComplete, true
 	}
-	return outcomeFailed
+	return outcomeFailed, err == nil
 }
--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -11,4 +11,6 @@
 	// suspendsTimeBounds is set if hosts may miss updates of the store, or if a connection
 	// may be silent, so that time bounds don't hold during and shortly after the fault.
 	suspendsTimeBounds bool
+	// breaks is the host or the target that may lose requests by the fault; empty if none may.
+	breaks string
 }
--- a/tools/soak/faults.go
+++ b/tools/soak/faults.go
@@ -28,11 +28,11 @@
 	runnerMode := runnerModes[r.IntN(len(runnerModes))]
 	switch r.IntN(20) {
 	case 0:
-		return fault{name: "kill " + h.boot.Node, start: func() { h.signal(syscall.SIGKILL) }}
+		return fault{name: "kill " + h.boot.Node, breaks: h.boot.Node, start: func() { h.signal(syscall.SIGKILL) }}
 	case 1:
 		return fault{name: "stop " + h.boot.Node, start: func() { h.signal(syscall.SIGTERM) }}
 	case 2:
-		return fault{name: "pause " + h.boot.Node, start: func() { h.signal(syscall.SIGSTOP) }, end: func() { h.signal(syscall.SIGCONT) }, duration: duration, suspendsTimeBounds: true}
+		return fault{name: "pause " + h.boot.Node, breaks: h.boot.Node, start: func() { h.signal(syscall.SIGSTOP) }, end: func() { h.signal(syscall.SIGCONT) }, duration: duration, suspendsTimeBounds: true}
 	case 3:
 		return fault{name: fmt.Sprintf("store connection of %s: mode %d", h.boot.Node, mode), start: func() { h.storeProxy.setMode(mode) }, end: func() { h.storeProxy.setMode(proxyPass) }, duration: duration, suspendsTimeBounds: true}
 	case 4:
@@ -42,15 +42,15 @@
 	case 6:
 		return fault{name: "store drops its history", start: func() { s.platformStore.SetMode(platformtest.StoreDropsHistory) }, end: func() { s.platformStore.SetMode(platformtest.StoreHealthy) }, duration: 300 * time.Millisecond}
 	case 7:
-		return fault{name: fmt.Sprintf("connection to %s: mode %d", t.id, mode), start: func() { t.proxy.setMode(mode) }, end: func() { t.proxy.setMode(proxyPass) }, duration: duration, suspendsTimeBounds: true}
+		return fault{name: fmt.Sprintf("connection to %s: mode %d", t.id, mode), breaks: t.id, start: func() { t.proxy.setMode(mode) }, end: func() { t.proxy.setMode(proxyPass) }, duration: duration, suspendsTimeBounds: true}
 	case 8:
-		return fault{name: "connections to " + t.id + " reset", start: t.proxy.reset}
+		return fault{name: "connections to " + t.id + " reset", breaks: t.id, start: t.proxy.reset}
 	case 9:
-		return fault{name: "crash of " + t.id, start: func() { s.replaceTarget(t, t.crash) }}
+		return fault{name: "crash of " + t.id, breaks: t.id, start: func() { s.replaceTarget(t, t.crash) }}
 	case 10, 11:
-		return fault{name: "drain of " + t.id, start: func() { s.announceLeaving(t) }, end: func() { s.replaceTarget(t, t.crash) }, duration: 1700 * time.Millisecond}
+		return fault{name: "drain of " + t.id, breaks: t.id, start: func() { s.announceLeaving(t) }, end: func() { s.replaceTarget(t, t.crash) }, duration: 1700 * time.Millisecond}
 	case 12, 13, 14, 15:
-		return fault{name: fmt.Sprintf("%s: mode %d", t.id, runnerMode), start: func() { t.SetMode(runnerMode) }, end: func() { t.SetMode(platformtest.RunnerHealthy) }, duration: duration}
+		return fault{name: fmt.Sprintf("%s: mode %d", t.id, runnerMode), breaks: t.id, start: func() { t.spoil(runnerMode) }, end: func() { t.spoil(platformtest.RunnerHealthy) }, duration: duration}
 	case 16, 17:
 		// A key is revoked while hosts cannot read the store, for longer than they may accept it.
 		return fault{name: "store unavailable while keys change", start: func() { s.platformStore.SetMode(storeMode); s.rotateKeys() },
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -38,11 +39,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		abort(conn)
+	}
+}
+
+// abort closes a connection with a TCP reset.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = conn.Close()
 }
 
 // close stops the listener and resets all connections, as if the server had crashed.
@@ -70,20 +76,25 @@
 	}
 }
 
-// copy forwards one direction of a connection. It drops the data in the mode dropped.
+// copy forwards one direction of a connection. It drops the data in the mode dropped, and then all that follows:
+// a TCP connection loses no bytes in the middle. A connection that breaks off is reset at its other end too.
 func (p *proxy) copy(to, from net.Conn, dropped proxyMode) {
-	buffer := make([]byte, 16<<10)
+	buffer, silent := make([]byte, 16<<10), false
 	for {
 		n, err := from.Read(buffer)
 		mode := proxyMode(p.mode.Load())
 		if mode == proxyDelay {
 			<-time.After(proxyDelayDuration)
 		}
-		if n > 0 && mode != proxySilent && mode != dropped {
+		silent = silent || n > 0 && (mode == proxySilent || mode == dropped)
+		if n > 0 && !silent {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
 		}
+		if err != nil && err != io.EOF {
+			abort(to)
+		}
 		if err != nil {
 			break
 		}
--- a/tools/soak/sent_request.go
+++ b/tools/soak/sent_request.go
@@ -11,4 +11,8 @@
 	sentAt     time.Time
 	endedAt    time.Time
 	outcome    outcome
+	host       string
+	answered   bool          // a complete response has arrived, whatever its status
+	uploading  time.Duration // pause within the body
+	abandoned  bool          // the run ended before the response
 }
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -49,6 +49,7 @@
 	evacuated           map[string]bool      // by zone, as the operator has written it last
 	leavingSince        map[string]time.Time // when each leaving target was registered as draining
 	timeBoundsSuspended []interval
+	broken              map[string][]interval // periods of faults, by the host or target that they break
 	sent                []*sentRequest
 	faultNames          []string
 	violations          []string
@@ -67,7 +68,7 @@
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
 	s := &soak{options: options, dir: dir, recorder: platformtest.NewRecorder(), platformStore: platformtest.NewStore(), version: 1,
-		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, evacuated: map[string]bool{}}
+		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, evacuated: map[string]bool{}, broken: map[string][]interval{}}
 	s.storeServer = httptest.NewServer(s.platformStore)
 	s.platformStore.PutConfig(s.version, s.keys)
 	for i := range options.Engines + options.Services {
@@ -172,11 +173,13 @@
 		<-time.After(f.duration)
 		f.end()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	period := interval{start: startedAt, end: time.Now()}
 	if f.suspendsTimeBounds {
-		s.mu.Lock()
-		s.timeBoundsSuspended = append(s.timeBoundsSuspended, interval{start: startedAt, end: time.Now()})
-		s.mu.Unlock()
+		s.timeBoundsSuspended = append(s.timeBoundsSuspended, period)
 	}
+	s.broken[f.breaks] = append(s.broken[f.breaks], period)
 }
 
 // awaitReady waits until all hosts report that they are ready. It reports false after
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -8,6 +8,12 @@
 	"siskintide.example/siskintide/platform/platformtest"
 )
 
+const (
+	framingCount   = 3 // of streams
+	cutAfterEvents = 7 // events of a stream that is cut within the next one
+	cutBytes       = 9 // bytes of the event within which it is cut
+)
+
 // target is a simulated target behind a proxy.
 type target struct {
 	*platformtest.Runner
@@ -17,6 +23,7 @@
 	proxy        *proxy
 	server       *http.Server
 	leavingSince time.Time // zero unless it was registered as draining
+	framing      platformtest.StreamFraming
 }
 
 func (s *soak) addTarget(engine bool, zone string) (*target, error) {
@@ -35,6 +42,8 @@
 		options.Service, options.Delay = platformtest.EngineService, eventInterval
 	}
 	t.Runner = platformtest.NewRunner(s.recorder, s.platformStore, options)
+	t.framing = platformtest.StreamFraming(s.targetCount % framingCount)
+	t.spoil(platformtest.RunnerHealthy)
 	t.server = &http.Server{Handler: t.Runner}
 	go func() { _ = t.server.Serve(listener) }() // returns when the target crashes
 	t.Register("ready")
@@ -42,6 +51,16 @@
 	return t, nil
 }
 
+// spoil sets a fault of the target. Engines end their streams within an event instead of omitting a length.
+func (t *target) spoil(mode platformtest.RunnerMode) {
+	ending := platformtest.StreamEnding{Framing: t.framing, CutAfter: -1}
+	if t.engine && mode == platformtest.RunnerOmitsLength {
+		ending.CutAfter, ending.PartialBytes = cutAfterEvents, cutBytes
+	}
+	t.SetEnding(ending)
+	t.SetMode(mode)
+}
+
 // crash stops the target and resets its connections.
 func (t *target) crash() {
 	t.Kill()
