Soak: a connection that has lost bytes passes on no orderly end either

The proxy had dropped their last bytes in its silent mode, and passed on the end of the connection, which completes such a stream. Change: after lost bytes the end is lost as well, as on a connection that has gone silent.

--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -77,7 +77,8 @@
 }
 
 // copy forwards one direction of a connection. It drops the data in the mode dropped, and then all that follows:
-// a TCP connection loses no bytes in the middle. A connection that breaks off is reset at its other end too.
+// a TCP connection loses no bytes in the middle, nor before its end. A connection that breaks off is reset at its
+// other end too.
 func (p *proxy) copy(to, from net.Conn, dropped proxyMode) {
 	buffer, silent := make([]byte, 16<<10), false
 	for {
@@ -92,6 +93,9 @@
 				err = writeErr
 			}
 		}
+		if err == io.EOF && silent {
+			return // the end is lost as well; the other direction closes the connection
+		}
 		if err != nil && err != io.EOF {
 			abort(to)
 		}
