Split the checks of responses, and moves and stops of a stream, into files of their own

Change: functions are moved as they are; promisesTooMuch is isUnprovenRefusal. No behaviour changes.

--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -90,31 +90,6 @@
 // RecordDisconnect records that the connection to the engine ended before the generation did.
 func (s *Stream) RecordDisconnect() { s.disconnected = true }
 
-// StopRequested reports whether the engine has been asked to stop the generation.
-func (s *Stream) StopRequested() bool {
-	return s.pending == StopAndCopyMemory || s.memoryMoved || s.stop != notStopped
-}
-
-// RecordEnd records that the engine's response has ended in order, and returns whether the generation is
-// complete. marked reports whether a length or a last chunk marked the end. An engine also closes its
-// response when it stops a generation, so while a stop is pending, its result decides: Next returns Finish
-// or another step after it.
-func (s *Stream) RecordEnd(marked bool) bool {
-	if s.pending == StopAndCopyMemory {
-		s.ended, s.endMarked = true, marked
-		return false
-	}
-	s.settleEnd(marked)
-	return s.finished
-}
-
-// settleEnd decides whether the end of the engine's response is that of the generation. The response of a
-// stopped generation has no marked end.
-func (s *Stream) settleEnd(marked bool) {
-	s.finished = s.stop == notStopped || s.stop == maybeStopped && marked
-	s.disconnected = s.disconnected || !s.finished
-}
-
 // Next returns the step to take now. A step other than Wait is pending until its result is
 // recorded.
 func (s *Stream) Next(now time.Duration) Step {
@@ -182,68 +157,6 @@
 	return Step{Kind: Wait, At: due}
 }
 
-// nextMove moves a generation that has started: it pre-copies the memory at once, then
-// repeats the pre-copy with what is new until that is fast. The stop-and-copy step, during
-// which the generation pauses, then does not queue behind the moves of other generations.
-func (s *Stream) nextMove(now time.Duration) Step {
-	switch due := s.leavingSince + s.timing.StopAndCopyAfter; {
-	case !s.started:
-		return Step{Kind: Wait}
-	case now < s.retryMoveAt:
-		return Step{Kind: Wait, At: s.retryMoveAt}
-	case !s.precopied && now > s.leavingSince+s.timing.PrecopyDeadline:
-		return Step{Kind: Wait}
-	case !s.precopied:
-		return Step{Kind: PrecopyMemory}
-	case now < due:
-		return Step{Kind: Wait, At: due}
-	case !s.linksFree && now < s.leavingSince+s.timing.StopAndCopyDeadline:
-		return Step{Kind: PrecopyMemory}
-	default:
-		return Step{Kind: StopAndCopyMemory}
-	}
-}
-
-// RecordMove records the result of PrecopyMemory or StopAndCopyMemory and how long it took.
-func (s *Stream) RecordMove(result Result, took, now time.Duration) {
-	step := s.pending
-	s.pending = 0
-	switch {
-	case step == PrecopyMemory && result == Done:
-		s.linksFree = s.precopied && took <= s.timing.FastPrecopy
-		s.precopied = true
-	case step == StopAndCopyMemory && result == Done:
-		s.memoryMoved = true
-	default:
-		s.precopied, s.linksFree = false, false // the next attempt chooses another engine
-		s.moves++
-		s.retryMoveAt = now + moveRetryDelay
-		if step == StopAndCopyMemory {
-			s.recordFailedStop(result)
-		}
-	}
-}
-
-// RecordUncovered records that StopAndCopyMemory was not begun, because the retry budget does not cover the
-// request that would go on at the destination. The generation keeps running.
-func (s *Stream) RecordUncovered(now time.Duration) {
-	s.pending = 0
-	s.retryMoveAt = now + budgetRetryDelay
-}
-
-// recordFailedStop records that the generation's memory has not been moved after StopAndCopyMemory.
-func (s *Stream) recordFailedStop(result Result) {
-	switch result {
-	case StoppedOnly:
-		s.stop = stopped
-	case Unknown:
-		s.stop = max(s.stop, maybeStopped)
-	}
-	if s.ended {
-		s.settleEnd(s.endMarked)
-	}
-}
-
 // RecordSwitch records the result of a switch. copied reports whether the new engine has been
 // asked to have a copy kept on another engine.
 func (s *Stream) RecordSwitch(result Result, copied bool, now time.Duration) {
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -41,7 +41,7 @@
 	if !message.info.NotRun {
 		s.possibleRuns++
 		s.current = nil
-		if s.promisesTooMuch(message.response) {
+		if s.isUnprovenRefusal(message.response) {
 			s.finishFailed(s.ctx, nil)
 			return true
 		}
