Log whether an engine that broke off still listens, and the prompt's parts

The log did not tell whether a crash without a response, or one after two events, was seen as a crash at all. A failed exchange is followed by a connection attempt to which nothing is sent; the log has its phase, the events that came before, whether the target refused connections, and the parts of the prompt.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -97,11 +97,11 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
-// refusesConnections reports whether the target no longer listens. Nothing is sent to it. A target that does
-// not respond at all may be cut off from this host.
-func (x *exchange) refusesConnections(ctx context.Context) bool {
+// refusesConnections reports whether the target at an address no longer listens. Nothing is sent to it. A target
+// that does not respond at all may be cut off from this host.
+func refusesConnections(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: connectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", x.address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/gateway/exchange_error.go
+++ b/internal/gateway/exchange_error.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "fmt"
+import (
+	"context"
+	"errors"
+	"fmt"
+)
 
 // Phases of an exchange with a target.
 const (
@@ -15,6 +19,8 @@
 	Address string
 	Phase   string // what was being transferred
 	Cause   error
+	// Gone is set if the target refused connections after the failure: its process has ended.
+	Gone bool
 }
 
 // Error implements error.
@@ -24,3 +30,11 @@
 
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
+
+// probeTarget sets Gone if the error is an *ExchangeError that the sender did not cause by ending the context.
+func probeTarget(ctx context.Context, err error) {
+	var failed *ExchangeError
+	if errors.As(err, &failed) && ctx.Err() == nil {
+		failed.Gone = refusesConnections(ctx, failed.Address)
+	}
+}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -131,11 +131,17 @@
 func (s *streamRelay) handleFailure(cause error) bool {
 	var unsent *UnsentError
 	target := s.current.assignment.Target.Target
-	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.ids.last)
+	entry := s.log.WithField("target", target).WithField("cause", cause.Error()).WithField("last_event", s.ids.last).WithField("events", s.events)
+	var failed *ExchangeError
+	if errors.As(cause, &failed) {
+		entry = entry.WithField("phase", failed.Phase).WithField("target_gone", failed.Gone)
+	}
+	if s.firstEventAt == 0 || s.now()-s.firstEventAt < soundTime {
+		entry = entry.WithField("prompt_parts", s.request.PromptParts)
+	}
 	if s.failedAtStart(cause) {
 		s.recordPromptCrash(target)
 		s.failover.RecordCopyLost() // the engine with the copy would crash too
-		entry = entry.WithField("events", s.events).WithField("prompt_parts", s.request.PromptParts)
 	}
 	entry.Info("engine's stream failed")
 	if errors.As(cause, &unsent) && !s.headerSent && s.r.Context().Err() == nil {
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -45,6 +45,9 @@
 	retryAtCapacity = time.Second
 	// soundEvents is the number of events from which a generation counts as begun.
 	soundEvents = 2
+	// soundTime is the time from its first event after which a generation is no longer about to begin. Events
+	// that an engine sent before it crashed arrive within that time.
+	soundTime = time.Second
 	// minCopyEvents is the smallest number of expected events for which a copy is kept.
 	minCopyEvents = 12
 )
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -51,6 +51,7 @@
 	address := u.assignment.Target.Address
 	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
 	if err != nil {
+		probeTarget(ctx, err)
 		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 		return
 	}
@@ -74,45 +75,47 @@
 	}
 	u.header = forwardedHeader(x.response.Header)
 	if u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info}) {
-		u.readEvents(ctx, x, &h.gateway.buffers, attempt.ResumeFrom != nil)
+		u.readEvents(ctx, x, h, attempt.ResumeFrom != nil)
 	}
 }
 
-// readEvents sends the events of the response. begun reports whether the generation has begun at another
+// readEvents sends the events of the response. resumed reports whether the generation has begun at another
 // target, so that it may end without a further event.
-func (u *upstream) readEvents(ctx context.Context, x *exchange, budget *bufferBudget, begun bool) {
-	events := newEventReader(x.response.Body, budget)
+func (u *upstream) readEvents(ctx context.Context, x *exchange, h *requestHandler, resumed bool) {
+	events := newEventReader(x.response.Body, &h.gateway.buffers)
 	defer events.close()
+	begun := resumed
+	var firstEventAt time.Duration
 	for {
 		event, err := events.next()
-		switch {
-		case errors.Is(err, io.EOF):
-			u.sendEnd(ctx, x, event, begun)
-			return
-		case err != nil:
-			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}})
+		if err != nil {
+			early := firstEventAt == 0 || h.now()-firstEventAt < soundTime
+			u.sendEnd(ctx, x, event, err, begun, early)
 			return
-		case !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}):
+		}
+		if !u.send(ctx, upstreamMessage{kind: upstreamEvent, event: event}) {
 			return
 		}
+		if firstEventAt == 0 {
+			firstEventAt = h.now()
+		}
 		begun = true
 	}
 }
 
-// sendEnd sends the end of the response. rest is what came after the last complete event. A response that
-// ends within an event, or before the first one, is not that of a complete generation, however its end is
-// marked. One whose end is not marked is not either if the target is gone: its connections end with it.
-func (u *upstream) sendEnd(ctx context.Context, x *exchange, rest streamEvent, begun bool) {
-	complete := begun && !rest.startsEvent() || x.response.Request.Method == http.MethodHead
-	if complete && x.endsWithConnection() {
-		complete = !x.refusesConnections(ctx)
+// sendEnd sends the end of the response, or its failure. rest is what came after the last complete event. early
+// reports whether the engine may have crashed as it began to respond.
+func (u *upstream) sendEnd(ctx context.Context, x *exchange, rest streamEvent, err error, begun, early bool) {
+	if errors.Is(err, io.EOF) {
+		err = u.endError(ctx, x, rest, begun)
+	} else {
+		err = &ExchangeError{Address: x.address, Phase: phaseStream, Cause: err}
 	}
-	switch {
-	case !complete && x.endsWithConnection(): // as after a crash
-		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}})
-		return
-	case !complete:
-		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: &TruncatedStreamError{Address: x.address, Rest: len(rest.bytes)}})
+	if err != nil {
+		if early {
+			probeTarget(ctx, err)
+		}
+		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 		return
 	}
 	if len(rest.bytes) == 0 || u.send(ctx, upstreamMessage{kind: upstreamEvent, event: rest}) {
@@ -120,5 +123,23 @@
 	}
 }
 
+// endError returns an error if the end of the response is not that of a complete generation. A response that
+// ends within an event, or before the first one, is not, however its end is marked. One whose end is not marked
+// is not either if the target is gone: its connections end with it.
+func (u *upstream) endError(ctx context.Context, x *exchange, rest streamEvent, begun bool) error {
+	complete := begun && !rest.startsEvent() || x.response.Request.Method == http.MethodHead
+	if complete && x.endsWithConnection() {
+		complete = !refusesConnections(ctx, x.address)
+	}
+	switch {
+	case complete:
+		return nil
+	case x.endsWithConnection(): // as after a crash
+		return &ExchangeError{Address: x.address, Phase: phaseStream, Cause: io.ErrUnexpectedEOF}
+	default:
+		return &TruncatedStreamError{Address: x.address, Rest: len(rest.bytes)}
+	}
+}
+
 // stop closes the exchange. The target then cancels the generation.
 func (u *upstream) stop() { u.cancel() }
