Count crashes without a response, or after a few events, against the prompt

Cause: evidence needed a response head and less than two events. A crash before the head left none, and two events that were still delivered cleared the part.

Change: a host tries to connect after a failed exchange; an engine that refuses has ended, and each request whose response was about to begin there is an ambiguous crash, of which it takes one more. A generation is sound a second after its first event or when it is complete.

--- a/internal/decide/quarantine/candidate.go
+++ b/internal/decide/quarantine/candidate.go
@@ -13,6 +13,9 @@
 	// another cause hit it more often.
 	newPartCrashes   = 2
 	knownPartCrashes = 4
+	// ambiguousCrashes is how many more crashes it takes if ambiguous ones are among them. A crash that several
+	// requests may have caused counts against the parts of all of them.
+	ambiguousCrashes = 1
 	// sameCause is the time within which crashes count once for a known part: many engines that
 	// end together have another cause.
 	sameCause = 250 * time.Millisecond
@@ -43,15 +46,30 @@
 	return newPartCrashes
 }
 
-// count returns the number of crashes in a row.
-func (c *candidate) count() int {
+// reachesLimit reports whether the parts are held.
+func (c *candidate) reachesLimit() bool {
+	counted := c.counted()
+	clear := 0
+	for _, crash := range counted {
+		if !crash.ambiguous {
+			clear++
+		}
+	}
+	return clear >= c.limit() || len(counted) >= c.limit()+ambiguousCrashes
+}
+
+// counted returns the crashes in a row. Those that count as one are ambiguous only if all of them are.
+func (c *candidate) counted() []crash {
 	var counted []crash
 	for _, next := range c.crashes {
-		if !slices.ContainsFunc(counted, func(former crash) bool { return c.sameCrash(former, next) }) {
+		i := slices.IndexFunc(counted, func(former crash) bool { return c.sameCrash(former, next) })
+		if i < 0 {
 			counted = append(counted, next)
+			continue
 		}
+		counted[i].ambiguous = counted[i].ambiguous && next.ambiguous
 	}
-	return len(counted)
+	return counted
 }
 
 // sameCrash reports whether a later crash counts as the former one.
@@ -62,7 +80,7 @@
 
 // hold returns the hold of the parts, longer by a fraction. They must have reached their limit.
 func (c *candidate) hold(spread float64) Hold {
-	crashes := c.count()
+	crashes := len(c.counted())
 	length := firstHold
 	if crashes >= manyCrashes {
 		length = min(longHold<<(crashes-manyCrashes), maxHold)
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -44,7 +44,7 @@
 // Its age is not used.
 func (t *Tracker) RecordCrash(parts []core.PromptPart, c core.EngineCrash, now time.Duration) {
 	for _, part := range parts {
-		t.addCrash(part, crash{id: c.ID, engine: c.Engine, at: now})
+		t.addCrash(part, crash{id: c.ID, engine: c.Engine, at: now, ambiguous: c.Ambiguous})
 	}
 }
 
@@ -62,7 +62,7 @@
 		last, known := t.sound(evidence.Part)
 		for _, c := range evidence.Crashes {
 			if at := now - c.Age; !known || at > last.at {
-				t.addCrash(evidence.Part, crash{id: c.ID, engine: c.Engine, at: at})
+				t.addCrash(evidence.Part, crash{id: c.ID, engine: c.Engine, at: at, ambiguous: c.Ambiguous})
 			}
 		}
 	}
@@ -113,7 +113,7 @@
 func (t *Tracker) evidence(part core.PromptPart, s *suspect, now time.Duration) core.PartEvidence {
 	evidence := core.PartEvidence{Part: part}
 	for _, c := range s.crashes {
-		evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Engine: c.engine, Age: now - c.at})
+		evidence.Crashes = append(evidence.Crashes, core.EngineCrash{ID: c.id, Engine: c.engine, Age: now - c.at, Ambiguous: c.ambiguous})
 	}
 	if last, known := t.sound(part); known {
 		evidence.Sound, evidence.SoundID, evidence.SoundAge = true, last.id, now-last.at
@@ -132,7 +132,7 @@
 	var explained []crash
 	for _, c := range candidates {
 		rest := c.without(explained)
-		if rest.count() < rest.limit() {
+		if !rest.reachesLimit() {
 			continue
 		}
 		explained = append(explained, rest.crashes...)
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -24,6 +24,11 @@
 // crashOf returns the crash of an engine that has no other one.
 func crashOf(id uint64) core.EngineCrash { return core.EngineCrash{ID: id, Engine: 1000 + id} }
 
+// ambiguousCrashOf returns the same crash, of which other requests may be the cause.
+func ambiguousCrashOf(id uint64) core.EngineCrash {
+	return core.EngineCrash{ID: id, Engine: 1000 + id, Ambiguous: true}
+}
+
 // heldParts returns the parts of all holds.
 func heldParts(t *Tracker, now time.Duration) []core.PromptPart {
 	var parts []core.PromptPart
@@ -119,6 +124,26 @@
 				q.RecordCrash([]core.PromptPart{shared, deadly}, crashOf(id), at(1+float64(id)))
 			}
 		}, 7, []core.PromptPart{deadly}},
+		"ambiguous crashes of a new part, two in a row": {func(q *Tracker) {
+			q.RecordCrash([]core.PromptPart{deadly}, ambiguousCrashOf(1), at(1))
+			q.RecordCrash([]core.PromptPart{deadly}, ambiguousCrashOf(2), at(2))
+		}, 3, nil},
+		"ambiguous crashes of a new part, three in a row": {func(q *Tracker) {
+			for id := range uint64(3) {
+				q.RecordCrash([]core.PromptPart{deadly}, ambiguousCrashOf(id), at(1+float64(id)))
+			}
+		}, 4, []core.PromptPart{deadly}},
+		"ambiguous crashes of a known part, five in a row": {func(q *Tracker) {
+			q.RecordSound([]core.PromptPart{deadly}, 9, at(0))
+			for id := range uint64(5) {
+				q.RecordCrash([]core.PromptPart{deadly}, ambiguousCrashOf(id), at(1+float64(id)))
+			}
+		}, 6, []core.PromptPart{deadly}},
+		"one clear crash beside ambiguous ones of the same engine": {func(q *Tracker) {
+			q.RecordCrash([]core.PromptPart{deadly}, core.EngineCrash{ID: 1, Engine: 7, Ambiguous: true}, at(0))
+			q.RecordCrash([]core.PromptPart{deadly}, core.EngineCrash{ID: 2, Engine: 7}, at(0.1))
+			q.RecordCrash([]core.PromptPart{deadly}, crashOf(3), at(2))
+		}, 3, []core.PromptPart{deadly}},
 		"first hold is over": {func(q *Tracker) {
 			q.RecordCrash([]core.PromptPart{deadly}, crashOf(1), at(0))
 			q.RecordCrash([]core.PromptPart{deadly}, crashOf(2), at(0))
@@ -268,3 +293,34 @@
 		}
 	})
 }
+
+// A crash without a response counts against all requests that wait at the engine, and two deadly parts end engines by turns.
+// Both parts must be held soon, and the requests that share parts with the waiting ones must be served.
+func TestPartsHeldDespiteRequestsThatWaitBesideThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const second = core.PromptPart(4)
+		q, now, crashes := NewTracker(0), at(0), map[core.PromptPart]int{}
+		for id := uint64(0); id < 60; id++ {
+			now += time.Duration(rapid.IntRange(100, 900).Draw(t, "pause")) * time.Millisecond
+			waiting := [][]core.PromptPart{{shared, core.PromptPart(10 + id%3)}, {shared, core.PromptPart(10 + (id+1)%3)}}
+			part := rapid.SampledFrom([]core.PromptPart{deadly, second}).Draw(t, "part")
+			if !refused(q, now, shared, part) {
+				crashes[part]++
+				for i, parts := range append(waiting, []core.PromptPart{shared, part}) {
+					q.RecordCrash(parts, core.EngineCrash{ID: 10*id + uint64(i), Engine: 1000 + id, Ambiguous: true}, now)
+				}
+			}
+			for _, other := range []core.PromptPart{10, 11, 12} { // the requests that waited come back and are served
+				if refused(q, now, shared, other) {
+					t.Fatalf("a sound request is refused: %v", q.Holds(now))
+				}
+				q.RecordSound([]core.PromptPart{shared, other}, 1000+id, now+50*time.Millisecond)
+			}
+		}
+		for part, count := range crashes {
+			if limit := newPartCrashes + ambiguousCrashes + 1 + int((now-start)/firstHold); count > limit {
+				t.Fatalf("%d crashes under part %d in %v, want %d at most", count, part, now-start, limit)
+			}
+		}
+	})
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -119,6 +119,9 @@
 	sentAt := h.now()
 	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
 	response, err := h.readCallResponse(x, err)
+	if len(h.parts) > 0 {
+		probeTarget(ctx, err)
+	}
 	if response != nil {
 		h.recordTargetState(attempt.Target, response.ResponseInfo, sentAt)
 	}
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -45,10 +45,12 @@
 	return "engines crash under this part of the prompt: " + strings.Join(ids, ", ")
 }
 
-// recordPromptCrash records that a target crashed as it began to respond.
-func (h *requestHandler) recordPromptCrash(target core.TargetID) {
+// recordPromptCrash records that a target crashed as it began to respond. It is ambiguous if other requests at the
+// target may be the cause.
+func (h *requestHandler) recordPromptCrash(target core.TargetID, ambiguous bool) {
 	if len(h.parts) > 0 {
-		h.gateway.options.Controller.RecordPartCrash(h.parts, core.EngineCrash{ID: h.runKey(target), Engine: xxhash.Sum64String(string(target))})
+		crash := core.EngineCrash{ID: h.runKey(target), Engine: xxhash.Sum64String(string(target)), Ambiguous: ambiguous}
+		h.gateway.options.Controller.RecordPartCrash(h.parts, crash)
 	}
 }
 
@@ -72,7 +74,9 @@
 	switch {
 	case errors.As(err, &tooLarge) || ctx.Err() != nil:
 	case errors.As(err, &failed) && failed.Phase == phaseAnswer:
-		h.recordPromptCrash(target)
+		h.recordPromptCrash(target, false)
+	case failed != nil && failed.Gone:
+		h.recordPromptCrash(target, true)
 	case err == nil && !response.NotRun && !response.failed():
 		h.recordPromptSound(target)
 	}
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -26,8 +26,8 @@
 func (s *streamRelay) finish() {
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
-	if s.events > 0 && s.events < soundEvents {
-		s.recordPromptSound(target)
+	if s.events > 0 && !s.soundRecorded {
+		s.recordSound()
 	}
 	s.current = nil
 	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
 	"siskintide.example/siskintide/internal/decide/placement"
 )
@@ -109,8 +110,8 @@
 		}
 	}
 	s.events++
-	if s.events == soundEvents {
-		s.recordPromptSound(s.current.assignment.Target.Target)
+	if !s.soundRecorded && now-s.firstEventAt >= soundTime {
+		s.recordSound()
 	}
 	s.lastEventAt = now
 	if event.hasID {
@@ -119,11 +120,41 @@
 	s.failover.RecordEvent(now)
 }
 
+// recordSound records that the generation has begun, so its prompt is sound.
+func (s *streamRelay) recordSound() {
+	s.soundRecorded = true
+	s.recordPromptSound(s.current.assignment.Target.Target)
+}
+
+// aboutToBegin reports whether the generation has not run for long enough to show that its prompt is sound.
+func (s *streamRelay) aboutToBegin() bool {
+	return s.firstEventAt == 0 || s.now()-s.firstEventAt < soundTime
+}
+
 // failedAtStart reports whether an engine broke the stream off by itself as it began to respond: the
 // response header has arrived, and hardly any event.
-func (s *streamRelay) failedAtStart(cause error) bool {
+func (s *streamRelay) failedAtStart(failed *ExchangeError) bool {
+	return s.events < soundEvents && failed.Phase == phaseStream
+}
+
+// recordCrash records that an engine crashed as it began to respond, and reports whether it did. The one whose response had just begun is the likely
+// cause. An engine that is gone may have crashed under any of those whose responses were about to begin, since what it sent
+// last may be lost or may have been underway.
+func (s *streamRelay) recordCrash(target core.TargetID, cause error) bool {
 	var failed *ExchangeError
-	return s.events < soundEvents && s.ctx.Err() == nil && !s.failover.StopRequested() && errors.As(cause, &failed) && failed.Phase == phaseStream
+	if !errors.As(cause, &failed) || s.ctx.Err() != nil || s.failover.StopRequested() || !s.aboutToBegin() {
+		return false
+	}
+	switch {
+	case s.failedAtStart(failed):
+		s.recordPromptCrash(target, false)
+		s.failover.RecordCopyLost() // the engine with the copy would crash too
+	case failed.Gone:
+		s.recordPromptCrash(target, true)
+	default:
+		return false
+	}
+	return true
 }
 
 // handleFailure handles a failed exchange with the current engine. If the engine was never
@@ -136,13 +167,9 @@
 	if errors.As(cause, &failed) {
 		entry = entry.WithField("phase", failed.Phase).WithField("target_gone", failed.Gone)
 	}
-	if s.firstEventAt == 0 || s.now()-s.firstEventAt < soundTime {
+	if s.recordCrash(target, cause) {
 		entry = entry.WithField("prompt_parts", s.request.PromptParts)
 	}
-	if s.failedAtStart(cause) {
-		s.recordPromptCrash(target)
-		s.failover.RecordCopyLost() // the engine with the copy would crash too
-	}
 	entry.Info("engine's stream failed")
 	if errors.As(cause, &unsent) && !s.headerSent && s.r.Context().Err() == nil {
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
@@ -180,6 +207,7 @@
 	case message.kind == upstreamOpened:
 		s.revertSwitch(message.response.NotRun, s.outcome(message.response, nil), strconv.Itoa(message.response.status))
 	default:
+		s.recordCrash(s.next.assignment.Target.Target, message.err)
 		var unsent *UnsentError
 		s.revertSwitch(errors.As(message.err, &unsent), placement.Unreachable, message.err.Error())
 	}
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -32,6 +32,7 @@
 	headerSent         bool                    // the response header has been sent to the caller
 	waited             time.Duration           // from the request's arrival until an engine was assigned
 	events             int                     // events of the generation that have been sent to the caller
+	soundRecorded      bool                    // the prompt has been recorded as sound
 	firstEventAt       time.Duration
 	lastEventAt        time.Duration
 	worstGap           time.Duration // longest time between two events
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -43,7 +43,7 @@
 	// retryAtCapacity is the Retry-After while all engines are at capacity. A generation takes
 	// some seconds.
 	retryAtCapacity = time.Second
-	// soundEvents is the number of events from which a generation counts as begun.
+	// soundEvents is the number of events from which a crash of the engine may have another cause.
 	soundEvents = 2
 	// soundTime is the time from its first event after which a generation is no longer about to begin. Events
 	// that an engine sent before it crashed arrive within that time.
