Decide when a lost generation is run again

Weighed: a counter in the relay; but the bound belongs beside the decisions on copies and moves, which come first.

Change: Reruns, which spans all engines of a request, and the step Rerun in place of GiveUp while it is allowed. Without UseReruns all decisions are as before.

--- a/internal/decide/failover/doc.go
+++ b/internal/decide/failover/doc.go
@@ -2,5 +2,6 @@
 // a copy of its memory (its KV cache) that the other engine keeps up to date, or after its
 // memory has been moved there by a pre-copy and a stop-and-copy step. Two engines never work
 // on the same generation: a switch is decided only while no other step is pending, and the
-// previous engine is released after it.
+// previous engine is released after it. A generation that is lost may be run again from the last
+// event that was passed on.
 package failover
--- a/internal/decide/failover/step_kind.go
+++ b/internal/decide/failover/step_kind.go
@@ -14,6 +14,8 @@
 	StopAndCopyMemory
 	// SwitchToMoved continues the generation on the engine that its memory was moved to.
 	SwitchToMoved
+	// Rerun sends the request to another engine, which goes on after the last event that was passed on.
+	Rerun
 	// GiveUp means that the generation is lost.
 	GiveUp
 	// Finish means that the generation has ended by itself.
--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -19,6 +19,7 @@
 // relays the generation.
 type Stream struct {
 	timing       Timing
+	reruns       *Reruns // nil if the request must not be sent again
 	canMove      bool
 	copied       bool // another engine keeps a copy
 	started      bool // an event has arrived since the last switch
@@ -47,6 +48,9 @@
 	return &Stream{timing: timing, canMove: canMove, copied: copied, lastEvent: now}
 }
 
+// UseReruns sets what decides whether the request is sent again once the generation is lost.
+func (s *Stream) UseReruns(reruns *Reruns) { s.reruns = reruns }
+
 // RecordEvent records that an event of the generation has arrived.
 func (s *Stream) RecordEvent(now time.Duration) { s.started, s.lastEvent = true, now }
 
@@ -116,15 +120,15 @@
 	case s.finished:
 		return Step{Kind: Finish}
 	case s.memoryMoved && s.destinationGone(now):
-		return Step{Kind: GiveUp}
+		return s.lost()
 	case s.memoryMoved:
 		return Step{Kind: SwitchToMoved}
 	case s.switches >= maxSwitches && s.disconnected:
-		return Step{Kind: GiveUp}
+		return s.lost()
 	case s.disconnected && s.copied:
 		return Step{Kind: SwitchToCopy}
 	case s.disconnected:
-		return Step{Kind: GiveUp}
+		return s.lost()
 	case s.switches >= maxSwitches:
 		return Step{Kind: Wait}
 	case s.copied:
@@ -136,6 +140,14 @@
 	}
 }
 
+// lost returns the step after the generation is lost. No engine works on it any more.
+func (s *Stream) lost() Step {
+	if s.reruns.Allowed() {
+		return Step{Kind: Rerun}
+	}
+	return Step{Kind: GiveUp}
+}
+
 // nextWithCopy switches when the engine is about to leave or has been silent for too long.
 func (s *Stream) nextWithCopy(now time.Duration) Step {
 	var due time.Duration
