Resume streams after Last-Event-Id, for callers and within one response

Cause: Route.Resumable was decoded and not used. The caller's Last-Event-Id was dropped, so that a caller that resumed got all events again; and a stream without a copy ended with its engine.

Weighed: - Ids that are no number: ignoring them sends events again that the caller has; the request is refused as not run. - A gap after the caller's id: one id tells no step, so the largest step seen in the pool's streams bounds it; a host that has seen none trusts the engine. Within one response ids may rise by any number, as before. - An empty response to a resumption ends the stream as complete if its end is marked: the caller may have had the last event. One that ends before the last event that the caller has is broken off. - A silent engine: not taken for lost without a copy, since it could not be stopped behind a cut link.

Change: Request.LastEventID in the codec, streamRelay.rerun in the gateway, event ids and their steps, log lines, and the counter stream_resumptions_total by origin and outcome. The former engine's connection is closed before the next one is asked. failedAtStart counts the events of the run, also those that are not passed on.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -53,6 +53,7 @@
 			return event, nil
 		}
 		event.isComment = event.isComment && trimmed[0] == ':'
+		event.hasData = event.hasData || bytes.HasPrefix(trimmed, []byte("data"))
 		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			event.id, event.hasID = id, err == nil
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -30,13 +30,13 @@
 		want []streamEvent
 	}{
 		"nothing":          {"", nil},
-		"id and data":      {"id: 7\ndata: x\n\n", []streamEvent{{[]byte("id: 7\ndata: x\n\n"), 7, true, false}}},
-		"carriage returns": {"id:8\r\ndata: x\r\n\r\n", []streamEvent{{[]byte("id:8\r\ndata: x\r\n\r\n"), 8, true, false}}},
-		"no id":            {"data: x\n\n", []streamEvent{{[]byte("data: x\n\n"), 0, false, false}}},
-		"id is no number":  {"id: x\n\n", []streamEvent{{[]byte("id: x\n\n"), 0, false, false}}},
-		"rest at the end":  {"id: 1\n\ndata", []streamEvent{{[]byte("id: 1\n\n"), 1, true, false}, {[]byte("data"), 0, false, true}}},
-		"comment":          {": x\n\n", []streamEvent{{[]byte(": x\n\n"), 0, false, true}}},
-		"comment and data": {": x\ndata: y\n\n", []streamEvent{{[]byte(": x\ndata: y\n\n"), 0, false, false}}},
+		"id and data":      {"id: 7\ndata: x\n\n", []streamEvent{{[]byte("id: 7\ndata: x\n\n"), 7, true, false, true}}},
+		"carriage returns": {"id:8\r\ndata: x\r\n\r\n", []streamEvent{{[]byte("id:8\r\ndata: x\r\n\r\n"), 8, true, false, true}}},
+		"no id":            {"data: x\n\n", []streamEvent{{[]byte("data: x\n\n"), 0, false, false, true}}},
+		"id is no number":  {"id: x\n\n", []streamEvent{{[]byte("id: x\n\n"), 0, false, false, false}}},
+		"rest at the end":  {"id: 1\n\ndata", []streamEvent{{[]byte("id: 1\n\n"), 1, true, false, false}, {[]byte("data"), 0, false, true, false}}},
+		"comment":          {": x\n\n", []streamEvent{{[]byte(": x\n\n"), 0, false, true, false}}},
+		"comment and data": {": x\ndata: y\n\n", []streamEvent{{[]byte(": x\ndata: y\n\n"), 0, false, false, true}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			events, err := readAll(strings.NewReader(c.text))
--- a/internal/gateway/event_sequence_test.go
+++ b/internal/gateway/event_sequence_test.go
@@ -47,3 +47,57 @@
 		})
 	}
 }
+
+// TestResumedSequence guards against events that a caller gets twice or with a gap where it resumes a stream with an
+// id, and against sound streams that count as having a gap there.
+func TestResumedSequence(t *testing.T) {
+	const rerun = -1 // another engine goes on
+	for name, c := range map[string]struct {
+		step          int64 // of other streams
+		after         int64
+		ids           []int64 // that the engine sends
+		sent          []int64 // that are passed on
+		skips, behind bool    // after the ids
+	}{
+		"goes on":                             {1, 4, []int64{5, 6}, []int64{5, 6}, false, false},
+		"sends all again":                     {1, 4, []int64{0, 1, 2, 3, 4, 5}, []int64{5}, false, false},
+		"leaves one out":                      {1, 4, []int64{6}, nil, true, false},
+		"leaves one out, step unknown":        {0, 4, []int64{6}, []int64{6}, false, false},
+		"steps of four":                       {4, 8, []int64{12}, []int64{12}, false, false},
+		"leaves one out, steps of four":       {4, 8, []int64{16}, nil, true, false},
+		"all again with uneven steps":         {1, 4, []int64{0, 4, 9}, []int64{9}, false, false},
+		"ends before the caller's last event": {1, 4, []int64{0, 1, 2}, nil, false, true},
+		"ends with the caller's last event":   {1, 4, []int64{3, 4}, nil, false, false},
+		"before the first":                    {1, -7, []int64{0, 1}, []int64{0, 1}, false, false},
+		"id between two ids":                  {4, 6, []int64{0, 4}, nil, false, true},
+		"sends nothing":                       {1, 4, nil, nil, false, false},
+		"next run goes on":                    {1, 4, []int64{5, rerun, 6}, []int64{5, 6}, false, false},
+		"next run sends all again":            {1, 4, []int64{5, rerun, 0, 1, 2, 3, 4, 5, 6}, []int64{5, 6}, false, false},
+		"next run leaves one out":             {1, 4, []int64{5, rerun, 7}, []int64{5}, true, false},
+		"next run ends early":                 {1, 4, []int64{5, rerun, 0, 1}, []int64{5}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sequence eventSequence
+			sequence.expectStep(c.step)
+			sequence.startAfter(c.after)
+			var sent []int64
+			skips := false
+			for _, id := range c.ids {
+				switch {
+				case id == rerun:
+					sequence.resume()
+				case sequence.repeats(id):
+					sequence.recordRepeated(id)
+				case sequence.skips(id):
+					skips = true
+				default:
+					sequence.record(id)
+					sent = append(sent, id)
+				}
+			}
+			require.Equal(t, c.sent, sent)
+			require.Equal(t, c.skips, skips)
+			require.Equal(t, c.behind, sequence.behind())
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	options Options
 	buffers bufferBudget
 	bodies  *semaphore.Weighted // bytes of large request bodies
+	steps   eventSteps
 }
 
 // New returns a gateway.
@@ -169,7 +170,7 @@
 	if h.deadline == 0 {
 		h.deadline = defaultTimeout
 	}
-	return nil
+	return h.readLastEvent()
 }
 
 // requestPath returns the path of a request as it was sent.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	TokenGap(team core.TeamID, class core.Class, d time.Duration)
 	// RequestEnded records the outcome and duration of a request that was not refused.
 	RequestEnded(team core.TeamID, class core.Class, outcome string, d time.Duration)
+	// Resumed records the outcome of a stream's resumption by its caller or this host.
+	Resumed(team core.TeamID, class core.Class, by, outcome string)
 	// Refused records a refusal.
 	Refused(team core.TeamID, class core.Class, kind core.RefusalKind)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	PromptTokens core.Tokens
 	MaxTokens    core.Tokens // maximum of output tokens; zero if not given
 	LengthHint   core.Tokens // caller's estimate of the output tokens; zero if not given
+	LastEventID  string      // id of the last event of the stream that the caller has, as it was sent; empty for none
 	PromptParts  []string    // ids of the parts of the prompt that other requests may share, in order
 }
 
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -35,6 +35,7 @@
 	team         *core.TeamKeys // nil if no key was needed
 	pool         core.PoolID
 	spec         *core.PoolSpec
+	lastEvent    *int64            // id of the last event that the caller has of a stream that it resumes; nil for none
 	parts        []core.PromptPart // keys of the prompt's parts that other requests may share
 	deadline     time.Duration     // relative to arrived
 	attempts     int               // attempts that reached a target
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -13,6 +13,9 @@
 // handleEnd handles the end of the current engine's response. It reports whether the generation, and so the
 // request, is finished.
 func (s *streamRelay) handleEnd(marked bool) bool {
+	if s.ids.behind() {
+		return s.handleFailure(&ShortRunError{Last: s.ids.last, Got: s.ids.again})
+	}
 	if s.failover.RecordEnd(marked) {
 		s.finish()
 		return true
@@ -25,6 +28,7 @@
 // finish ends the request after a complete stream.
 func (s *streamRelay) finish() {
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
+	s.countResumption(resumptionContinued)
 	target := s.current.assignment.Target.Target
 	if s.events > 0 && s.events < soundEvents {
 		s.recordPromptSound(target)
@@ -38,10 +42,17 @@
 	target := s.current.assignment.Target.Target
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 	s.current = nil
+	s.countResumption(resumptionFailed)
 	if !s.headerSent {
 		s.refuse(&core.Refusal{Kind: core.RefusedTargetFailed, Message: "the engine failed and no copy is left", Run: core.RunUnknown})
 		return
 	}
+	s.abortLost(target)
+}
+
+// abortLost ends a request whose generation is lost after the head of its response has been sent. target is the engine
+// that failed last. The caller may resume the stream.
+func (s *streamRelay) abortLost(target core.TargetID) {
 	s.recordEnd("stream_lost", s.fields(log.Fields{"target": target}))
 	s.releaseAll()
 	panic(http.ErrAbortHandler) // closes the connection, so that the stream does not look complete
@@ -50,6 +61,7 @@
 // withdraw ends a request that no engine has begun to answer, because engines crash under its prompt.
 func (s *streamRelay) withdraw(hold *quarantine.Hold) {
 	fields := s.fields(s.targetFields())
+	s.countResumption(resumptionEnded)
 	s.releaseAll()
 	if !s.headerSent {
 		s.attempts++
@@ -63,6 +75,7 @@
 
 // endEarly ends a request whose caller has disconnected, whose deadline has passed, or that outlasts the host.
 func (s *streamRelay) endEarly() {
+	s.countResumption(resumptionEnded)
 	if s.r.Context().Err() != nil {
 		s.recordEnd("caller_left", s.fields(s.targetFields()))
 		return
@@ -86,6 +99,12 @@
 func (s *streamRelay) fields(fields log.Fields) log.Fields {
 	fields["waited_ms"] = s.waited.Milliseconds()
 	fields["switches"] = s.switches
+	if s.route.Resumable {
+		fields["resumptions"] = s.resumptions
+	}
+	if s.lastEvent != nil {
+		fields["callers_last_event"] = *s.lastEvent
+	}
 	fields["worst_gap_ms"] = s.worstGap.Milliseconds()
 	fields["worst_gap_after"] = s.worstGapAfter
 	fields["last_event"] = s.ids.last
--- a/internal/gateway/stream_event.go
+++ b/internal/gateway/stream_event.go
@@ -10,6 +10,7 @@
 	// isComment is set if the event has comment lines only. Targets send these to keep the
 	// connection open.
 	isComment bool
+	hasData   bool // the event has a data line
 }
 
 // startsEvent reports whether bytes that no empty line follows belong to an event: they are more than complete
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -26,27 +26,25 @@
 	}
 }
 
-// handleOpened handles the header of the first engine's response.
+// handleOpened handles the header of the response of an engine that begins with the prompt.
 func (s *streamRelay) handleOpened(message upstreamMessage) bool {
 	s.attempts++
+	s.current.opened = true
 	s.recordTargetState(s.current.assignment.Target.Target, message.info, s.current.sentAt)
 	if message.response == nil {
-		s.possibleRuns++
-		s.sendHeader()
+		s.recordRun()
+		if !s.headerSent {
+			s.sendHeader()
+		}
 		return false
 	}
 	assignment := s.current.assignment
 	s.current.stop()
 	s.gateway.options.Controller.Release(assignment, s.outcome(message.response, nil))
 	if !message.info.NotRun {
-		s.possibleRuns++
+		s.recordRun()
 		s.current = nil
-		if s.isUnprovenRefusal(message.response) {
-			s.finishFailed(s.ctx, nil)
-			return true
-		}
-		s.writeResponse(message.response, assignment)
-		return true
+		return s.handleFailureResponse(message.response, assignment)
 	}
 	s.log.WithField("target", assignment.Target.Target).WithField("status", message.response.status).Info("engine refused the request")
 	s.current = nil
@@ -79,9 +77,17 @@
 func (s *streamRelay) forwardEvent(event streamEvent) bool {
 	switch {
 	case event.hasID && s.ids.repeats(event.id):
+		s.recordRepeated(event.id)
 		return false
 	case event.hasID && s.ids.skips(event.id):
 		return s.handleFailure(&EventGapError{Last: s.ids.last, Got: event.id})
+	case s.mayRepeat(event) && event.hasData:
+		return s.handleFailure(&UnnumberedEventError{Last: s.ids.last})
+	case s.mayRepeat(event):
+		return false
+	}
+	if event.hasData && !event.hasID {
+		s.reruns.Forbid() // no engine can be asked to go on after it
 	}
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
@@ -108,6 +114,8 @@
 			s.worstGap, s.worstGapAfter = now-s.lastEventAt, s.ids.last
 		}
 	}
+	s.runEvents++
+	s.countResumption(resumptionContinued)
 	s.events++
 	if s.events == soundEvents {
 		s.recordPromptSound(s.current.assignment.Target.Target)
@@ -123,7 +131,7 @@
 // response header has arrived, and hardly any event.
 func (s *streamRelay) failedAtStart(cause error) bool {
 	var failed *ExchangeError
-	return s.events < soundEvents && s.ctx.Err() == nil && !s.failover.StopRequested() && errors.As(cause, &failed) && failed.Phase == phaseStream
+	return s.runEvents < soundEvents && s.ctx.Err() == nil && !s.failover.StopRequested() && errors.As(cause, &failed) && failed.Phase == phaseStream
 }
 
 // handleFailure handles a failed exchange with the current engine. If the engine was never
@@ -135,18 +143,21 @@
 	if s.failedAtStart(cause) {
 		s.recordPromptCrash(target)
 		s.failover.RecordCopyLost() // the engine with the copy would crash too
+		s.reruns.Forbid()           // and so would any other
 		entry = entry.WithField("events", s.events).WithField("prompt_parts", s.request.PromptParts)
 	}
 	entry.Info("engine's stream failed")
-	if errors.As(cause, &unsent) && !s.headerSent && s.r.Context().Err() == nil {
+	if errors.As(cause, &unsent) && s.r.Context().Err() == nil {
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 		s.current = nil
 		return !s.startAttempt()
 	}
-	if !s.headerSent && s.possibleRuns == 0 {
+	if !s.current.opened {
 		s.attempts++
-		s.possibleRuns++
+		s.recordRun()
+		s.reruns.RecordSilentFailure()
 	}
+	s.checkCallersID(cause)
 	s.current.stop()
 	s.failover.RecordDisconnect()
 	return false
@@ -162,6 +173,8 @@
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.current.stop()
 		s.current, s.next = s.next, nil
+		s.current.opened = true
+		s.reruns.RecordRun()
 		s.ids.resume()
 		s.switches++
 		s.releaseMove()
@@ -190,6 +203,8 @@
 	result := failover.Unknown
 	if notRun {
 		result = failover.NotDone
+	} else {
+		s.reruns.RecordRun()
 	}
 	s.failover.RecordSwitch(result, false, s.now())
 }
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -18,8 +18,13 @@
 	ctx                context.Context
 	responseController *http.ResponseController
 	failover           *failover.Stream
-	current            *upstream // engine whose events are forwarded
-	next               *upstream // engine that takes over; nil while no switch is open
+	reruns             *failover.Reruns  // nil if the stream may not be resumed
+	resumed            resumption        // who has asked the current engine to go on; empty once it does
+	resumptions        int               // of the stream by this host
+	runEvents          int               // events received since the prompt was last sent, including repeated ones
+	fallback           *bufferedResponse // of an engine that failed, if no other answers; nil for none
+	current            *upstream         // engine whose events are forwarded
+	next               *upstream         // engine that takes over; nil while no switch is open
 	overlapDeadline    time.Duration
 	reports            failover.ReportSchedule
 	reportResults      chan reportResult
@@ -52,6 +57,8 @@
 		moveResults:        make(chan moveResult, 1),
 		reportResults:      make(chan reportResult, 1),
 	}
+	relay.prepareResumption()
+	defer relay.recordSteps()
 	relay.run()
 }
 
@@ -79,7 +86,7 @@
 	if assignment.HasCopy() {
 		attempt.CopyTo = assignment.Copy.Address
 	}
-	if from != nil && s.ids.known {
+	if s.ids.known && (from != nil || s.route.Resumable) {
 		attempt.LastEventID = formatID(s.ids.last)
 	}
 	return attempt
@@ -88,7 +95,7 @@
 // applyNextStep passes the view's changes to the failover decision and carries out the step
 // that it returns. It reports whether the request is finished.
 func (s *streamRelay) applyNextStep(view *edgecontrol.View) bool {
-	if hold := view.Hold(s.parts, s.now()); hold != nil && s.events == 0 {
+	if hold := view.Hold(s.parts, s.now()); hold != nil && s.runEvents == 0 {
 		s.withdraw(hold)
 		return true
 	}
@@ -115,6 +122,8 @@
 		s.startMove(false)
 	case failover.StopAndCopyMemory:
 		s.startMove(true)
+	case failover.Rerun:
+		return s.rerunLost()
 	case failover.GiveUp:
 		s.endLost()
 		return true
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -14,30 +14,34 @@
 func (s *streamRelay) startAttempt() bool {
 	assignment, ok := s.placeAttempt()
 	if assignment.AtCapacity && s.ctx.Err() == nil {
-		s.refuse(notRunRefusal(core.RefusedQueueFull, "all engines are crowded", retryAtCapacity))
+		s.endUnsent(notRunRefusal(core.RefusedQueueFull, "all engines are crowded", retryAtCapacity))
 		return false
 	}
 	if refusal := placementRefusal(assignment); refusal != nil && s.possibleRuns == 0 && s.ctx.Err() == nil {
-		s.refuse(refusal)
+		s.endUnsent(refusal)
 		return false
 	}
 	if !ok {
-		s.finishFailed(s.ctx, nil)
+		s.endUnsent(nil)
 		return false
 	}
 	if refusal := s.promptRefusal(s.gateway.options.Controller.View()); refusal != nil {
 		s.gateway.options.Controller.Release(assignment, placement.Inconclusive)
-		s.refuse(refusal)
+		s.endUnsent(refusal)
 		return false
 	}
 	if refusal := s.shutdownRefusal(); refusal != nil {
 		s.gateway.options.Controller.Release(assignment, placement.Inconclusive)
-		s.refuse(refusal)
+		s.endUnsent(refusal)
 		return false
 	}
-	s.waited = s.now() - s.arrived
+	if s.resumptions == 0 {
+		s.waited = s.now() - s.arrived
+	}
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
+	s.failover.UseReruns(s.reruns)
+	s.runEvents = 0
 	s.current = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, nil))
 	return true
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,13 +20,16 @@
 	cancel     context.CancelFunc
 	header     http.Header // of the response; set before upstreamOpened is sent
 	sentAt     time.Duration
+	opened     bool          // the head of the response has been handled
+	done       chan struct{} // closed after the connection
 }
 
 // startUpstream starts a goroutine that sends the request and reads the response.
 func (h *requestHandler) startUpstream(ctx context.Context, assignment edgecontrol.Assignment, attempt Attempt) *upstream {
 	ctx, cancel := context.WithCancel(ctx)
-	u := &upstream{assignment: assignment, messages: make(chan upstreamMessage), cancel: cancel, sentAt: h.now()}
+	u := &upstream{assignment: assignment, messages: make(chan upstreamMessage), cancel: cancel, sentAt: h.now(), done: make(chan struct{})}
 	go func() {
+		defer close(u.done)
 		defer cancel()
 		err := recovery.Run(func() error { u.run(ctx, h, attempt); return nil })
 		if err != nil {
@@ -74,12 +77,12 @@
 	}
 	u.header = forwardedHeader(x.response.Header)
 	if u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info}) {
-		u.readEvents(ctx, x, &h.gateway.buffers, attempt.ResumeFrom != nil)
+		u.readEvents(ctx, x, &h.gateway.buffers, attempt.ResumeFrom != nil || attempt.LastEventID != "")
 	}
 }
 
 // readEvents sends the events of the response. begun reports whether the generation has begun at another
-// target, so that it may end without a further event.
+// target, or the caller has its first events, so that it may end without a further event.
 func (u *upstream) readEvents(ctx context.Context, x *exchange, budget *bufferBudget, begun bool) {
 	events := newEventReader(x.response.Body, budget)
 	defer events.close()
@@ -122,3 +125,10 @@
 
 // stop closes the exchange. The target then cancels the generation.
 func (u *upstream) stop() { u.cancel() }
+
+// stopAndWait closes the exchange, and returns once its connection is closed. The end of the context ends all that
+// the exchange waits for.
+func (u *upstream) stopAndWait() {
+	u.cancel()
+	<-u.done
+}
--- a/internal/telemetry/request_metrics.go
+++ b/internal/telemetry/request_metrics.go
@@ -51,6 +51,13 @@
 	m.scope.Tagged(tags).Counter("requests_total").Inc(1)
 }
 
+// Resumed counts the resumptions of streams by who resumed them and by outcome.
+func (m *RequestMetrics) Resumed(team core.TeamID, class core.Class, by, outcome string) {
+	tags := m.tags.tags(team, class)
+	tags["by"], tags["outcome"] = by, outcome
+	m.scope.Tagged(tags).Counter("stream_resumptions_total").Inc(1)
+}
+
 // Refused counts a refusal by its kind.
 func (m *RequestMetrics) Refused(team core.TeamID, class core.Class, kind core.RefusalKind) {
 	tags := m.tags.tags(team, class)
--- a/internal/telemetry/request_metrics_test.go
+++ b/internal/telemetry/request_metrics_test.go
@@ -29,10 +29,12 @@
 	metrics.TokenGap("oslo", "interactive", 30*time.Millisecond)
 	metrics.FirstToken("oslo", "interactive", 200*time.Millisecond)
 	metrics.Refused("oslo", "batch", core.RefusedQueueFull)
+	metrics.Resumed("oslo", "stream", "host", "continued")
 	require.NoError(t, registry.Close())
 	text := exposition(t, registry)
 	require.Contains(t, text, `siskintide_token_gap_seconds_bucket{class="interactive",team="oslo",le="0.04"} 1`)
 	require.Contains(t, text, `siskintide_refusals_total{class="batch",kind="queue_full",team="oslo"} 1`)
+	require.Contains(t, text, `siskintide_stream_resumptions_total{by="host",class="stream",outcome="continued",team="oslo"} 1`)
 }
 
 func TestTeamTagIsBounded(t *testing.T) {
