Let a stream's steps be as large as those of other streams of its engines

Cause: a stream that had shown two events with a small step counted a larger step at the next engine as a gap, though ids may rise unevenly and other streams of the pool had shown larger steps.

Change: the step expected from other streams is kept beside the stream's own, and the larger one bounds a gap. Only streams of resumable routes expect one.

--- a/internal/gateway/event_sequence.go
+++ b/internal/gateway/event_sequence.go
@@ -6,22 +6,23 @@
 	last     int64 // id of the last one
 	count    int   // events with an id that have been sent by this host
 	step     int64 // largest step between the ids of two events of one response; zero if none is known
+	expected int64 // largest step that other streams of the same engines have shown; zero if none is known
 	seen     int64 // largest step that this stream has shown itself
 	resumed  bool  // another engine goes on with the stream and has not sent a new event yet
 	repeated bool  // that engine has sent an event that the caller has already
 	again    int64 // id of the last one
 }
 
-// expectStep sets the largest step that other streams of the same engines have shown; zero for none. It bounds the
-// steps of a stream that has not shown one.
-func (q *eventSequence) expectStep(step int64) { q.step = step }
+// expectStep sets the largest step that other streams of the same engines have shown; zero for none. The steps of this
+// stream may be as large, though it has not shown one yet.
+func (q *eventSequence) expectStep(step int64) { q.expected = step }
 
 // startAfter records that the caller has the events up to an id from an earlier response. An id below zero lies before
 // the first event, at an unknown distance.
 func (q *eventSequence) startAfter(id int64) {
 	q.known, q.last, q.resumed = true, id, true
 	if id < 0 {
-		q.step = 0
+		q.expected = 0
 	}
 }
 
@@ -34,7 +35,8 @@
 // skips reports whether an engine that goes on with the stream has left events out. Within one response ids
 // may rise by any number, so one that has sent the events before again leaves none out.
 func (q *eventSequence) skips(id int64) bool {
-	return q.known && q.resumed && !q.repeated && q.step > 0 && id-q.last > q.step
+	largest := max(q.step, q.expected)
+	return q.known && q.resumed && !q.repeated && largest > 0 && id-q.last > largest
 }
 
 // behind reports whether an engine that goes on with the stream has sent events again, but not the last one that
@@ -45,7 +47,7 @@
 func (q *eventSequence) record(id int64) {
 	switch {
 	case !q.known:
-		q.step = max(q.step, id, 1)
+		q.step = max(id, 1)
 	case q.resumed:
 	case q.count == 1:
 		q.seen = max(q.seen, id-q.last)
--- a/internal/gateway/event_sequence_test.go
+++ b/internal/gateway/event_sequence_test.go
@@ -73,6 +73,7 @@
 		"sends nothing":                       {1, 4, nil, nil, false, false},
 		"next run goes on":                    {1, 4, []int64{5, rerun, 6}, []int64{5, 6}, false, false},
 		"next run sends all again":            {1, 4, []int64{5, rerun, 0, 1, 2, 3, 4, 5, 6}, []int64{5, 6}, false, false},
+		"next run goes on, uneven steps":      {4, 4, []int64{5, 6, rerun, 10}, []int64{5, 6, 10}, false, false},
 		"next run leaves one out":             {1, 4, []int64{5, rerun, 7}, []int64{5}, true, false},
 		"next run ends early":                 {1, 4, []int64{5, rerun, 0, 1}, []int64{5}, false, true},
 	} {
