--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -62,12 +62,16 @@
 	s.resumed = notResumed
 }
 
-// recordRepeated records an event that the caller has already, so that it is not passed on.
+// recordRepeated records an event that the caller has already, so that it is not passed on. It is progress of the
+// generation, whose memory can be moved from its first event on.
 func (s *streamRelay) recordRepeated(id int64) {
-	if s.route.Resumable {
-		s.ids.recordRepeated(id)
-		s.runEvents++
+	if !s.route.Resumable {
+		return
 	}
+	s.current.assignment = s.gateway.options.Controller.MarkStarted(s.current.assignment)
+	s.ids.recordRepeated(id)
+	s.runEvents++
+	s.failover.RecordEvent(s.now())
 }
 
 // mayRepeat reports whether the caller may have an event without an id already, since the engine has been asked to
