--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -27,27 +27,25 @@
 	}
 }
 
-// handleOpened handles the header of the first engine's response.
+// handleOpened handles the header of the response of an engine that begins with the prompt.
 func (s *streamRelay) handleOpened(message upstreamMessage) bool {
 	s.attempts++
+	s.current.opened = true
 	s.recordTargetState(s.current.assignment.Target.Target, message.info, s.current.sentAt)
 	if message.response == nil {
-		s.possibleRuns++
-		s.sendHeader()
+		s.recordRun()
+		if !s.headerSent {
+			s.sendHeader()
+		}
 		return false
 	}
 	assignment := s.current.assignment
 	s.current.stop()
 	s.gateway.options.Controller.Release(assignment, s.outcome(message.response, nil))
 	if !message.info.NotRun {
-		s.possibleRuns++
+		s.recordRun()
 		s.current = nil
-		if s.isUnprovenRefusal(message.response) {
-			s.finishFailed(s.ctx, nil)
-			return true
-		}
-		s.writeResponse(message.response, assignment)
-		return true
+		return s.handleFailureResponse(message.response, assignment)
 	}
 	s.log.WithField("target", assignment.Target.Target).WithField("status", message.response.status).Info("engine refused the request")
 	s.current = nil
@@ -80,9 +78,17 @@
 func (s *streamRelay) forwardEvent(event streamEvent) bool {
 	switch {
 	case event.hasID && s.ids.repeats(event.id):
+		s.recordRepeated(event.id)
 		return false
 	case event.hasID && s.ids.skips(event.id):
 		return s.handleFailure(&EventGapError{Last: s.ids.last, Got: event.id})
+	case s.mayRepeat(event) && event.hasData:
+		return s.handleFailure(&UnnumberedEventError{Last: s.ids.last})
+	case s.mayRepeat(event):
+		return false
+	}
+	if event.hasData && !event.hasID {
+		s.reruns.Forbid() // no engine can be asked to go on after it
 	}
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
@@ -109,8 +115,10 @@
 			s.worstGap, s.worstGapAfter = now-s.lastEventAt, s.ids.last
 		}
 	}
+	s.countRunEvent()
+	s.countResumption(resumptionContinued)
 	s.events++
-	if !s.soundRecorded && now-s.firstEventAt >= soundTime {
+	if !s.soundRecorded && now-s.runBeganAt >= soundTime {
 		s.recordSound()
 	}
 	s.lastEventAt = now
@@ -120,6 +128,14 @@
 	s.failover.RecordEvent(now)
 }
 
+// countRunEvent counts an event of the current run, repeated ones included.
+func (s *streamRelay) countRunEvent() {
+	if s.runEvents == 0 {
+		s.runBeganAt = s.now()
+	}
+	s.runEvents++
+}
+
 // recordSound records that the generation has begun, so its prompt is sound.
 func (s *streamRelay) recordSound() {
 	s.soundRecorded = true
@@ -128,18 +144,18 @@
 
 // aboutToBegin reports whether the generation has not run for long enough to show that its prompt is sound.
 func (s *streamRelay) aboutToBegin() bool {
-	return s.firstEventAt == 0 || s.now()-s.firstEventAt < soundTime
+	return s.runEvents == 0 || s.now()-s.runBeganAt < soundTime
 }
 
 // failedAtStart reports whether an engine broke the stream off by itself as it began to respond: the
 // response header has arrived, and hardly any event.
 func (s *streamRelay) failedAtStart(failed *ExchangeError) bool {
-	return s.events < soundEvents && failed.Phase == phaseStream
+	return s.runEvents < soundEvents && failed.Phase == phaseStream
 }
 
-// recordCrash records that an engine crashed as it began to respond, and reports whether it did. The one whose response had just begun is the likely
-// cause. An engine that is gone may have crashed under any of those whose responses were about to begin, since what it sent
-// last may be lost or may have been underway.
+// recordCrash records that an engine crashed as it began to respond, and reports whether it did. The request whose
+// response had just begun is the likely cause. An engine that is gone may have crashed under any of those whose
+// responses were about to begin, since what it sent last may be lost or underway.
 func (s *streamRelay) recordCrash(target core.TargetID, cause error) bool {
 	var failed *ExchangeError
 	if !errors.As(cause, &failed) || s.ctx.Err() != nil || s.failover.StopRequested() || !s.aboutToBegin() {
@@ -149,6 +165,7 @@
 	case s.failedAtStart(failed):
 		s.recordPromptCrash(target, false)
 		s.failover.RecordCopyLost() // the engine with the copy would crash too
+		s.reruns.Forbid()           // and so would any other
 	case failed.Gone:
 		s.recordPromptCrash(target, true)
 	default:
@@ -171,15 +188,17 @@
 		entry = entry.WithField("prompt_parts", s.request.PromptParts)
 	}
 	entry.Info("engine's stream failed")
-	if errors.As(cause, &unsent) && !s.headerSent && s.r.Context().Err() == nil {
+	if errors.As(cause, &unsent) && s.r.Context().Err() == nil {
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 		s.current = nil
 		return !s.startAttempt()
 	}
-	if !s.headerSent && s.possibleRuns == 0 {
+	if !s.current.opened {
 		s.attempts++
-		s.possibleRuns++
+		s.recordRun()
+		s.reruns.RecordSilentFailure()
 	}
+	s.checkCallersID(cause)
 	s.current.stop()
 	s.failover.RecordDisconnect()
 	return false
@@ -195,6 +214,8 @@
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.current.stop()
 		s.current, s.next = s.next, nil
+		s.current.opened = true
+		s.reruns.RecordRun()
 		s.ids.resume()
 		s.switches++
 		s.releaseMove()
@@ -224,6 +245,8 @@
 	result := failover.Unknown
 	if notRun {
 		result = failover.NotDone
+	} else {
+		s.reruns.RecordRun()
 	}
 	s.failover.RecordSwitch(result, false, s.now())
 }
