Placement weighs the prefix that an engine still has

An engine that holds the beginning of a prompt does not prefill it again, and placement did not know. internal/decide/prefixcache estimates from the placements what each engine holds: least recently used parts go first, and age and memory pressure lower the probability. Balancer.score subtracts the expected tokens at the rate at which it adds pending ones; crowded engines get no credit, and the credit stays below the penalties of another data centre and of limited targets.

Sticky hashing and bounded-load hashing were weighed and not built; see docs/design/prefix-placement.md. Nothing sets Request.Prefix yet.

--- a/internal/decide/placement/balancer_choice.go
+++ b/internal/decide/placement/balancer_choice.go
@@ -65,6 +65,7 @@
 // Choose returns the target for a request, and the target for its copy if the request
 // wants one and there is room for it. It returns false if no candidate is left.
 func (b *Balancer) Choose(candidates []Candidate, request Request, now time.Duration) (Choice, bool) {
+	request.query = b.prefixes.Query(request.Prefix)
 	target := b.best(sample(candidates, request.ID), request, now, b.score)
 	if target == nil && len(candidates) > sampleSize {
 		target = b.best(candidates, request, now, b.score)
@@ -153,7 +154,7 @@
 	if c.Limited {
 		value += limitedPenalty
 	}
-	return value + distancePenalty(c, request) + b.healthPenalty(c, now)
+	return value + distancePenalty(c, request) + b.healthPenalty(c, now) - prefixCredit(c, request, load, now)
 }
 
 // copyScore returns a low value for a healthy target with free memory outside the data
--- a/internal/decide/placement/request.go
+++ b/internal/decide/placement/request.go
@@ -1,6 +1,9 @@
 package placement
 
-import "siskintide.example/siskintide/internal/core"
+import (
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/prefixcache"
+)
 
 // Request is what a request for a target requires.
 type Request struct {
@@ -11,7 +14,9 @@
 	WantsCopy       bool        // a second target should keep a copy
 	TransfersMemory bool        // the KV cache is transferred from DataCentre, which takes twice as long to other data centres
 	Avoid           []core.TargetID
-	CopyAwayFrom    core.DataCentreID // data centre in which a copy should not be kept; set by ChooseCopy
+	CopyAwayFrom    core.DataCentreID  // data centre in which a copy should not be kept; set by ChooseCopy
+	Prefix          []core.PrefixPart  // parts of the prompt in order; empty unless the pool weighs prefixes
+	query           *prefixcache.Query // for Prefix; set by Choose
 }
 
 // Load returns the load that the request places on its target.
