--- a/internal/core/pool_spec.go
+++ b/internal/core/pool_spec.go
@@ -10,4 +10,6 @@
 	ColdPeriod     time.Duration // time for which a target is cold after its start
 	ColdRate       float64       // requests per second that a cold target can take; zero means no bound
 	Engine         *EngineSpec   // nil for plain services
+	// WeighPrefixes says that placement weighs which engines hold the beginning of a prompt.
+	WeighPrefixes bool
 }
--- a/internal/decide/placement/balancer_choice.go
+++ b/internal/decide/placement/balancer_choice.go
@@ -73,7 +73,7 @@
 	if target == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Target: *target}
+	choice := Choice{Target: *target, ExpectedCached: b.expectedCached(target, request, now)}
 	if request.WantsCopy {
 		if holder, ok := b.ChooseCopy(candidates, request, target.Target, now); ok {
 			choice.Copy = holder
--- a/internal/decide/placement/choice.go
+++ b/internal/decide/placement/choice.go
@@ -1,9 +1,13 @@
 package placement
 
+import "siskintide.example/siskintide/internal/core"
+
 // Choice holds the target for a request, and the target that keeps its copy.
 type Choice struct {
 	Target Candidate
 	Copy   Candidate // the zero Candidate if there is no copy
+	// ExpectedCached is the number of the prompt's tokens that the target is expected not to prefill.
+	ExpectedCached core.Tokens
 }
 
 // HasCopy reports whether a target for the copy was chosen.
--- a/internal/decide/placement/prefix_cost.go
+++ b/internal/decide/placement/prefix_cost.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
-	"siskintide.example/siskintide/internal/decide/prefixcache"
 )
 
 const (
@@ -24,17 +23,17 @@
 	}
 }
 
-// ExpectedCached returns the tokens of a request that a target is expected not to prefill.
-func (b *Balancer) ExpectedCached(c *Candidate, request Request, now time.Duration) core.Tokens {
-	query := b.prefixes.Query(request.Prefix)
-	if query == nil {
+// expectedCached returns the tokens of a request that a target is expected not to prefill.
+func (b *Balancer) expectedCached(c *Candidate, request Request, now time.Duration) core.Tokens {
+	if request.query == nil {
 		return 0
 	}
-	return expectedCached(c, request, query, b.load(c.Target), now)
+	return cachedBeside(c, request, b.load(c.Target), now)
 }
 
-func expectedCached(c *Candidate, request Request, query *prefixcache.Query, load Load, now time.Duration) core.Tokens {
-	return min(query.Expected(c.Target, c.Memory, load.Memory+load.Copies, now), request.Prompt)
+// cachedBeside returns the tokens of a request that a target with the given load is expected to have cached.
+func cachedBeside(c *Candidate, request Request, load Load, now time.Duration) core.Tokens {
+	return min(request.query.Expected(c.Target, c.Memory, load.Memory+load.Copies, now), request.Prompt)
 }
 
 // prefixCredit returns by how much cached tokens lower the score of a target with the given load. It is zero at
@@ -43,7 +42,7 @@
 	if request.query == nil || load.Requests >= c.Slots || float64(load.Memory+load.Copies+request.Memory) > crowdedMemoryShare*float64(c.Memory) {
 		return 0
 	}
-	cached := expectedCached(c, request, request.query, load, now)
+	cached := cachedBeside(c, request, load, now)
 	if load.PendingPrefill+request.Prompt-cached > slowPrefill {
 		return 0
 	}
--- a/internal/decide/placement/prefix_cost_test.go
+++ b/internal/decide/placement/prefix_cost_test.go
@@ -64,9 +64,12 @@
 	balancer, candidates := NewBalancer(), engines("x")
 	request := prefixRequest(350, 2200)
 	balancer.RecordPrefix(candidates[0], request, 0)
-	require.Equal(t, core.Tokens(2550), balancer.ExpectedCached(&candidates[0], request, 0))
-	request.Prompt = 100
-	require.Equal(t, core.Tokens(100), balancer.ExpectedCached(&candidates[0], request, 0))
+	for _, prompt := range []core.Tokens{2550, 100} {
+		request.Prompt = prompt
+		choice, ok := balancer.Choose(candidates, request, 0)
+		require.True(t, ok)
+		require.Equal(t, prompt, choice.ExpectedCached)
+	}
 }
 
 // Guards against a changed choice where prefixes are not weighed: a request without prefix gets the target and the score
--- a/internal/edgecontrol/hub_placement.go
+++ b/internal/edgecontrol/hub_placement.go
@@ -37,7 +37,7 @@
 		Number: number, Pool: e.req.Pool, Request: request.ID, DataCentre: request.DataCentre,
 		Memory: request.Memory, Prompt: request.Prompt, WantsCopy: request.WantsCopy, TransfersMemory: request.TransfersMemory, Avoid: avoid,
 		RunningOn: e.req.RunningOn, NeedsGrant: needsGrant, MayWait: e.req.MayWait,
-		Team: e.req.Team, Content: e.req.Content, Priority: e.req.Priority, TimeLeft: e.req.TimeLeft, MaxWait: e.req.MaxWait,
+		Team: e.req.Team, Content: e.req.Content, Priority: e.req.Priority, TimeLeft: e.req.TimeLeft, MaxWait: e.req.MaxWait, Prefix: request.Prefix,
 	})
 	if sent {
 		timeout := placeTimeout
@@ -78,7 +78,7 @@
 		waiting.reply <- Assignment{AtCapacity: m.AtCapacity, RateLimited: m.RateLimited, RetryAfter: max(m.RetryAfter, 0)}
 		return
 	}
-	choice := placement.Choice{Target: s.candidate(m.Target)}
+	choice := placement.Choice{Target: s.candidate(m.Target), ExpectedCached: m.ExpectedCached}
 	if m.Copy != "" && s.view.Usable(m.Copy) {
 		choice.Copy = s.candidate(m.Copy)
 	}
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -202,6 +202,9 @@
 		ID: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
 		WantsCopy: m.WantsCopy, TransfersMemory: m.TransfersMemory, Avoid: m.Avoid,
 	}}
+	if s.weighsPrefixes(m.Pool) {
+		req.Request.Prefix = m.Prefix
+	}
 	if m.NeedsGrant && !s.grantRetry(m.Pool) {
 		s.options.Send(from, message.PlacementResponse{Number: m.Number})
 		return
--- a/internal/edgecontrol/hub_server_test.go
+++ b/internal/edgecontrol/hub_server_test.go
@@ -19,12 +19,13 @@
 	clock    time.Duration
 	revision uint64 // of the store
 	sent     []message.Message
+	prefixes prefixCounts
 }
 
 func newHubState() *hubState {
 	h := &hubState{clock: time.Hour, revision: 10}
 	h.state = newState(&Options{
-		Self: host("h"), Clock: func() time.Duration { return h.clock }, Log: &log.Logger{Handler: discard.New()},
+		Self: host("h"), Clock: func() time.Duration { return h.clock }, Log: &log.Logger{Handler: discard.New()}, Metrics: &h.prefixes,
 		Send: func(_ core.HostID, m message.Message) bool { h.sent = append(h.sent, m); return true }, SetPeers: func([]core.Host) {},
 		post: func(event) {}, // timers are played by the tests
 	})
--- a/internal/edgecontrol/options.go
+++ b/internal/edgecontrol/options.go
@@ -19,6 +19,7 @@
 	// MaxConfigAge is the age up to which a configuration is used for API keys.
 	MaxConfigAge time.Duration
 	Log          log.Interface
+	Metrics      Metrics
 	// Send queues a message for another host and reports whether there is a link to it. It
 	// must not block.
 	Send func(to core.HostID, m message.Message) bool
--- a/internal/edgecontrol/permits.go
+++ b/internal/edgecontrol/permits.go
@@ -112,6 +112,7 @@
 		reply.unplaced(s, Assignment{AtCapacity: true})
 	case ok:
 		s.usePermit(req, choice.Target.Target)
+		s.recordPrefix(req, choice)
 		reply.placed(s, choice, req.Request)
 	case req.Request.TransfersMemory || !s.awaitPermit(req, issuing, promised, reply):
 		reply.unplaced(s, Assignment{RetryAfter: s.restLeft(req.Pool)})
@@ -152,6 +153,7 @@
 		return
 	}
 	s.usePermit(w.req, choice.Target.Target)
+	s.recordPrefix(w.req, choice)
 	w.reply.placed(s, choice, w.req.Request)
 }
 
--- a/internal/edgecontrol/subscriber_reply.go
+++ b/internal/edgecontrol/subscriber_reply.go
@@ -18,7 +18,7 @@
 		loads[choice.Copy.Target] = placement.Load{Copies: request.Memory}
 	}
 	s.balancer.AddPeerGrant(r.host, r.number, loads, s.now())
-	s.options.Send(r.host, message.PlacementResponse{Number: r.number, Target: choice.Target.Target, Copy: choice.Copy.Target})
+	s.options.Send(r.host, message.PlacementResponse{Number: r.number, Target: choice.Target.Target, Copy: choice.Copy.Target, ExpectedCached: choice.ExpectedCached})
 }
 
 func (r subscriberReply) unplaced(s *state, why Assignment) {
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -91,6 +91,7 @@
 		RetryBudget:  options.RetryBudget,
 		Clock:        boottime.Now,
 		Log:          entry,
+		Metrics:      telemetry.NewPlacementMetrics(h.metrics.Scope),
 		Send:         h.linker.Send,
 		SetPeers:     h.linker.SetPeers,
 		MaxConfigAge: options.MaxConfigAge,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,6 +64,7 @@
 			return
 		}
 		avoid = append(avoid, assignment.Target.Target)
+		h.expectedCached = assignment.ExpectedCached
 		response, err := h.attemptCall(ctx, assignment)
 		if response != nil && h.isUnprovenRefusal(response) {
 			break
@@ -84,8 +85,10 @@
 
 // callPlacement returns the request for a target other than those to avoid.
 func (h *requestHandler) callPlacement(avoid []core.TargetID) edgecontrol.PlacementRequest {
+	request := h.placementRequest(avoid)
+	request.Prefix = h.prefix()
 	return edgecontrol.PlacementRequest{
-		Pool: h.pool, Request: h.placementRequest(avoid), Retry: h.attempts > 0,
+		Pool: h.pool, Request: request, Retry: h.attempts > 0,
 		Team: h.teamID(), Content: h.contentKey(), Priority: *h.priority(), TimeLeft: h.callerTimeLeft(), MaxWait: h.waitLeft(callWaitFraction),
 	}
 }
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -40,6 +40,8 @@
 	attempts     int               // attempts that reached a target
 	possibleRuns int               // attempts whose target may have run the request
 	rateLimit    *float64          // named by the last target that responded; nil for none
+
+	expectedCached core.Tokens // tokens of the prompt that the last target was expected to have cached
 }
 
 func (h *requestHandler) now() time.Duration { return h.gateway.options.Clock() }
@@ -137,6 +139,9 @@
 	if h.rateLimit != nil {
 		fields["target_rate_limit"] = *h.rateLimit
 	}
+	if h.expectedCached > 0 {
+		fields["expected_cached"] = h.expectedCached
+	}
 	fields["took_ms"] = took.Milliseconds()
 	h.log.WithFields(fields).Info("request ended")
 	h.gateway.options.Metrics.RequestEnded(h.teamID(), h.class(), outcome, took)
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -36,6 +36,7 @@
 		return false
 	}
 	s.waited = s.now() - s.arrived
+	s.expectedCached = assignment.ExpectedCached
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
 	s.current = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, nil))
@@ -50,6 +51,7 @@
 	}
 	request := s.placementRequest(s.tried)
 	request.WantsCopy = s.wantsCopy()
+	request.Prefix = s.prefix()
 	req := edgecontrol.PlacementRequest{Pool: s.pool, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0, Team: s.teamID(), Content: s.contentKey(), Priority: *s.priority()}
 	for {
 		req.TimeLeft, req.MaxWait = s.callerTimeLeft(), s.waitLeft(capacityWaitFraction)
--- a/internal/message/placement_request.go
+++ b/internal/message/placement_request.go
@@ -27,6 +27,8 @@
 	TimeLeft time.Duration `cbor:"15,keyasint,omitempty"`
 	MaxWait  time.Duration `cbor:"16,keyasint,omitempty"`
 	Content  uint64        `cbor:"17,keyasint,omitempty"`
+	// Prefix has the parts of the prompt in order. It is set only if the pool weighs prefixes.
+	Prefix []core.PrefixPart `cbor:"18,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/message/placement_response.go
+++ b/internal/message/placement_response.go
@@ -16,6 +16,8 @@
 	// RetryAfter is the time until there is one.
 	RateLimited bool          `cbor:"5,keyasint,omitempty"`
 	RetryAfter  time.Duration `cbor:"6,keyasint,omitempty"`
+	// ExpectedCached is the number of the prompt's tokens that the hub expects the target to have cached.
+	ExpectedCached core.Tokens `cbor:"7,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -41,8 +41,9 @@
 		ConfigRevision: 11, RegistryRevision: 12,
 		Removed: []core.TargetID{"t2"}, Hosts: []core.Host{{ID: "h", DataCentre: "oslo-a", PeerAddress: "127.0.0.1:8", Capacity: 0.4}}},
 	message.HostLoad{Targets: []message.HostTargetLoad{{Target: "t1", Requests: 2, Memory: 7000, Copies: 3000, PendingPrefill: 2000}}, LastPlacement: 8},
-	message.PlacementRequest{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, RunningOn: "t1", Prompt: 3000, TransfersMemory: true, NeedsGrant: true, MayWait: true},
-	message.PlacementResponse{Number: 8, Target: "t1", Copy: "t3", AtCapacity: true},
+	message.PlacementRequest{Number: 8, Pool: "p", Request: "9c41", DataCentre: "oslo-a", Memory: 3500, WantsCopy: true, Avoid: []core.TargetID{"t2"}, RunningOn: "t1", Prompt: 3000, TransfersMemory: true, NeedsGrant: true, MayWait: true,
+		Prefix: []core.PrefixPart{{Key: 1 << 63, Tokens: 350}, {Key: 5, Tokens: 2200}}},
+	message.PlacementResponse{Number: 8, Target: "t1", Copy: "t3", AtCapacity: true, ExpectedCached: 350},
 	message.TargetLimits{Limits: []core.TargetLimit{{Target: "t", Rate: 2.6, Age: time.Second, ByRejection: true, Ended: true, EndedAge: time.Millisecond}}},
 	message.PartEvidence{Parts: []core.PartEvidence{{Part: 7, Crashes: []core.EngineCrash{{ID: 1 << 63, Age: time.Second, Engine: 1 << 62}}, Sound: true, SoundID: 9, SoundAge: time.Minute}}},
 }
--- a/internal/telemetry/request_metrics_test.go
+++ b/internal/telemetry/request_metrics_test.go
@@ -35,6 +35,18 @@
 	require.Contains(t, text, `siskintide_refusals_total{class="batch",kind="queue_full",team="oslo"} 1`)
 }
 
+// Guards against counters that an operator cannot tell apart by pool.
+func TestPrefixTokensAreCountedByPool(t *testing.T) {
+	registry := NewRegistry()
+	metrics := NewPlacementMetrics(registry.Scope)
+	metrics.PrefixPlaced("llm", 2550, 350)
+	metrics.PrefixPlaced("llm", 2550, 0)
+	require.NoError(t, registry.Close())
+	text := exposition(t, registry)
+	require.Contains(t, text, `siskintide_placed_prompt_tokens_total{pool="llm"} 5100`)
+	require.Contains(t, text, `siskintide_expected_cached_tokens_total{pool="llm"} 350`)
+}
+
 func TestTeamTagIsBounded(t *testing.T) {
 	limiter := newTagLimiter(2)
 	values := map[string]bool{}
