--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -7,6 +7,9 @@
 	// DecodeRequest reads a caller's headers. If they are not a valid request it returns an
 	// error, whose text is sent to the caller.
 	DecodeRequest(header http.Header) (Request, error)
+	// DecodePrefix reads what a caller's headers say of the prompt that engines cache. It is only called
+	// for pools that weigh prefixes.
+	DecodePrefix(header http.Header) Prefix
 	// EncodeAttempt turns the caller's header into that of an attempt: it removes the fields
 	// that only the system may set, and sets those that the attempt requires.
 	EncodeAttempt(header http.Header, attempt Attempt)
--- a/internal/gateway/prefix.go
+++ b/internal/gateway/prefix.go
@@ -11,12 +11,13 @@
 	if h.spec == nil || !h.spec.WeighPrefixes {
 		return nil
 	}
-	parts := make([]core.PrefixPart, 0, len(h.request.Prefix))
-	for _, part := range h.request.Prefix {
+	prefix := h.gateway.options.Codec.DecodePrefix(h.r.Header)
+	parts := make([]core.PrefixPart, 0, len(prefix.Parts))
+	for _, part := range prefix.Parts {
 		if part.Tokens == 0 {
 			break // later parts are not cached without this one
 		}
-		key := xxhash.Sum64String(string(h.pool) + "\x00" + h.request.Model + "\x00" + part.ID)
+		key := xxhash.Sum64String(string(h.pool) + "\x00" + prefix.Model + "\x00" + part.ID)
 		parts = append(parts, core.PrefixPart{Key: core.PromptPart(key), Tokens: part.Tokens})
 	}
 	return parts
--- a/internal/gateway/prefix_test.go
+++ b/internal/gateway/prefix_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -8,12 +9,26 @@
 	"siskintide.example/siskintide/internal/core"
 )
 
+// prefixCodec is a Codec that decodes one prefix from any header.
+type prefixCodec struct {
+	Codec
+	prefix Prefix
+	calls  int
+}
+
+func (c *prefixCodec) DecodePrefix(http.Header) Prefix {
+	c.calls++
+	return c.prefix
+}
+
 // Guards against prefixes sent for pools that do not weigh them, and against equal keys for what engines cache apart.
 func TestPrefixOfRequest(t *testing.T) {
-	h := &requestHandler{pool: "p", spec: &core.PoolSpec{}, request: Request{Model: "m", Prefix: []PrefixPart{{"a", 350}, {"b", 2200}, {"c", 0}, {"d", 9}}}}
+	codec := &prefixCodec{prefix: Prefix{Model: "m", Parts: []PrefixPart{{"a", 350}, {"b", 2200}, {"c", 0}, {"d", 9}}}}
+	h := &requestHandler{gateway: &Gateway{options: Options{Codec: codec}}, r: &http.Request{}, pool: "p", spec: &core.PoolSpec{}}
 	require.Nil(t, h.prefix())
 	h.spec = nil
 	require.Nil(t, h.prefix())
+	require.Zero(t, codec.calls, "costs nothing")
 
 	h.spec = &core.PoolSpec{WeighPrefixes: true}
 	parts := h.prefix()
@@ -22,7 +37,7 @@
 	require.Equal(t, core.Tokens(2200), parts[1].Tokens)
 	require.Equal(t, parts, h.prefix())
 	seen := map[core.PromptPart]bool{parts[0].Key: true, parts[1].Key: true}
-	h.request.Model = "other"
+	codec.prefix.Model = "other"
 	seen[h.prefix()[0].Key] = true
 	h.pool = "other"
 	seen[h.prefix()[0].Key] = true
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,11 +12,9 @@
 	APIKey       string        // empty if there is none
 	Timeout      time.Duration // time that the caller waits; zero if not given
 	PromptTokens core.Tokens
-	MaxTokens    core.Tokens  // maximum of output tokens; zero if not given
-	LengthHint   core.Tokens  // caller's estimate of the output tokens; zero if not given
-	PromptParts  []string     // ids of the parts of the prompt that other requests may share, in order
-	Prefix       []PrefixPart // all parts of the prompt, in order; the last one belongs to the request or its session
-	Model        string       // empty if it is not given
+	MaxTokens    core.Tokens // maximum of output tokens; zero if not given
+	LengthHint   core.Tokens // caller's estimate of the output tokens; zero if not given
+	PromptParts  []string    // ids of the parts of the prompt that other requests may share, in order
 }
 
 // ForecastTokens returns the expected number of output tokens: the caller's estimate, at
--- a/internal/gateway/request_body_test.go
+++ b/internal/gateway/request_body_test.go
@@ -41,6 +41,8 @@
 	return Request{ID: "request", Timeout: timeout}, err
 }
 
+func (plainCodec) DecodePrefix(http.Header) Prefix { return Prefix{} }
+
 func (plainCodec) EncodeRefusal(http.Header, float64) {}
 
 // noMetrics drops all measurements.
