Play the loads of placement by prefix on eight seeds, to their end

Under pressure one seed says little: the 95th percentile of a load differs by 7% either way, and rounding differs between architectures, so sums of three seeds could fail for no fault. Mean and prefill bounds are tighter than before, the 95th percentile of the two loads under pressure goes from 1.05 to 1.06.

The play now goes on until all requests have an answer, and the test requires that; late answers count in mean and percentile.

--- a/internal/decide/placement/prefix_simulation_test.go
+++ b/internal/decide/placement/prefix_simulation_test.go
@@ -193,8 +193,8 @@
 	return fmt.Sprintf("first event %d ms, p95 %d ms, prefilled %d, busiest %.2f, unanswered %d", r.meanFirst.Milliseconds(), r.lateFirst.Milliseconds(), r.prefilled, r.busiest, r.unanswered)
 }
 
-// simulate plays a load on engines.
-func simulate(engineCount int, requests []simulatedRequest, duration time.Duration, weighPrefixes bool) simulationResult {
+// simulate plays a load on engines until each request has its first event, for simulatedLimit at most.
+func simulate(engineCount int, requests []simulatedRequest, weighPrefixes bool) simulationResult {
 	balancer, candidates := NewBalancer(), []Candidate(nil)
 	all := make([]*simulatedEngine, engineCount)
 	index := map[core.TargetID]int{}
@@ -204,14 +204,16 @@
 		index[id] = i
 		candidates = append(candidates, Candidate{Target: id, DataCentre: "a", Slots: simulatedSlots, Memory: simulatedMemory})
 	}
+	left := len(requests)
 	started := func(r *simulatedRequest) {
+		left--
 		balancer.Remove(candidates[r.engine].Target, Load{PendingPrefill: r.load.PendingPrefill})
 		r.load.PendingPrefill = 0
 	}
 	ended := func(r *simulatedRequest) { balancer.Remove(candidates[r.engine].Target, r.load) }
 	var waiting []*simulatedRequest
 	next := 0
-	for now := simulatedTick; now < duration; now += simulatedTick {
+	for now := simulatedTick; left > 0 && now < simulatedLimit; now += simulatedTick {
 		for next < len(requests) && requests[next].at <= now {
 			waiting = append(waiting, &requests[next])
 			next++
@@ -284,7 +286,9 @@
 
 const (
 	simulatedEngines  = 16
-	simulatedDuration = 40 * time.Second
+	simulatedDuration = 32 * time.Second // in which requests arrive
+	simulatedLimit    = 120 * time.Second
+	simulatedSeeds    = 8
 )
 
 func (p playedLoad) requests(seed uint64) []simulatedRequest {
@@ -300,7 +304,7 @@
 	at := time.Duration(0)
 	for {
 		at += time.Duration(random.ExpFloat64() / p.rate * float64(time.Second))
-		if at >= simulatedDuration-8*time.Second { // the last ones are answered, too
+		if at >= simulatedDuration {
 			return all
 		}
 		r := simulatedRequest{at: at, output: core.Tokens(p.output/2 + random.IntN(p.output))}
@@ -324,7 +328,8 @@
 
 // Guards against placement by prefix that makes callers wait longer than placement by load alone does, saves no
 // prefill where prompts have much in common, or overloads the engines that hold a prefix. The bounds are ratios of
-// sums over the seeds, of prefixes weighed to not weighed.
+// sums over the seeds, of prefixes weighed to not weighed. Under pressure one seed says little: sums of eight differed
+// by up to 5% at the 95th percentile.
 func TestPlacementByPrefixOfPlayedLoads(t *testing.T) {
 	few := []core.Tokens{350, 350, 350, 350}
 	many := slices.Repeat([]core.Tokens{2000}, 12)
@@ -337,21 +342,23 @@
 		"typical shared part":       {playedLoad{rate: 24, output: 150, shared: []core.Tokens{79}, own: 3000}, 1.01, 1.02, 1.02, 1.1},
 		"hot part":                  {playedLoad{rate: 24, output: 150, shared: slices.Repeat([]core.Tokens{1500}, 8), hot: 0.6, own: 1500}, 0.95, 0.95, 1.02, 1.1},
 		"uneven load":               {playedLoad{rate: 20, output: 150, sessions: 0.5, shared: few, own: 2200, uneven: true}, 0.85, 0.85, 1.02, 1.15},
-		"memory pressure":           {playedLoad{rate: 24, output: 500, sessions: 0.5, shared: few, own: 2200}, 1, 1.03, 1.05, 1.15},
-		"crowded":                   {playedLoad{rate: 44, output: 300, sessions: 0.5, shared: few, own: 2200}, 1.02, 1.03, 1.05, 1.05},
+		"memory pressure":           {playedLoad{rate: 24, output: 500, sessions: 0.5, shared: few, own: 2200}, 0.98, 1, 1.06, 1.05},
+		"crowded":                   {playedLoad{rate: 44, output: 300, sessions: 0.5, shared: few, own: 2200}, 1, 1.01, 1.06, 1.05},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var off, on simulationResult
-			for seed := range uint64(3) {
-				off = off.plus(simulate(simulatedEngines, c.load.requests(seed), simulatedDuration, false))
-				on = on.plus(simulate(simulatedEngines, c.load.requests(seed), simulatedDuration, true))
+			t.Parallel()
+			for seed := range uint64(simulatedSeeds) {
+				off = off.plus(simulate(simulatedEngines, c.load.requests(seed), false))
+				on = on.plus(simulate(simulatedEngines, c.load.requests(seed), true))
 			}
-			t.Logf("sums of three seeds\nnot weighed: %v\nweighed:     %v", off, on)
+			t.Logf("sums of the seeds\nnot weighed: %v\nweighed:     %v", off, on)
 			require.LessOrEqual(t, float64(on.prefilled), c.prefilled*float64(off.prefilled), "tokens prefilled")
 			require.LessOrEqual(t, float64(on.meanFirst), c.first*float64(off.meanFirst), "mean time to the first event")
 			require.LessOrEqual(t, float64(on.lateFirst), c.late*float64(off.lateFirst), "95th percentile of the time to the first event")
 			require.LessOrEqual(t, on.busiest, c.busiest*off.busiest, "arrivals at the busiest engine")
-			require.LessOrEqual(t, on.unanswered, off.unanswered+3, "one more for each seed")
+			require.Zero(t, off.unanswered)
+			require.Zero(t, on.unanswered)
 		})
 	}
 }
