--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -38,6 +38,7 @@
 	if s.resumptions == 0 {
 		s.waited = s.now() - s.arrived
 	}
+	s.expectedCached = assignment.ExpectedCached
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
 	s.failover.UseReruns(s.reruns)
@@ -54,6 +55,7 @@
 	}
 	request := s.placementRequest(s.tried)
 	request.WantsCopy = s.wantsCopy()
+	request.Prefix = s.prefix()
 	req := edgecontrol.PlacementRequest{Pool: s.pool, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0, Team: s.teamID(), Content: s.contentKey(), Priority: *s.priority()}
 	for {
 		req.TimeLeft, req.MaxWait = s.callerTimeLeft(), s.waitLeft(capacityWaitFraction)
