Placement: learn engines' pace and weigh the pauses a stream will get and cause

Engines of a pool differ in speed. Streams on slow ones get pauses beyond the route's goal, from prompts that are read in beside each other, from hosts that hold events up, and from preemption. decide/pace learns a curve for the pool, a factor for each engine, the share of late pauses by forecast pause, and the share of the memory from which generations were preempted. The balancer adds the forecast to a candidate's cost (balancer_pace.go, paced_score.go) for requests with a goal for pauses. Requests without one take the same path as before. Weighed: a regression for each engine (slopes are noise) and a cost of the mean pause alone (learns nothing of hosts that hold events up).

--- /dev/null
+++ b/internal/decide/pace/engine.go
@@ -0,0 +1,68 @@
+package pace
+
+import (
+	"math"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// engineHalfLife is the time in which what was seen of an engine loses half of its weight. An engine sends
+	// some hundred events in it, and a slowed one must be known in seconds.
+	engineHalfLife = 1500 * time.Millisecond
+	// priorEvents is the number of events that the average of the pool counts as in an engine's factor.
+	priorEvents = 5
+	// minFactor and maxFactor bound an engine's factor.
+	minFactor = 0.1
+	maxFactor = 10.0
+	// cutInterval is the least time between two cuts of an engine's memory limit: one preemption makes a stream
+	// late more than once.
+	cutInterval = time.Second
+)
+
+// engine is what is known of one engine.
+type engine struct {
+	pool    core.PoolID
+	seen    moments // with engineHalfLife
+	late    float64 // late pauses, with engineHalfLife
+	last    Load    // at the report before
+	factor  float64 // to the curve of the pool, as of the last refresh
+	trouble float64 // share of the pauses that were late
+	limit   memoryLimit
+	cutAt   time.Duration
+	seenAt  time.Duration
+}
+
+func newEngine(pool core.PoolID, load Load, now time.Duration) *engine {
+	return &engine{pool: pool, seen: moments{at: now}, last: load, factor: 1, limit: newMemoryLimit(now), cutAt: now - cutInterval}
+}
+
+// decay ages what was seen.
+func (e *engine) decay(now time.Duration) {
+	if now > e.seen.at {
+		e.late *= math.Exp2(-float64(now-e.seen.at) / float64(engineHalfLife))
+	}
+	e.seen.decay(now, engineHalfLife)
+	e.limit.recover(now)
+}
+
+// refresh computes the factor and the share of late pauses.
+func (e *engine) refresh(curve Curve) {
+	e.factor, e.trouble = 1, 0
+	if !curve.Known() || e.seen.w <= 0 {
+		return
+	}
+	predicted := e.seen.predicted(curve)
+	prior := priorEvents * curve.Base
+	e.factor = min(max((e.seen.y+prior)/(predicted+prior), minFactor), maxFactor)
+	e.trouble = min(e.late/(e.seen.w+priorEvents), 1)
+}
+
+// typicalPrefill returns the mean pending prompt tokens while events were seen.
+func (e *engine) typicalPrefill() core.Tokens {
+	if e.seen.w <= 0 {
+		return 0
+	}
+	return core.Tokens(e.seen.x2 / e.seen.w * promptScale)
+}
--- /dev/null
+++ b/internal/decide/pace/tracker.go
@@ -0,0 +1,160 @@
+package pace
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+const (
+	// poolHalfLife is the time in which what was seen of a pool loses half of its weight. The shape of the curve
+	// hardly changes.
+	poolHalfLife = 15 * time.Second
+	// minPoolEvents is the weight from which a pool's curve is used.
+	minPoolEvents = 50
+	// engineTTL is the time after which an engine without reports is forgotten.
+	engineTTL = time.Minute
+	// preemptionShare is how many times as long as the goal a pause is from which it counts as a preemption: an
+	// engine takes a third of a second and more to read a preempted generation in again.
+	preemptionShare = 1.5
+	// poolCutWeight is how far a preemption at one engine lowers the limit of the pool's other engines.
+	poolCutWeight = 0.75
+	// prefillTokensPerEvent is the number of prompt tokens that an engine reads in between two events.
+	prefillTokensPerEvent = 400
+	// maxEvents bounds the events of one report.
+	maxEvents = 10_000
+	// maxGap bounds the mean time between events of one report.
+	maxGap = 5 * time.Second
+)
+
+// Tracker learns the pace of engines. The time between events of an engine is its factor times the curve of its
+// pool. It is not safe for concurrent use.
+type Tracker struct {
+	engines map[core.TargetID]*engine
+	pools   map[core.PoolID]*poolCurve
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker {
+	return &Tracker{engines: map[core.TargetID]*engine{}, pools: map[core.PoolID]*poolCurve{}}
+}
+
+// Record adds what was seen of an engine under a load. It reports whether a preemption has lowered the engine's
+// memory limit.
+func (t *Tracker) Record(pool core.PoolID, target core.TargetID, sums Sums, load Load, now time.Duration) bool {
+	sums = sums.bounded()
+	if sums.Events == 0 || sums.Goal <= 0 {
+		return false
+	}
+	p, e := t.pools[pool], t.engines[target]
+	if p == nil {
+		p = newPoolCurve(now)
+		t.pools[pool] = p
+	}
+	if e == nil || e.pool != pool {
+		e = newEngine(pool, load, now)
+		t.engines[target] = e
+	}
+	// The events were seen between the former report and this one.
+	between := Load{Requests: (e.last.Requests + load.Requests + 1) / 2, PendingPrefill: (e.last.PendingPrefill + load.PendingPrefill) / 2, MemoryShare: max(e.last.MemoryShare, load.MemoryShare)}
+	e.last, e.seenAt = load, now
+	mean := milliseconds(sums.Time) / float64(sums.Events)
+	e.decay(now)
+	e.seen.add(float64(sums.Events), between, mean)
+	e.late += float64(sums.Late)
+	p.seen.decay(now, poolHalfLife)
+	p.seen.add(float64(sums.Events), between, mean/e.factor)
+	preempted := float64(sums.Longest) >= preemptionShare*float64(sums.Goal) && between.MemoryShare >= minLimit
+	if preempted {
+		sums.Late = max(sums.Late-1, 0)
+	}
+	if p.curve.Known() {
+		p.late.add(e.factor*p.curve.At(between)/milliseconds(sums.Goal), sums.Events, sums.Late)
+	}
+	if !preempted || now-e.cutAt < cutInterval {
+		return false
+	}
+	e.cutAt = now
+	e.limit.cut(between.MemoryShare, 1, now)
+	p.limit.cut(between.MemoryShare, poolCutWeight, now)
+	return true
+}
+
+// Refresh ages all that is known, and computes curves and factors anew.
+func (t *Tracker) Refresh(now time.Duration) {
+	maps.DeleteFunc(t.engines, func(_ core.TargetID, e *engine) bool { return now-e.seenAt >= engineTTL })
+	maps.DeleteFunc(t.pools, func(_ core.PoolID, p *poolCurve) bool { return now-p.seen.at >= engineTTL })
+	for _, p := range t.pools {
+		p.refresh(now)
+	}
+	for _, e := range t.engines {
+		p := t.pools[e.pool]
+		e.decay(now)
+		e.refresh(p.curve)
+		p.factors, p.engines = p.factors+e.factor, p.engines+1
+	}
+	// Factors and curve are only known up to a constant. It is chosen such that the mean factor is 1.
+	for _, p := range t.pools {
+		if p.engines > 0 && p.curve.Known() {
+			p.rescale(p.factors / p.engines)
+		}
+	}
+	for _, e := range t.engines {
+		e.refresh(t.pools[e.pool].curve)
+	}
+}
+
+// Summary returns what is known of the engines of a pool. It returns false if that is too little.
+func (t *Tracker) Summary(pool core.PoolID) (Summary, bool) {
+	p := t.pools[pool]
+	if p == nil || !p.curve.Known() {
+		return Summary{}, false
+	}
+	summary := Summary{Mean: p.curve, Slowest: 1, Fastest: 1, LowestLimit: p.limit.share}
+	for _, e := range t.engines {
+		if e.pool == pool {
+			summary.Engines++
+			summary.Slowest, summary.Fastest = max(summary.Slowest, e.factor), min(summary.Fastest, e.factor)
+			summary.LowestLimit = min(summary.LowestLimit, e.limit.share)
+		}
+	}
+	return summary, true
+}
+
+// Forget drops what is known of an engine that has restarted or is gone.
+func (t *Tracker) Forget(target core.TargetID) { delete(t.engines, target) }
+
+// Forecast returns what a stream would meet and cause at an engine that has a load without it. An engine that is
+// not known counts as average. It returns false if too little is known of the pool.
+func (t *Tracker) Forecast(pool core.PoolID, target core.TargetID, load Load, stream Stream) (Forecast, bool) {
+	p := t.pools[pool]
+	if p == nil || !p.curve.Known() || stream.Goal <= 0 {
+		return Forecast{}, false
+	}
+	f := Forecast{Factor: 1, MemoryLimit: p.limit.share}
+	typical := Load{Requests: load.Requests + 1}
+	if e := t.engines[target]; e != nil && e.pool == pool {
+		f.Factor, f.Trouble, f.MemoryLimit = e.factor, e.trouble, min(e.limit.share, f.MemoryLimit)
+		typical.PendingPrefill = e.typicalPrefill()
+	}
+	goal := milliseconds(stream.Goal)
+	now := f.Factor * p.curve.At(load)
+	reading := Load{Requests: load.Requests + 1, PendingPrefill: load.PendingPrefill + stream.Prompt}
+	f.Pause = f.Factor * p.curve.At(reading)
+	f.Late = atLeastOnce(p.late.share(f.Factor*p.curve.At(typical)/goal), float64(stream.Events))
+	more := p.late.share(f.Pause/goal) - p.late.share(now/goal)
+	f.Caused = float64(load.Requests) * atLeastOnce(more, float64(stream.Prompt)/prefillTokensPerEvent)
+	return f, true
+}
+
+// atLeastOnce returns the probability that something with a small probability occurs at least once in n times.
+func atLeastOnce(probability, n float64) float64 {
+	if probability <= 0 || n <= 0 {
+		return 0
+	}
+	return 1 - math.Exp(-probability*n)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/decide/placement/balancer.go
+++ b/internal/decide/placement/balancer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/pace"
 )
 
 // Balancer tracks the load and the health of all targets and chooses among them. It is
@@ -15,11 +16,12 @@
 	peers       *peers
 	unreachable map[core.DataCentreID]map[core.TargetID]time.Duration // when each target was last found unreachable
 	hubRates    map[core.TargetID]float64                             // failure rates received from the hub
+	pace        *pace.Tracker
 }
 
 // NewBalancer returns a balancer without load or outcomes.
 func NewBalancer() *Balancer {
-	return &Balancer{own: map[core.TargetID]Load{}, health: map[core.TargetID]*targetHealth{}, peers: newPeers(), unreachable: map[core.DataCentreID]map[core.TargetID]time.Duration{}}
+	return &Balancer{own: map[core.TargetID]Load{}, health: map[core.TargetID]*targetHealth{}, peers: newPeers(), unreachable: map[core.DataCentreID]map[core.TargetID]time.Duration{}, pace: pace.NewTracker()}
 }
 
 // Add counts load that this host places on a target.
@@ -63,17 +65,22 @@
 // are gone have asked to be sent nothing once it is over.
 func (b *Balancer) Expire(now time.Duration) {
 	b.peers.expire(now)
+	b.pace.Refresh(now)
 	maps.DeleteFunc(b.health, func(_ core.TargetID, health *targetHealth) bool {
 		return health.removed && now >= health.restsUntil
 	})
 }
 
 // Forget drops all that is recorded of a target that has restarted.
-func (b *Balancer) Forget(id core.TargetID) { delete(b.health, id) }
+func (b *Balancer) Forget(id core.TargetID) {
+	delete(b.health, id)
+	b.pace.Forget(id)
+}
 
 // ForgetRemoved drops the recorded outcomes of a target whose entry has been removed. It may only be missing for
 // a while, so the time for which it has asked to be sent nothing is kept.
 func (b *Balancer) ForgetRemoved(id core.TargetID) {
+	b.pace.Forget(id)
 	if health := b.health[id]; health != nil {
 		b.health[id] = &targetHealth{restsUntil: health.restsUntil, removed: true}
 	}
--- a/internal/decide/placement/balancer_choice.go
+++ b/internal/decide/placement/balancer_choice.go
@@ -65,14 +65,18 @@
 // Choose returns the target for a request, and the target for its copy if the request
 // wants one and there is room for it. It returns false if no candidate is left.
 func (b *Balancer) Choose(candidates []Candidate, request Request, now time.Duration) (Choice, bool) {
-	target := b.best(sample(candidates, request.ID), request, now, b.score)
+	score, paced := b.score, pacedScore{balancer: b}
+	if request.GapGoal > 0 {
+		score = paced.score
+	}
+	target := b.best(sample(candidates, request.ID), request, now, score)
 	if target == nil && len(candidates) > sampleSize {
-		target = b.best(candidates, request, now, b.score)
+		target = b.best(candidates, request, now, score)
 	}
 	if target == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Target: *target}
+	choice := Choice{Target: *target, Avoided: paced.avoided(target, request, now).Target}
 	if request.WantsCopy {
 		if holder, ok := b.ChooseCopy(candidates, request, target.Target, now); ok {
 			choice.Copy = holder
--- /dev/null
+++ b/internal/decide/placement/balancer_pace.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/pace"
+)
+
+const (
+	// latePenalty weighs the probability that a pause of the stream is late, and causedPenalty each running stream
+	// that its prompt makes late.
+	latePenalty   = 2.0
+	causedPenalty = 1.0
+	// maxLatePenalty bounds both together, so that failures weigh more.
+	maxLatePenalty = 4.0
+	// limitPenalty weighs the share of the memory by which forecasts exceed the learned limit.
+	limitPenalty = 10.0
+	// slowPrefillWeight weighs the additional time in which a slow engine reads in the pending prompts.
+	slowPrefillWeight = 1.0
+	// troublePenalty is added for an engine of which all pauses are late, such as a silent one.
+	troublePenalty = 4.0
+)
+
+// RecordPace records what was seen of the events of an engine. It reports whether a preemption has lowered the learned
+// limit of the engine's memory.
+func (b *Balancer) RecordPace(pool core.PoolID, c Candidate, sums pace.Sums, now time.Duration) bool {
+	return b.pace.Record(pool, c.Target, sums, paceLoad(&c, b.load(c.Target)), now)
+}
+
+// Pace forecasts what a stream would meet and cause at an engine. It returns false if too little is known.
+func (b *Balancer) Pace(c Candidate, request Request) (pace.Forecast, bool) {
+	return b.forecastPace(&c, request, paceLoad(&c, b.load(c.Target)))
+}
+
+// PaceSummary returns what is known of the engines of a pool. It returns false if that is too little.
+func (b *Balancer) PaceSummary(pool core.PoolID) (pace.Summary, bool) { return b.pace.Summary(pool) }
+
+func paceLoad(c *Candidate, load Load) pace.Load {
+	return pace.Load{Requests: load.Requests, PendingPrefill: load.PendingPrefill, MemoryShare: float64(load.Memory+load.Copies) / float64(max(c.Memory, 1))}
+}
+
+func (b *Balancer) forecastPace(c *Candidate, request Request, load pace.Load) (pace.Forecast, bool) {
+	stream := pace.Stream{Prompt: request.Prompt, Events: request.Events, Goal: request.GapGoal}
+	if request.TransfersMemory {
+		stream.Prompt = 0 // the memory is moved, and not read in
+	}
+	return b.pace.Forecast(request.Pool, c.Target, load, stream)
+}
+
+// paceCost weighs the pauses that a stream would get and cause at an engine. It is zero if the pace of targets is not
+// known.
+func (b *Balancer) paceCost(c *Candidate, request Request) float64 {
+	load := paceLoad(c, b.load(c.Target))
+	f, known := b.forecastPace(c, request, load)
+	if !known {
+		return 0
+	}
+	share := load.MemoryShare + float64(request.Memory)/float64(max(c.Memory, 1))
+	cost := min(latePenalty*f.Late+causedPenalty*f.Caused, maxLatePenalty)
+	cost += limitPenalty * max(share-f.MemoryLimit, 0)
+	cost += slowPrefillWeight * (f.Factor - 1) * float64(load.PendingPrefill+request.Prompt) / prefillScale
+	return cost + troublePenalty*f.Trouble
+}
--- a/internal/decide/placement/request.go
+++ b/internal/decide/placement/request.go
@@ -1,6 +1,10 @@
 package placement
 
-import "siskintide.example/siskintide/internal/core"
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // Request is what a request for a target requires.
 type Request struct {
@@ -12,6 +16,9 @@
 	TransfersMemory bool        // the KV cache is transferred from DataCentre, which takes twice as long to other data centres
 	Avoid           []core.TargetID
 	CopyAwayFrom    core.DataCentreID // data centre in which a copy should not be kept; set by ChooseCopy
+	Pool            core.PoolID       // whose pace was learned; set with GapGoal
+	Events          int               // forecast events of the stream; set with GapGoal
+	GapGoal         time.Duration     // longest pause between events; zero if the pace of targets does not count
 }
 
 // Load returns the load that the request places on its target.
