Gateway, control: report the pace of engines to the hub, which places by it

Relays sum the times between the events of their streams and pass them on every 250 ms, and at once after a pause over the goal, also while a silent engine's pause lasts. Hosts report sums by engine with their load, at most every 300 ms unless a pause was late. A hub learns from them with the load of all hosts; a subscriber does not learn, since it knows only its own load. Pauses that belong to a switch or to a slow reader are left out, and a full queue of events drops sums rather than hold a relay up. core.PoolSpec.LearnPace is set for an engine pool if a route to it is sticky and either the settings' contracts name pressure or a route to it is resumable. Without it no field is sent, nothing is recorded, and costs are as before.

--- a/internal/core/pool_spec.go
+++ b/internal/core/pool_spec.go
@@ -10,4 +10,5 @@
 	ColdPeriod     time.Duration // time for which a target is cold after its start
 	ColdRate       float64       // requests per second that a cold target can take; zero means no bound
 	Engine         *EngineSpec   // nil for plain services
+	LearnPace      bool          // streams are placed by the pauses that engines will give them
 }
--- a/internal/decide/pace/engine.go
+++ b/internal/decide/pace/engine.go
@@ -16,9 +16,9 @@
 	// minFactor and maxFactor bound an engine's factor.
 	minFactor = 0.1
 	maxFactor = 10.0
-	// cutInterval is the least time between two cuts of an engine's memory limit: one preemption makes a stream
-	// late more than once.
-	cutInterval = time.Second
+	// confirmAfter is the time after a long pause from which events in time show that the engine had not fallen
+	// silent: hosts report the events before the pause by then.
+	confirmAfter = 500 * time.Millisecond
 )
 
 // engine is what is known of one engine.
@@ -30,12 +30,14 @@
 	factor  float64 // to the curve of the pool, as of the last refresh
 	trouble float64 // share of the pauses that were late
 	limit   memoryLimit
-	cutAt   time.Duration
-	seenAt  time.Duration
+	// suspect is the memory share at a long pause that may come from a preemption; zero for none.
+	suspect   float64
+	suspectAt time.Duration
+	seenAt    time.Duration
 }
 
 func newEngine(pool core.PoolID, load Load, now time.Duration) *engine {
-	return &engine{pool: pool, seen: moments{at: now}, last: load, factor: 1, limit: newMemoryLimit(now), cutAt: now - cutInterval}
+	return &engine{pool: pool, seen: moments{at: now}, last: load, factor: 1, limit: newMemoryLimit(now)}
 }
 
 // decay ages what was seen.
@@ -59,6 +61,19 @@
 	e.trouble = min(e.late/(e.seen.w+priorEvents), 1)
 }
 
+// suspectPreemption records a long pause under a load.
+func (e *engine) suspectPreemption(load Load, now time.Duration) {
+	if load.MemoryShare >= minLimit && e.suspect == 0 {
+		e.suspect, e.suspectAt = load.MemoryShare, now
+	}
+}
+
+// confirmPreemption reports whether other streams went on during a long pause, so that a preemption explains it: all
+// streams of an engine that has fallen silent pause.
+func (e *engine) confirmPreemption(sums Sums, now time.Duration) bool {
+	return e.suspect > 0 && now-e.suspectAt >= confirmAfter && sums.Events > 2*sums.Late
+}
+
 // typicalPrefill returns the mean pending prompt tokens while events were seen.
 func (e *engine) typicalPrefill() core.Tokens {
 	if e.seen.w <= 0 {
--- a/internal/decide/pace/sums.go
+++ b/internal/decide/pace/sums.go
@@ -7,7 +7,7 @@
 	Events  int           // events whose time since the event before is known
 	Time    time.Duration // sum of those times
 	Late    int           // of those, times over the goal
-	Longest time.Duration // longest of those times
+	Longest time.Duration // longest pause; it may have begun before the times that are summed
 	Goal    time.Duration // longest pause that is not late; the shortest one if the streams' goals differ
 }
 
@@ -33,6 +33,6 @@
 	s.Events = min(max(s.Events, 0), maxEvents)
 	s.Time = min(max(s.Time, 0), time.Duration(s.Events)*maxGap)
 	s.Late = min(max(s.Late, 0), s.Events)
-	s.Longest = min(max(s.Longest, 0), s.Time)
+	s.Longest = min(max(s.Longest, 0), maxGap)
 	return s
 }
--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -66,20 +66,20 @@
 	e.late += float64(sums.Late)
 	p.seen.decay(now, poolHalfLife)
 	p.seen.add(float64(sums.Events), between, mean/e.factor)
-	preempted := float64(sums.Longest) >= preemptionShare*float64(sums.Goal) && between.MemoryShare >= minLimit
-	if preempted {
-		sums.Late = max(sums.Late-1, 0)
+	lowered := false
+	if e.confirmPreemption(sums, now) {
+		e.limit.cut(e.suspect, 1, now)
+		p.limit.cut(e.suspect, poolCutWeight, now)
+		e.suspect, lowered = 0, true
+	}
+	if float64(sums.Longest) >= preemptionShare*float64(sums.Goal) {
+		e.suspectPreemption(between, now)
+		sums.Late = 0 // steps do not explain it
 	}
 	if p.curve.Known() {
 		p.late.add(e.factor*p.curve.At(between)/milliseconds(sums.Goal), sums.Events, sums.Late)
 	}
-	if !preempted || now-e.cutAt < cutInterval {
-		return false
-	}
-	e.cutAt = now
-	e.limit.cut(between.MemoryShare, 1, now)
-	p.limit.cut(between.MemoryShare, poolCutWeight, now)
-	return true
+	return lowered
 }
 
 // Refresh ages all that is known, and computes curves and factors anew.
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -186,7 +186,8 @@
 // has changed or loadReportInterval has passed.
 func (s *state) sendLoad() {
 	now := s.now()
-	if s.hub == "" || !s.loadChanged && now-s.loadSentAt < loadReportInterval {
+	paceDue := s.pace.due(now)
+	if s.hub == "" || !s.loadChanged && !paceDue && now-s.loadSentAt < loadReportInterval {
 		return
 	}
 	m := message.HostLoad{LastPlacement: s.lastResolved()}
@@ -196,6 +197,10 @@
 	for id, counts := range s.balancer.DrainOutcomes() {
 		m.Outcomes = append(m.Outcomes, message.TargetOutcomes{Target: id, Answered: counts.Answered, Failed: counts.Failed})
 	}
+	if paceDue {
+		m.Pace = s.pace.list()
+		s.pace.clear(now) // also if the report is lost: the next one says as much
+	}
 	if s.options.Send(s.hub, m) {
 		s.loadChanged, s.loadSentAt = false, now
 	}
--- a/internal/edgecontrol/hub_placement.go
+++ b/internal/edgecontrol/hub_placement.go
@@ -38,6 +38,7 @@
 		Memory: request.Memory, Prompt: request.Prompt, WantsCopy: request.WantsCopy, TransfersMemory: request.TransfersMemory, Avoid: avoid,
 		RunningOn: e.req.RunningOn, NeedsGrant: needsGrant, MayWait: e.req.MayWait,
 		Team: e.req.Team, Content: e.req.Content, Priority: e.req.Priority, TimeLeft: e.req.TimeLeft, MaxWait: e.req.MaxWait,
+		GapGoal: request.GapGoal,
 	})
 	if sent {
 		timeout := placeTimeout
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -194,13 +194,14 @@
 			s.balancer.AddPeerOutcomes(outcomes.Target, placement.OutcomeCounts{Answered: outcomes.Answered, Failed: outcomes.Failed}, s.now())
 		}
 	}
+	s.recordPeerPace(m.Pace)
 }
 
 // handlePlacementRequest chooses a target for a subscriber's request and sends the response.
 func (s *state) handlePlacementRequest(from core.HostID, m message.PlacementRequest) {
 	req := PlacementRequest{Pool: m.Pool, RunningOn: m.RunningOn, MayWait: m.MayWait, Team: m.Team, Content: m.Content, Priority: m.Priority, TimeLeft: m.TimeLeft, MaxWait: m.MaxWait, Request: placement.Request{
 		ID: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
-		WantsCopy: m.WantsCopy, TransfersMemory: m.TransfersMemory, Avoid: m.Avoid,
+		WantsCopy: m.WantsCopy, TransfersMemory: m.TransfersMemory, Avoid: m.Avoid, GapGoal: m.GapGoal,
 	}}
 	if m.NeedsGrant && !s.grantRetry(m.Pool) {
 		s.options.Send(from, message.PlacementResponse{Number: m.Number})
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/pace"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/message"
@@ -95,6 +96,7 @@
 	s.balancer.Expire(s.now())
 	s.updateHub()
 	s.respondAll()
+	s.tickPace()
 	s.sendLoad()
 	s.tickQuarantine()
 	s.tickLimits()
@@ -201,6 +203,15 @@
 	return assignment
 }
 
+// RecordPace records the times between events of a stream at an engine. It never waits: if the queue is full, the
+// sums are dropped, and those of other streams say as much.
+func (l *Loop) RecordPace(target core.TargetID, sums pace.Sums) {
+	select {
+	case l.events <- paceEvent{target: target, sums: sums}:
+	default:
+	}
+}
+
 // Release ends an assignment and records its outcome.
 func (l *Loop) Release(assignment Assignment, outcome placement.Outcome) {
 	l.post(context.Background(), releaseEvent{assignment: assignment, outcome: outcome})
--- a/internal/edgecontrol/options.go
+++ b/internal/edgecontrol/options.go
@@ -11,7 +11,7 @@
 	"siskintide.example/siskintide/internal/message"
 )
 
-// Options configures a Loop. All fields are required.
+// Options configures a Loop. All fields are required but PaceMetrics.
 type Options struct {
 	Self        core.Host
 	RetryBudget retrybudget.Limits // retry budget of all hosts together
@@ -24,6 +24,8 @@
 	Send func(to core.HostID, m message.Message) bool
 	// SetPeers sets the hosts to keep links with. It must not block.
 	SetPeers func(hosts []core.Host)
+	// PaceMetrics records the learned pace of engines; nil records nothing.
+	PaceMetrics PaceMetrics
 
 	post func(event) // queues an event for the control goroutine
 }
--- a/internal/edgecontrol/place_event.go
+++ b/internal/edgecontrol/place_event.go
@@ -58,7 +58,10 @@
 		return placement.Choice{}, false
 	}
 	if req.RunningOn == "" {
-		return s.balancer.Choose(s.permitted(s.candidates(req.Pool), usePermits), req.Request, s.now())
+		s.setPace(&req)
+		choice, ok := s.balancer.Choose(s.permitted(s.candidates(req.Pool), usePermits), req.Request, s.now())
+		s.recordAvoided(&req, choice)
+		return choice, ok
 	}
 	candidates := s.permitted(s.candidates(req.Pool), false)
 	choice := placement.Choice{Target: s.candidate(req.RunningOn)}
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -65,6 +65,10 @@
 	lastPlacement uint64 // number of the last placement requested from a hub
 	loadChanged   bool
 	loadSentAt    time.Duration
+
+	pace            paceReport
+	paceGaugesAt    time.Duration
+	avoidedLoggedAt time.Duration
 }
 
 func newState(options *Options) *state {
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -94,6 +94,7 @@
 		Send:         h.linker.Send,
 		SetPeers:     h.linker.SetPeers,
 		MaxConfigAge: options.MaxConfigAge,
+		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
 	handler := gateway.New(gateway.Options{
 		Controller:   h.loop,
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/pace"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/edgecontrol"
 )
@@ -35,6 +36,8 @@
 	// MarkStarted records that the target has sent the first event, and returns the
 	// assignment with its load reduced accordingly.
 	MarkStarted(assignment edgecontrol.Assignment) edgecontrol.Assignment
+	// RecordPace records the times between events of a stream at an engine.
+	RecordPace(target core.TargetID, sums pace.Sums)
 	// Release ends an assignment and records the outcome of the attempt.
 	Release(assignment edgecontrol.Assignment, outcome placement.Outcome)
 }
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -79,10 +79,20 @@
 	if h.spec != nil && h.spec.Engine != nil {
 		request.Memory = h.request.PromptTokens + h.request.ForecastTokens()
 		request.Prompt = h.request.PromptTokens
+		request.GapGoal = h.gapGoal()
 	}
 	return request
 }
 
+// gapGoal returns the longest pause between events that is not late; zero if the pace of the pool's engines is not
+// learned.
+func (h *requestHandler) gapGoal() time.Duration {
+	if h.spec == nil || h.spec.Engine == nil || !h.spec.LearnPace || h.route.Kind != core.RouteStream {
+		return 0
+	}
+	return h.route.GapGoal
+}
+
 // contentKey identifies what the caller sends. It is the same when the caller sends the request again
 // under another id. It is zero while no target is limited, as nobody is told then when to come back.
 func (h *requestHandler) contentKey() uint64 {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -90,6 +90,9 @@
 	fields["worst_gap_after"] = s.worstGapAfter
 	fields["last_event"] = s.ids.last
 	fields["forecast_tokens"] = s.request.ForecastTokens()
+	if s.pace.goal > 0 {
+		fields["late_pauses"] = s.pace.late
+	}
 	if s.firstEventAt > 0 {
 		fields["first_event_ms"] = (s.firstEventAt - s.arrived).Milliseconds()
 	}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"siskintide.example/siskintide/internal/decide/failover"
 	"siskintide.example/siskintide/internal/decide/placement"
@@ -83,6 +84,7 @@
 	case event.hasID && s.ids.skips(event.id):
 		return s.handleFailure(&EventGapError{Last: s.ids.last, Got: event.id})
 	}
+	received := s.now()
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
 		return true
@@ -91,12 +93,12 @@
 	if event.isComment || s.ids.known && !event.hasID {
 		return false // keeps the connection open, but is no progress of the generation
 	}
-	s.recordProgress(event)
+	s.recordProgress(event, received)
 	return false
 }
 
-// recordProgress records that an event of the generation has been sent to the caller.
-func (s *streamRelay) recordProgress(event streamEvent) {
+// recordProgress records that an event of the generation, which was received at a time, has been sent to the caller.
+func (s *streamRelay) recordProgress(event streamEvent, received time.Duration) {
 	now := s.now()
 	s.current.assignment = s.gateway.options.Controller.MarkStarted(s.current.assignment)
 	if s.firstEventAt == 0 {
@@ -113,12 +115,22 @@
 		s.recordPromptSound(s.current.assignment.Target.Target)
 	}
 	s.lastEventAt = now
+	if s.pace.event(s.current.assignment.Target.Target, received, now) {
+		s.reportPace()
+	}
 	if event.hasID {
 		s.ids.record(event.id)
 	}
 	s.failover.RecordEvent(now)
 }
 
+// reportPace passes on what was seen of the engine's pace.
+func (s *streamRelay) reportPace() {
+	if sums := s.pace.take(s.now()); sums.Events > 0 {
+		s.gateway.options.Controller.RecordPace(s.pace.target, sums)
+	}
+}
+
 // failedAtStart reports whether an engine broke the stream off by itself as it began to respond: the
 // response header has arrived, and hardly any event.
 func (s *streamRelay) failedAtStart(cause error) bool {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -37,6 +37,7 @@
 	worstGap           time.Duration // longest time between two events
 	worstGapAfter      int64         // id of the event before that gap
 	ids                eventSequence
+	pace               streamPace
 	switches           int
 	tried              []core.TargetID
 }
@@ -51,6 +52,7 @@
 		responseController: http.NewResponseController(h.w),
 		moveResults:        make(chan moveResult, 1),
 		reportResults:      make(chan reportResult, 1),
+		pace:               streamPace{goal: h.gapGoal()},
 	}
 	relay.run()
 }
@@ -61,6 +63,7 @@
 		return
 	}
 	defer func() { s.releaseAll() }()
+	defer func() { s.reportPace() }()
 	for {
 		view := s.gateway.options.Controller.View()
 		if done := s.applyNextStep(view); done {
@@ -184,6 +187,9 @@
 		s.handleReport(reported)
 	case <-view.Changed:
 	case <-timer.C:
+		if s.pace.overdue(s.now()) {
+			s.reportPace()
+		}
 		if s.next != nil && s.now() >= s.overlapDeadline {
 			s.current.stop()
 			s.failover.RecordDisconnect()
@@ -205,7 +211,7 @@
 		return s.timeLeft()
 	}
 	left := s.timeLeft()
-	for _, due := range []time.Duration{s.failover.Due(s.now()), s.reports.Due(s.now(), registryAge)} {
+	for _, due := range []time.Duration{s.failover.Due(s.now()), s.reports.Due(s.now(), registryAge), s.pace.due()} {
 		if due > 0 {
 			left = min(left, max(due-s.now(), 0))
 		}
--- a/internal/message/host_load.go
+++ b/internal/message/host_load.go
@@ -6,6 +6,9 @@
 	LastPlacement uint64           `cbor:"2,keyasint"` // every placement up to this number is included in Targets or was given up
 	// Outcomes lists the targets with requests that have ended since the last report.
 	Outcomes []TargetOutcomes `cbor:"3,keyasint,omitempty"`
+	// Pace lists the engines whose streams have had events since the last report; only those of pools whose pace is
+	// learned.
+	Pace []TargetPace `cbor:"4,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
--- a/internal/message/placement_request.go
+++ b/internal/message/placement_request.go
@@ -27,6 +27,9 @@
 	TimeLeft time.Duration `cbor:"15,keyasint,omitempty"`
 	MaxWait  time.Duration `cbor:"16,keyasint,omitempty"`
 	Content  uint64        `cbor:"17,keyasint,omitempty"`
+	// GapGoal is the longest pause between events that is not late; zero if the pace of the pool's engines is not
+	// learned.
+	GapGoal time.Duration `cbor:"18,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
