--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -41,12 +41,12 @@
 	return &Tracker{engines: map[core.TargetID]*engine{}, pools: map[core.PoolID]*poolCurve{}}
 }
 
-// Record adds what was seen of an engine under a load. It reports whether a preemption has lowered the engine's
-// memory limit.
-func (t *Tracker) Record(pool core.PoolID, target core.TargetID, sums Sums, load Load, now time.Duration) bool {
+// Record adds what was seen of an engine under a load. If a preemption has lowered the engine's memory limit,
+// it returns the limit, otherwise zero.
+func (t *Tracker) Record(pool core.PoolID, target core.TargetID, sums Sums, load Load, now time.Duration) float64 {
 	sums = sums.bounded()
 	if sums.Events == 0 || sums.Goal <= 0 {
-		return false
+		return 0
 	}
 	p, e := t.pools[pool], t.engines[target]
 	if p == nil {
@@ -66,11 +66,11 @@
 	e.late += float64(sums.Late)
 	p.seen.decay(now, poolHalfLife)
 	p.seen.add(float64(sums.Events), between, mean/e.factor)
-	lowered := false
+	lowered := 0.0
 	if e.confirmPreemption(sums, now) {
 		e.limit.cut(e.suspect, 1, now)
 		p.limit.cut(e.suspect, poolCutWeight, now)
-		e.suspect, lowered = 0, true
+		e.suspect, lowered = 0, e.limit.share
 	}
 	if float64(sums.Longest) >= preemptionShare*float64(sums.Goal) {
 		e.suspectPreemption(between, now)
--- a/internal/decide/pace/tracker_test.go
+++ b/internal/decide/pace/tracker_test.go
@@ -121,7 +121,7 @@
 		late := max(engines[1].load.Requests*int(testTick)/int(testGoal), 1) // each stream once for each goal
 		engines[1].load.MemoryShare = 0.9
 		lowered := tracker.Record(testPool, "a", Sums{Events: late, Time: time.Duration(late) * testGoal, Late: late, Longest: now - 10*time.Second + testTick, Goal: testGoal}, engines[1].load, now)
-		require.False(t, lowered, "a silent engine lowers the limit of all memory")
+		require.Zero(t, lowered, "a silent engine lowers the limit of all memory")
 	}
 	tracker.Refresh(12 * time.Second)
 	require.Greater(t, forecast(t, tracker, "a", Load{}).Trouble, 0.2)
@@ -137,10 +137,10 @@
 	load := Load{Requests: 7, MemoryShare: 0.9}
 	preemption := Sums{Events: 4, Time: time.Second, Late: 1, Longest: 700 * time.Millisecond, Goal: testGoal}
 	inTime := Sums{Events: 20, Time: 600 * time.Millisecond, Longest: 40 * time.Millisecond, Goal: testGoal}
-	require.False(t, tracker.Record(testPool, "a", preemption, load, 5*time.Second))
-	require.False(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+confirmAfter/2), "events before the pause count as after it")
-	require.True(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+confirmAfter))
-	require.False(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+2*confirmAfter), "one preemption lowers the limit twice")
+	require.Zero(t, tracker.Record(testPool, "a", preemption, load, 5*time.Second))
+	require.Zero(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+confirmAfter/2), "events before the pause count as after it")
+	require.Positive(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+confirmAfter))
+	require.Zero(t, tracker.Record(testPool, "a", inTime, load, 5*time.Second+2*confirmAfter), "one preemption lowers the limit twice")
 	tracker.Refresh(6 * time.Second)
 	require.InDelta(t, 0.8, forecast(t, tracker, "a", Load{}).MemoryLimit, 0.01)
 	require.InDelta(t, 0.9, forecast(t, tracker, "b", Load{}).MemoryLimit, 0.01)
@@ -148,8 +148,8 @@
 	require.InDelta(t, noLimit, forecast(t, tracker, "a", Load{}).MemoryLimit, 0.001)
 
 	load.MemoryShare = minLimit / 2
-	require.False(t, tracker.Record(testPool, "b", preemption, load, 200*time.Second))
-	require.False(t, tracker.Record(testPool, "b", inTime, load, 201*time.Second), "a pause at an empty engine counts as a preemption")
+	require.Zero(t, tracker.Record(testPool, "b", preemption, load, 200*time.Second))
+	require.Zero(t, tracker.Record(testPool, "b", inTime, load, 201*time.Second), "a pause at an empty engine counts as a preemption")
 }
 
 // Hosts that hold events up make pauses late which the mean does not show; long streams then must not go to slow engines.
--- a/internal/decide/placement/balancer_pace.go
+++ b/internal/decide/placement/balancer_pace.go
@@ -22,9 +22,9 @@
 	troublePenalty = 4.0
 )
 
-// RecordPace records what was seen of the events of an engine. It reports whether a preemption has lowered the learned
-// limit of the engine's memory.
-func (b *Balancer) RecordPace(pool core.PoolID, c Candidate, sums pace.Sums, now time.Duration) bool {
+// RecordPace records what was seen of the events of an engine. If a preemption has lowered the learned limit of the
+// engine's memory, it returns the limit as a share of the memory, otherwise zero.
+func (b *Balancer) RecordPace(pool core.PoolID, c Candidate, sums pace.Sums, now time.Duration) float64 {
 	return b.pace.Record(pool, c.Target, sums, paceLoad(&c, b.load(c.Target)), now)
 }
 
@@ -41,13 +41,18 @@
 }
 
 func (b *Balancer) forecastPace(c *Candidate, request Request, load pace.Load) (pace.Forecast, bool) {
-	stream := pace.Stream{Prompt: request.Prompt, Events: request.Events, Goal: request.GapGoal}
-	if request.TransfersMemory {
-		stream.Prompt = 0 // the memory is moved, and not read in
-	}
+	stream := pace.Stream{Prompt: request.promptToRead(), Events: request.Events, Goal: request.GapGoal}
 	return b.pace.Forecast(request.Pool, c.Target, load, stream)
 }
 
+// promptToRead returns the prompt tokens that an engine has to read in. Of memory that is moved it reads none.
+func (r Request) promptToRead() core.Tokens {
+	if r.TransfersMemory {
+		return 0
+	}
+	return r.Prompt
+}
+
 // paceCost weighs the pauses that a stream would get and cause at an engine. It is zero if the pace of targets is not
 // known.
 func (b *Balancer) paceCost(c *Candidate, request Request) float64 {
@@ -59,6 +64,6 @@
 	share := load.MemoryShare + float64(request.Memory)/float64(max(c.Memory, 1))
 	cost := min(latePenalty*f.Late+causedPenalty*f.Caused, maxLatePenalty)
 	cost += limitPenalty * max(share-f.MemoryLimit, 0)
-	cost += slowPrefillWeight * (f.Factor - 1) * float64(load.PendingPrefill+request.Prompt) / prefillScale
+	cost += slowPrefillWeight * (f.Factor - 1) * float64(load.PendingPrefill+request.promptToRead()) / prefillScale
 	return cost + troublePenalty*f.Trouble
 }
--- a/internal/edgecontrol/pace.go
+++ b/internal/edgecontrol/pace.go
@@ -34,7 +34,8 @@
 	}
 	s.paceGaugesAt = now
 	for _, pool := range s.view.Table.Config.Pools {
-		if summary, known := s.balancer.PaceSummary(pool.ID); known && pool.LearnPace {
+		if pool.LearnPace {
+			summary, _ := s.balancer.PaceSummary(pool.ID) // zero once this host places for nobody
 			s.options.PaceMetrics.EnginePace(pool.ID, summary)
 		}
 	}
@@ -56,9 +57,9 @@
 	}
 	candidate := s.candidate(id)
 	candidate.Memory = spec.Engine.MemoryTokens
-	if s.balancer.RecordPace(entry.Pool, candidate, sums, s.now()) {
-		s.log.WithField("target", id).WithField("pool", entry.Pool).WithField("longest_pause_ms", sums.Longest.Milliseconds()).
-			WithField("late_pauses", sums.Late).Info("engine gets less: its memory seems to have run out")
+	if limit := s.balancer.RecordPace(entry.Pool, candidate, sums, s.now()); limit > 0 {
+		s.log.WithField("target", id).WithField("pool", entry.Pool).WithField("memory_limit", limit).
+			Info("engine's memory limit lowered after a preemption")
 	}
 }
 
@@ -96,7 +97,7 @@
 	s.avoidedLoggedAt = now
 	entry := s.log.WithField("pool", req.Pool).WithField("request", req.Request.ID).WithField("target", choice.Target.Target).WithField("avoided", choice.Avoided)
 	if f, known := s.balancer.Pace(s.candidate(choice.Avoided), req.Request); known {
-		entry = entry.WithField("factor", f.Factor).WithField("pause_ms", int(f.Pause)).WithField("late", f.Late).
+		entry = entry.WithField("factor", f.Factor).WithField("pause_ms", int(f.Pause)).WithField("late_share", f.Late).
 			WithField("made_late", f.Caused).WithField("memory_limit", f.MemoryLimit).WithField("recent_late", f.Trouble)
 	}
 	entry.Info("engine avoided for its pace")
--- a/internal/edgecontrol/pace_test.go
+++ b/internal/edgecontrol/pace_test.go
@@ -94,6 +94,13 @@
 	require.InDelta(t, 50, h.slowPlacements(t, 0), 20, "the pace counts for a request without a goal")
 }
 
+// A host that becomes a hub knows no pace; the reports of its subscribers must restore it in seconds.
+func TestNewHubLearnsPaceInSeconds(t *testing.T) {
+	h, _ := newPaceHub(true)
+	h.report(2 * time.Second)
+	require.Zero(t, h.slowPlacements(t, paceGoal))
+}
+
 // An engine that has restarted may be another machine.
 func TestRestartedEngineHasNoPace(t *testing.T) {
 	h, _ := newPaceHub(true)
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -84,7 +84,10 @@
 	case event.hasID && s.ids.skips(event.id):
 		return s.handleFailure(&EventGapError{Last: s.ids.last, Got: event.id})
 	}
-	received := s.now()
+	received := time.Duration(0)
+	if s.pace.goal > 0 { // reading the clock costs weak hosts time
+		received = s.now()
+	}
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
 		return true
