Pace: weigh times with more and fewer pending prompts apart

Late pauses come while prompts are read in, so the share of late pauses at the mean load is too low for engines that often read prompts in.

--- a/internal/decide/pace/engine.go
+++ b/internal/decide/pace/engine.go
@@ -16,6 +16,8 @@
 	// minFactor and maxFactor bound an engine's factor.
 	minFactor = 0.1
 	maxFactor = 10.0
+	// maxTypicalPrompts bounds the mean of the pending prompts.
+	maxTypicalPrompts = 100
 	// confirmAfter is the time after a long pause from which events in time show that the engine had not fallen
 	// silent: hosts report the events before the pause by then.
 	confirmAfter = 500 * time.Millisecond
@@ -74,10 +76,10 @@
 	return e.suspect > 0 && now-e.suspectAt >= confirmAfter && sums.Events > 2*sums.Late
 }
 
-// typicalPrefill returns the mean pending prompt tokens while events were seen.
-func (e *engine) typicalPrefill() core.Tokens {
+// typicalPrompts returns the mean of the pending prompts, in units of promptScale, while events were seen.
+func (e *engine) typicalPrompts() float64 {
 	if e.seen.w <= 0 {
 		return 0
 	}
-	return core.Tokens(e.seen.x2 / e.seen.w * promptScale)
+	return min(e.seen.x2/e.seen.w, maxTypicalPrompts)
 }
--- a/internal/decide/pace/pool_curve.go
+++ b/internal/decide/pace/pool_curve.go
@@ -1,6 +1,11 @@
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
 
 // poolCurve is what is known of the engines of a pool together.
 type poolCurve struct {
@@ -27,6 +32,17 @@
 	}
 }
 
+// lateShare returns the share of late pauses at an engine with a factor while the given mean of prompts is pending. The
+// times with more and with fewer prompts are weighed apart, since most late pauses come in the former.
+func (p *poolCurve) lateShare(requests int, prompts, factor, goal float64) float64 {
+	fewer := math.Floor(prompts)
+	at := func(count float64) float64 {
+		return p.late.share(factor * p.curve.At(Load{Requests: requests, PendingPrefill: core.Tokens(count * promptScale)}) / goal)
+	}
+	more := prompts - fewer
+	return (1-more)*at(fewer) + more*at(fewer+1)
+}
+
 // rescale multiplies the curve.
 func (p *poolCurve) rescale(by float64) {
 	p.seen.y, p.seen.x1y, p.seen.x2y = p.seen.y*by, p.seen.x1y*by, p.seen.x2y*by
--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -134,16 +134,16 @@
 		return Forecast{}, false
 	}
 	f := Forecast{Factor: 1, MemoryLimit: p.limit.share}
-	typical := Load{Requests: load.Requests + 1}
+	prompts := 0.0
 	if e := t.engines[target]; e != nil && e.pool == pool {
 		f.Factor, f.Trouble, f.MemoryLimit = e.factor, e.trouble, min(e.limit.share, f.MemoryLimit)
-		typical.PendingPrefill = e.typicalPrefill()
+		prompts = e.typicalPrompts()
 	}
 	goal := milliseconds(stream.Goal)
 	now := f.Factor * p.curve.At(load)
 	reading := Load{Requests: load.Requests + 1, PendingPrefill: load.PendingPrefill + stream.Prompt}
 	f.Pause = f.Factor * p.curve.At(reading)
-	f.Late = atLeastOnce(p.late.share(f.Factor*p.curve.At(typical)/goal), float64(stream.Events))
+	f.Late = atLeastOnce(p.lateShare(load.Requests+1, prompts, f.Factor, goal), float64(stream.Events))
 	more := p.late.share(f.Pause/goal) - p.late.share(now/goal)
 	f.Caused = float64(load.Requests) * atLeastOnce(more, float64(stream.Prompt)/prefillTokensPerEvent)
 	return f, true
