--- a/internal/core/pool_spec.go
+++ b/internal/core/pool_spec.go
@@ -12,4 +12,6 @@
 	Engine         *EngineSpec   // nil for plain services
 	// WeighPrefixes says that placement weighs which engines hold the beginning of a prompt.
 	WeighPrefixes bool
+	// LearnPace says that streams are placed by the pauses that engines will give them.
+	LearnPace bool
 }
--- a/internal/decide/placement/balancer.go
+++ b/internal/decide/placement/balancer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/pace"
 	"siskintide.example/siskintide/internal/decide/prefixcache"
 )
 
@@ -17,11 +18,12 @@
 	unreachable map[core.DataCentreID]map[core.TargetID]time.Duration // when each target was last found unreachable
 	hubRates    map[core.TargetID]float64                             // failure rates received from the hub
 	prefixes    *prefixcache.Cache                                    // parts of prompts placed at each target
+	pace        *pace.Tracker
 }
 
 // NewBalancer returns a balancer without load or outcomes.
 func NewBalancer() *Balancer {
-	return &Balancer{own: map[core.TargetID]Load{}, health: map[core.TargetID]*targetHealth{}, peers: newPeers(), unreachable: map[core.DataCentreID]map[core.TargetID]time.Duration{}, prefixes: prefixcache.NewCache()}
+	return &Balancer{own: map[core.TargetID]Load{}, health: map[core.TargetID]*targetHealth{}, peers: newPeers(), unreachable: map[core.DataCentreID]map[core.TargetID]time.Duration{}, prefixes: prefixcache.NewCache(), pace: pace.NewTracker()}
 }
 
 // Add counts load that this host places on a target.
@@ -66,6 +68,7 @@
 func (b *Balancer) Expire(now time.Duration) {
 	b.peers.expire(now)
 	b.prefixes.Expire(now)
+	b.pace.Refresh(now)
 	maps.DeleteFunc(b.health, func(_ core.TargetID, health *targetHealth) bool {
 		return health.removed && now >= health.restsUntil
 	})
@@ -75,12 +78,14 @@
 func (b *Balancer) Forget(id core.TargetID) {
 	delete(b.health, id)
 	b.prefixes.Forget(id)
+	b.pace.Forget(id)
 }
 
 // ForgetRemoved drops the recorded outcomes and prefixes of a target whose entry has been removed. It may only be missing for
 // a while, so the time for which it has asked to be sent nothing is kept.
 func (b *Balancer) ForgetRemoved(id core.TargetID) {
 	b.prefixes.Forget(id)
+	b.pace.Forget(id)
 	if health := b.health[id]; health != nil {
 		b.health[id] = &targetHealth{restsUntil: health.restsUntil, removed: true}
 	}
--- a/internal/decide/placement/choice.go
+++ b/internal/decide/placement/choice.go
@@ -8,6 +8,8 @@
 	Copy   Candidate // the zero Candidate if there is no copy
 	// ExpectedCached is the number of the prompt's tokens that the target is expected not to prefill.
 	ExpectedCached core.Tokens
+	// Avoided is the target that would have been chosen if its pace did not count; empty if that is Target.
+	Avoided core.TargetID
 }
 
 // HasCopy reports whether a target for the copy was chosen.
--- a/internal/decide/placement/request.go
+++ b/internal/decide/placement/request.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/prefixcache"
 )
@@ -17,6 +19,9 @@
 	CopyAwayFrom    core.DataCentreID  // data centre in which a copy should not be kept; set by ChooseCopy
 	Prefix          []core.PrefixPart  // parts of the prompt in order; empty unless the pool weighs prefixes
 	query           *prefixcache.Query // for Prefix; set by Choose
+	Pool            core.PoolID        // whose pace was learned; set with GapGoal
+	Events          int                // forecast events of the stream; set with GapGoal
+	GapGoal         time.Duration      // longest pause between events; zero if the pace of targets does not count
 }
 
 // Load returns the load that the request places on its target.
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
@@ -90,6 +91,10 @@
 	if event.hasData && !event.hasID {
 		s.reruns.Forbid() // no engine can be asked to go on after it
 	}
+	received := time.Duration(0)
+	if s.pace.goal > 0 { // reading the clock costs weak hosts time
+		received = s.now()
+	}
 	if _, err := s.w.Write(event.bytes); err != nil {
 		s.endEarly()
 		return true
@@ -98,12 +103,12 @@
 	if event.isComment || s.ids.known && !event.hasID {
 		return false // keeps the connection open, but is no progress of the generation
 	}
-	s.recordProgress(event)
+	s.recordProgress(event, received)
 	return false
 }
 
-// recordProgress records that an event of the generation has been sent to the caller.
-func (s *streamRelay) recordProgress(event streamEvent) {
+// recordProgress records that an event of the generation, which was received at a time, has been sent to the caller.
+func (s *streamRelay) recordProgress(event streamEvent, received time.Duration) {
 	now := s.now()
 	s.current.assignment = s.gateway.options.Controller.MarkStarted(s.current.assignment)
 	if s.firstEventAt == 0 {
@@ -122,12 +127,22 @@
 		s.recordSound()
 	}
 	s.lastEventAt = now
+	if s.pace.event(s.current.assignment.Target.Target, received, now) {
+		s.reportPace()
+	}
 	if event.hasID {
 		s.ids.record(event.id)
 	}
 	s.failover.RecordEvent(now)
 }
 
+// reportPace passes on what was seen of the engine's pace.
+func (s *streamRelay) reportPace() {
+	if sums := s.pace.take(s.now()); sums.Events > 0 {
+		s.gateway.options.Controller.RecordPace(s.pace.target, sums)
+	}
+}
+
 // countRunEvent counts an event of the current run, repeated ones included.
 func (s *streamRelay) countRunEvent() {
 	if s.runEvents == 0 {
--- a/internal/message/placement_request.go
+++ b/internal/message/placement_request.go
@@ -29,6 +29,9 @@
 	Content  uint64        `cbor:"17,keyasint,omitempty"`
 	// Prefix has the parts of the prompt in order. It is set only if the pool weighs prefixes.
 	Prefix []core.PrefixPart `cbor:"18,keyasint,omitempty"`
+	// GapGoal is the longest pause between events that is not late; zero if the pace of the pool's engines is not
+	// learned.
+	GapGoal time.Duration `cbor:"19,keyasint,omitempty"`
 }
 
 // MessageKind implements Message.
