--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -29,7 +29,7 @@
 // handleOpened handles the header of the response of an engine that begins with the prompt.
 func (s *streamRelay) handleOpened(message upstreamMessage) bool {
 	s.attempts++
-	s.current.opened = true
+	s.current.counted = true
 	s.recordTargetState(s.current.assignment.Target.Target, message.info, s.current.sentAt)
 	if message.response == nil {
 		s.recordRun()
@@ -152,9 +152,7 @@
 		s.current = nil
 		return !s.startAttempt()
 	}
-	if !s.current.opened {
-		s.attempts++
-		s.recordRun()
+	if s.countSilentRun() {
 		s.reruns.RecordSilentFailure()
 	}
 	s.checkCallersID(cause)
@@ -172,8 +170,11 @@
 	case message.kind == upstreamOpened && message.response == nil:
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.current.stop()
+		if !s.current.counted {
+			s.recordRun()
+		}
 		s.current, s.next = s.next, nil
-		s.current.opened = true
+		s.current.counted = true
 		s.reruns.RecordRun()
 		s.ids.resume()
 		s.switches++
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -53,6 +53,18 @@
 	s.reruns.RecordRun()
 }
 
+// countSilentRun counts the current attempt, whose engine has not responded and may have run the request, unless it
+// has been counted. It reports whether it was.
+func (s *streamRelay) countSilentRun() bool {
+	if s.current.counted {
+		return false
+	}
+	s.current.counted = true
+	s.attempts++
+	s.recordRun()
+	return true
+}
+
 // countResumption counts the outcome of a resumption that is open.
 func (s *streamRelay) countResumption(outcome resumptionOutcome) {
 	if s.resumed == notResumed {
@@ -117,6 +129,7 @@
 // is finished.
 func (s *streamRelay) rerunLost() bool {
 	assignment := s.current.assignment
+	s.countSilentRun()
 	s.current.stopAndWait() // two engines must not work on one request
 	s.gateway.options.Controller.Release(assignment, placement.Unreachable)
 	s.releaseMove()
@@ -159,7 +172,7 @@
 	}
 	s.countResumption(resumptionNotSent)
 	switch {
-	case s.possibleRuns == 0 && refusal != nil:
+	case s.possibleRuns == 0 && !s.headerSent && refusal != nil:
 		s.refuse(refusal)
 	case s.headerSent:
 		if refusal != nil {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,7 +20,7 @@
 	cancel     context.CancelFunc
 	header     http.Header // of the response; set before upstreamOpened is sent
 	sentAt     time.Duration
-	opened     bool          // the head of the response has been handled
+	counted    bool          // the attempt has been counted as sent, and as a run if it may be one
 	done       chan struct{} // closed after the connection
 }
 
