Bound what callers and targets take of a host before it is parsed

Cause: net/http reads and parses up to 1 MB of a head before any limit of this program applies, small bodies and response buffers were bounded one by one and not together, buffers were counted by their bytes and not by their capacity, and nothing counted connections.

Change: internal/callerlimit wraps the callers' listener. It counts connections (max-fds, memory), scans the framing of requests while they are read (decide/headscan) and takes memory for a head, at its cost when parsed, before the parser gets it. decide/callerbudget decides who may take: connections, heads, bodies, large and usual answers in this order, and a share by address only while memory is short and other addresses hold some. Bodies and responses take memory by the capacity of their buffers, before these are allocated; heads of responses as well. What is refused is answered (431, 400, 501, or 503 with a time to come back) and its connection is closed. Requests of which two programs may find different ends are refused.

Weighed: MaxHeaderBytes alone bounds bytes, but a head of 16 KiB in short lines takes 300 KB; a soft memory limit alone only makes the collector run without end once live memory exceeds it; a limit on the number of header lines refuses requests that are inside the limits of the configuration.

--- /dev/null
+++ b/internal/callerlimit/conn.go
@@ -0,0 +1,175 @@
+package callerlimit
+
+import (
+	"container/list"
+	"io"
+	"net"
+	"time"
+
+	"siskintide.example/siskintide/internal/decide/headscan"
+)
+
+const (
+	// rejectTimeout bounds the write of a refusal; it fits into the buffer of the socket.
+	rejectTimeout = 50 * time.Millisecond
+	// lingerTime and lingerBytes bound what is still read, and dropped, after a refusal. A connection that is
+	// closed while its caller sends is reset, and the caller may not get the refusal.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 64 << 10
+	// defaultHeaderBytes bounds heads until a configuration is known.
+	defaultHeaderBytes = 64 << 10
+)
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+	address string
+	scanner headscan.Scanner // used by Read only, which the server does not call concurrently
+	refusal string           // reason to refuse the next Read; empty for none
+
+	// Guarded by the mutex of the limiter.
+	silent  *list.Element // in Limiter.silent; nil once a head is complete
+	dropped bool          // what it has taken was returned
+	taken   int64         // memory for heads
+	open    int64         // part of taken for the head that is not complete
+	heads   []int64       // parts of taken for complete heads that were not answered yet, in order
+}
+
+func newConn(accepted net.Conn, limiter *Limiter) *conn {
+	address, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
+	if err != nil {
+		address = accepted.RemoteAddr().String()
+	}
+	return &conn{Conn: accepted, limiter: limiter, address: address}
+}
+
+// Read implements io.Reader. It returns no byte that completes a head which must be refused, and takes the
+// memory for heads before they are parsed.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.refusal != "" {
+		return 0, c.refuse()
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	limit := c.limiter.options.HeaderBytes()
+	if limit <= 0 {
+		limit = defaultHeaderBytes
+	}
+	result := c.scanner.Scan(p[:n], limit)
+	valid := n
+	if result.Reason != "" {
+		valid, c.refusal = result.Valid, string(result.Reason)
+	}
+	if reason := c.take(result); reason != "" {
+		valid, c.refusal = 0, reason
+	}
+	if valid == 0 {
+		return 0, c.refuse()
+	}
+	return valid, err
+}
+
+// take takes the memory for the heads of a result. It returns a reason if there is no room.
+func (c *conn) take(result headscan.Result) string {
+	if len(result.Heads) == 0 && result.Open == c.open {
+		return ""
+	}
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.dropped {
+		return reasonSilent
+	}
+	total := result.Open
+	for _, cost := range result.Heads {
+		total += cost
+	}
+	if more := total - c.open; more > 0 {
+		if reason := l.budget.Take(headClass, c.address, more); reason != "" {
+			return string(reason)
+		}
+		c.taken += more
+	}
+	c.open = result.Open
+	c.heads = append(c.heads, result.Heads...)
+	if len(result.Heads) > 0 {
+		l.heard(c)
+	}
+	return ""
+}
+
+// endRequest returns the memory of the head of the request that was answered.
+func (c *conn) endRequest() {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.dropped || len(c.heads) == 0 {
+		return
+	}
+	l.budget.Give(c.address, c.heads[0])
+	c.taken -= c.heads[0]
+	c.heads = c.heads[1:]
+	if len(c.heads) == 0 {
+		c.heads = nil
+	}
+}
+
+// refuse answers with a refusal, unless an earlier request is still being answered, and returns the error for the
+// server, which closes the connection.
+func (c *conn) refuse() error {
+	reason := c.refusal
+	c.limiter.count(reason, c.address)
+	c.limiter.mu.Lock()
+	answering := len(c.heads) > 0
+	c.limiter.mu.Unlock()
+	if !answering {
+		c.respond(reason)
+		c.linger()
+	}
+	// The server answers other errors than those of the network with a response of its own.
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &LimitError{Reason: reason}}
+}
+
+// respond writes a refusal and ends the sending side.
+func (c *conn) respond(reason string) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout))
+	if _, err := io.WriteString(c.Conn, c.limiter.refusalText(reason)); err == nil {
+		_ = c.CloseWrite()
+	}
+}
+
+// linger drops what the caller still sends, within bounds.
+func (c *conn) linger() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// reject refuses a connection that was not admitted, and closes it.
+func (c *conn) reject(reason string) {
+	c.limiter.count(reason, c.address)
+	c.respond(reason)
+	_ = c.Conn.Close()
+}
+
+// closeEvicted closes a connection whose memory was returned already.
+func (c *conn) closeEvicted() { _ = c.Conn.Close() }
+
+// CloseWrite ends the sending side. The server uses it so that a response reaches a caller that still sends.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.drop(c)
+	return err
+}
--- /dev/null
+++ b/internal/callerlimit/listener.go
@@ -0,0 +1,59 @@
+package callerlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// listener accepts connections within the limits.
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Listen returns a listener whose connections are limited. The server must have ConnState and ConnContext of the
+// limiter.
+func (l *Limiter) Listen(source net.Listener) net.Listener {
+	return &listener{Listener: source, limiter: l}
+}
+
+// Accept implements net.Listener. Connections for which there is no room are refused and closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(accepted, l.limiter)
+		reason := l.limiter.admit(c)
+		if reason == "" {
+			return c, nil
+		}
+		c.reject(string(reason))
+	}
+}
+
+// ConnState is the hook of the server: it returns the memory of a request's head once it has been answered.
+func (l *Limiter) ConnState(served net.Conn, state http.ConnState) {
+	if c, ok := served.(*conn); ok && state == http.StateIdle {
+		c.endRequest()
+	}
+}
+
+// addressKey is the key of the caller's address in the context of a request.
+var addressKey = new(int)
+
+// ConnContext is the hook of the server that lets Address find the caller's address.
+func (l *Limiter) ConnContext(ctx context.Context, served net.Conn) context.Context {
+	if c, ok := served.(*conn); ok {
+		return context.WithValue(ctx, addressKey, c.address)
+	}
+	return ctx
+}
+
+// Address returns the address, without port, of the caller of a request; empty if it is not known.
+func Address(ctx context.Context) string {
+	address, _ := ctx.Value(addressKey).(string)
+	return address
+}
--- /dev/null
+++ b/internal/decide/callerbudget/budget.go
@@ -0,0 +1,101 @@
+package callerbudget
+
+const (
+	// shortRatio is the part of memory and connections beyond which they are short.
+	shortRatio = 0.6
+	// addressRatio is the part of them that one address may have then, if there are others.
+	addressRatio = 0.4
+)
+
+// Budget counts what callers have taken. It is not safe for concurrent use.
+type Budget struct {
+	limits      Limits
+	used        int64
+	connections int
+	holdings    map[string]*holding // by address; only those that hold anything
+}
+
+// New returns a budget of which nothing is taken.
+func New(limits Limits) *Budget { return &Budget{limits: limits, holdings: map[string]*holding{}} }
+
+// SetLimits changes the bounds. What is taken stays taken.
+func (b *Budget) SetLimits(limits Limits) { b.limits = limits }
+
+// Used returns the bytes that are taken.
+func (b *Budget) Used() int64 { return b.used }
+
+// Connections returns the number of connections that are taken.
+func (b *Budget) Connections() int { return b.connections }
+
+// TakeConnection takes a connection and its memory. It returns a reason, and takes nothing, if it must not.
+func (b *Budget) TakeConnection(address string) Reason {
+	if b.connections >= b.limits.Connections {
+		return NoConnections
+	}
+	short := shortRatio * float64(b.limits.Connections)
+	if float64(b.connections) >= short && b.others(address) && float64(b.held(address).connections) >= addressRatio*float64(b.limits.Connections) {
+		return AddressShare
+	}
+	if reason := b.Take(Connection, address, ConnectionBytes); reason != "" {
+		return reason
+	}
+	b.connections++
+	b.holdings[address].connections++
+	return ""
+}
+
+// GiveConnection returns a connection and its memory.
+func (b *Budget) GiveConnection(address string) {
+	b.connections--
+	b.holdings[address].connections--
+	b.Give(address, ConnectionBytes)
+}
+
+// Take takes memory for a class. An empty address has no share, as that of buffered answers. It returns a reason, and
+// takes nothing, if it must not.
+func (b *Budget) Take(class Class, address string, n int64) Reason {
+	total := float64(b.limits.Bytes)
+	after := float64(b.used + n)
+	if after > ceilings[class]*total {
+		return NoMemory
+	}
+	if address != "" && after > shortRatio*total && b.others(address) && float64(b.held(address).bytes+n) > addressRatio*total {
+		return AddressShare
+	}
+	b.used += n
+	if address == "" {
+		return ""
+	}
+	if b.holdings[address] == nil {
+		b.holdings[address] = &holding{}
+	}
+	b.holdings[address].bytes += n
+	return ""
+}
+
+// Give returns memory that was taken for the address.
+func (b *Budget) Give(address string, n int64) {
+	b.used -= n
+	if address == "" {
+		return
+	}
+	held := b.holdings[address]
+	held.bytes -= n
+	if held.bytes == 0 && held.connections == 0 {
+		delete(b.holdings, address)
+	}
+}
+
+// held returns what an address has taken.
+func (b *Budget) held(address string) holding {
+	if held := b.holdings[address]; held != nil {
+		return *held
+	}
+	return holding{}
+}
+
+// others reports whether another address holds anything. If all callers come from one address, as behind a
+// balancer, it may have everything.
+func (b *Budget) others(address string) bool {
+	return len(b.holdings) > 1 || len(b.holdings) == 1 && b.holdings[address] == nil
+}
--- /dev/null
+++ b/internal/decide/headscan/result.go
@@ -0,0 +1,16 @@
+package headscan
+
+// Result describes the bytes that were scanned.
+type Result struct {
+	// Heads are the costs of the heads that were completed, in order. The first one includes what earlier calls
+	// have reported as Open.
+	Heads []int64
+	// Open is the cost of the head that is not complete.
+	Open int64
+	// HeadStart is the offset of the first byte of that head; zero if it is in an earlier call.
+	HeadStart int
+	// Reason is set if a request must be refused. It was found at the offset Valid; the bytes before it do not
+	// complete that request.
+	Reason Reason
+	Valid  int
+}
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"siskintide.example/siskintide/internal/boottime"
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/eventlog"
@@ -25,6 +27,11 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout is the time after which idle connections are closed.
 	idleTimeout = 15 * time.Second
+	// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
+	// with the id of the request in the log.
+	headerSlack = 4 << 10
+	// maxInternalHeaderBytes bounds the head of requests of other hosts and of the platform's checks.
+	maxInternalHeaderBytes = 16 << 10
 	// drainDelay is the time for which a leaving host still accepts connections. The load
 	// balancer checks once a second and removes a host after two failed checks.
 	drainDelay = 2500 * time.Millisecond
@@ -43,6 +50,7 @@
 	sink            *eventlog.Sink
 	metrics         *telemetry.Registry
 	loop            *edgecontrol.Loop
+	limiter         *callerlimit.Limiter
 	linker          *linker
 	callers         *http.Server
 	internalServers []*http.Server
@@ -95,6 +103,14 @@
 		SetPeers:     h.linker.SetPeers,
 		MaxConfigAge: options.MaxConfigAge,
 	})
+	h.limiter = callerlimit.New(callerlimit.Options{
+		Limits:        options.CallerLimits,
+		HeaderBytes:   h.headerBytes,
+		EncodeRefusal: options.Codec.EncodeRefusal,
+		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
+		Log:           entry,
+		Clock:         boottime.Now,
+	})
 	handler := gateway.New(gateway.Options{
 		Controller:   h.loop,
 		Codec:        options.Codec,
@@ -105,22 +121,35 @@
 		Clock:        boottime.Now,
 		MaxConfigAge: options.MaxConfigAge,
 		BodyMemory:   options.BodyMemory,
+		Memory:       h.limiter,
 		Stopping:     h.stopping,
 	})
 	h.callers = &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         h.limiter.ConnState,
+		ConnContext:       h.limiter.ConnContext,
 	}
 	return h
 }
 
+// headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
+// the configuration allows; zero if no configuration is known.
+func (h *Host) headerBytes() int64 {
+	table := h.loop.View().Table
+	if table == nil || table.Config.Limits.HeaderBytes <= 0 {
+		return 0
+	}
+	return table.Config.Limits.HeaderBytes + headerSlack
+}
+
 // start opens the listeners and starts all goroutines.
 func (h *Host) start(ctx context.Context) error {
 	h.running.Go(func() { h.loop.Run(ctx) })
 	h.running.Go(func() { h.options.FollowStore(ctx, h.loop, h.log) })
 	h.running.Go(func() { h.runLinks(ctx) })
-	if err := h.listen(h.options.CallersAddress, h.callers); err != nil {
+	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter.Listen); err != nil {
 		return err
 	}
 	if err := h.listenInternal(h.options.Self.PeerAddress, h.linker); err != nil {
@@ -150,18 +179,19 @@
 }
 
 func (h *Host) listenInternal(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	h.internalServers = append(h.internalServers, server)
-	return h.listen(address, server)
+	return h.listen(address, server, func(listener net.Listener) net.Listener { return listener })
 }
 
-func (h *Host) listen(address string, server *http.Server) error {
+// listen serves on an address. The listener is wrapped first.
+func (h *Host) listen(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
 	listener, err := h.options.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	h.running.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.log.WithError(err).WithField("address", address).Error("listener failed")
 		}
 	})
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/retrybudget"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/gateway"
@@ -33,10 +34,12 @@
 	Reporter gateway.Reporter
 	// FollowStore reads the platform's store and passes the results to the loop until the
 	// context ends.
-	FollowStore   func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
-	RetryBudget   retrybudget.Limits
-	MaxConfigAge  time.Duration // see gateway.Options.MaxConfigAge
-	BodyMemory    int64         // see gateway.Options.BodyMemory
+	FollowStore  func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
+	RetryBudget  retrybudget.Limits
+	MaxConfigAge time.Duration // see gateway.Options.MaxConfigAge
+	BodyMemory   int64         // see gateway.Options.BodyMemory
+	// CallerLimits bounds the connections and the memory of callers.
+	CallerLimits  callerbudget.Limits
 	ShutdownGrace time.Duration // from the signal to stop until the process is killed
 	Output        io.Writer     // destination of the log
 }
--- a/internal/gateway/buffer_budget.go
+++ b/internal/gateway/buffer_budget.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"siskintide.example/siskintide/internal/callerlimit"
+)
 
 // maxBufferedBytes bounds the memory for all responses and events that are being buffered.
 // Responses of plain services have a few kilobytes; only those that do not end come near the
@@ -11,6 +15,8 @@
 // concurrent use.
 type bufferBudget struct {
 	used atomic.Int64
+	// memory is the memory of the host for its callers, of which the buffers take a part; nil for no limit.
+	memory *callerlimit.Limiter
 }
 
 // take counts n more bytes for a buffer that has held bytes of the budget. It returns false, and
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -117,7 +117,7 @@
 	address := assignment.Target.Address
 	attempt := Attempt{Target: assignment.Target.Target, Priority: h.priority()}
 	sentAt := h.now()
-	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
+	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt), h.gateway.options.Memory)
 	response, err := h.readCallResponse(x, err)
 	if response != nil {
 		h.recordTargetState(attempt.Target, response.ResponseInfo, sentAt)
@@ -138,7 +138,11 @@
 	if err := h.checkOwner(x.response.StatusCode, info); err != nil {
 		return nil, err
 	}
-	return x.readResponse(info, &h.gateway.buffers)
+	response, err := x.readResponse(info, &h.gateway.buffers)
+	if err == nil {
+		h.responses = append(h.responses, response)
+	}
+	return response, err
 }
 
 // recordAttempt counts an attempt, releases its assignment with the outcome, and logs a
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -17,7 +17,7 @@
 }
 
 func newEventReader(body io.Reader, budget *bufferBudget) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(body, readBufferBytes), share: bufferShare{budget: budget}}
+	return &eventReader{lines: bufio.NewReaderSize(body, readBufferBytes), share: newBufferShare(budget)}
 }
 
 // close releases the memory of the last event.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"siskintide.example/siskintide/internal/callerlimit"
 )
 
 const (
@@ -37,14 +39,14 @@
 // open connects to the target, sends the request and reads the header of the response. The
 // end of the context closes the connection, also after open has returned. It returns an
 // *UnsentError if no byte can have reached the target, and an *ExchangeError if the header
-// did not arrive.
-func open(ctx context.Context, address string, request *http.Request) (*exchange, error) {
+// did not arrive. The memory is that of the host for its callers; nil for no limit.
+func open(ctx context.Context, address string, request *http.Request, memory *callerlimit.Limiter) (*exchange, error) {
 	dialer := net.Dialer{Timeout: connectTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
-	head := &headLimiter{source: conn}
+	head := newHeadLimiter(conn, memory)
 	x := &exchange{address: address, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 	x.detach = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.roundTrip(request); err != nil {
@@ -113,4 +115,5 @@
 func (x *exchange) close() {
 	x.detach()
 	_ = x.conn.Close()
+	x.head.release()
 }
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -81,7 +81,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := server(t, c.response)
-			x, err := open(context.Background(), address, requestTo(address))
+			x, err := open(context.Background(), address, requestTo(address), nil)
 			var response *bufferedResponse
 			if err == nil {
 				defer x.close()
@@ -104,7 +104,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = open(context.Background(), address, requestTo(address))
+	_, err = open(context.Background(), address, requestTo(address), nil)
 	var unsent *UnsentError
 	require.ErrorAs(t, err, &unsent)
 }
@@ -114,7 +114,7 @@
 	address := server(t, "")
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	_, err := open(ctx, address, requestTo(address))
+	_, err := open(ctx, address, requestTo(address), nil)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
@@ -141,7 +141,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := endlessServer(t, c.prefix, c.filler)
-			_, err := open(context.Background(), address, requestTo(address))
+			_, err := open(context.Background(), address, requestTo(address), nil)
 			var broken *ExchangeError
 			require.ErrorAs(t, err, &broken)
 		})
@@ -160,7 +160,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := endlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
-			x, err := open(context.Background(), address, requestTo(address))
+			x, err := open(context.Background(), address, requestTo(address), nil)
 			require.NoError(t, err)
 			defer x.close()
 			budget := &bufferBudget{}
@@ -197,7 +197,7 @@
 	for i := range endless {
 		running.Go(func() {
 			for ctx.Err() == nil {
-				x, err := open(ctx, body, requestTo(body))
+				x, err := open(ctx, body, requestTo(body), nil)
 				if err != nil {
 					continue
 				}
@@ -212,7 +212,7 @@
 	}
 	sound := server(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", unbudgetedBytes, strings.Repeat("y", unbudgetedBytes)))
 	for range 50 {
-		x, err := open(ctx, sound, requestTo(sound))
+		x, err := open(ctx, sound, requestTo(sound), nil)
 		var unsent *UnsentError
 		if errors.As(err, &unsent) {
 			continue // no connection in time beside the load of the others
@@ -237,7 +237,7 @@
 		t.Run(name, func(t *testing.T) {
 			for end := 1; end < len(answer); end++ {
 				address := server(t, answer[:end])
-				x, err := open(context.Background(), address, requestTo(address))
+				x, err := open(context.Background(), address, requestTo(address), nil)
 				if err == nil {
 					_, err = x.readResponse(ResponseInfo{}, &bufferBudget{})
 					x.close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,7 +36,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, bodies: semaphore.NewWeighted(options.BodyMemory)}
+	return &Gateway{options: options, buffers: bufferBudget{memory: options.Memory}, bodies: semaphore.NewWeighted(options.BodyMemory)}
 }
 
 // ServeHTTP implements http.Handler. Routes match the path as it was sent, so the gateway
@@ -62,7 +62,7 @@
 	refusal := h.prepare()
 	detach()
 	h.setDeadline(control.SetReadDeadline, 0)
-	defer h.releaseBody()
+	defer h.releaseMemory()
 	if refusal != nil && h.bodyUnread {
 		h.refuseBody(control, refusal)
 		return
@@ -108,10 +108,7 @@
 		return notRunRefusal(core.RefusedBadRequest, err.Error(), 0)
 	}
 	h.log = h.log.WithField("request", h.request.ID)
-	limits := core.CallerLimits{BodyBytes: defaultMaxBodyBytes}
-	if table := h.gateway.options.Controller.View().Table; table != nil {
-		limits = table.Config.Limits
-	}
+	limits := h.callerLimits()
 	if limits.HeaderBytes > 0 && headerBytes(h.r) > limits.HeaderBytes {
 		return notRunRefusal(core.RefusedHeaderTooLarge, (&TooLargeError{Part: "header", Limit: limits.HeaderBytes}).Error(), 0)
 	}
@@ -122,6 +119,14 @@
 	return h.admit(h.gateway.options.Controller.View())
 }
 
+// callerLimits returns the limits of the configuration, or the default while none is known.
+func (h *requestHandler) callerLimits() core.CallerLimits {
+	if table := h.gateway.options.Controller.View().Table; table != nil {
+		return table.Config.Limits
+	}
+	return core.CallerLimits{BodyBytes: defaultMaxBodyBytes}
+}
+
 // admit finds the route, team and pool in the view. It runs after the complete request has
 // been read, so that the age of the configuration is checked at a moment after the caller
 // sent the request.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -7,9 +7,10 @@
 	"github.com/apex/log"
 
 	"siskintide.example/siskintide/internal/boottime"
+	"siskintide.example/siskintide/internal/callerlimit"
 )
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields but Memory are required.
 type Options struct {
 	Controller Controller
 	Codec      Codec
@@ -23,6 +24,8 @@
 	// BodyMemory bounds the bytes of large request bodies that are held at a time. A body larger than that is
 	// refused.
 	BodyMemory int64
+	// Memory is the memory for bodies and buffered responses; nil for no limit.
+	Memory *callerlimit.Limiter
 	// Stopping ends when a host that shuts down responds to all requests that it still serves, shortly before it
 	// closes their connections.
 	Stopping context.Context
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -6,12 +6,17 @@
 	"net/http"
 	"time"
 
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 )
 
 const (
 	// smallBodyBytes is the size up to which the body of a request needs no reservation.
 	smallBodyBytes = 64 << 10
+	// firstBodyBytes and bodyGrowth are the size of the first buffer for a body, and the factor by which it grows.
+	firstBodyBytes = 4 << 10
+	bodyGrowth     = 4
 	// bodyWait and bodyWaitFraction bound the wait of a body for its reservation, absolutely and as a part of
 	// the time that the caller waits. After it, callers give a host up that does not read their request.
 	bodyWait         = time.Second
@@ -27,24 +32,20 @@
 	if h.r.ContentLength > limit {
 		return h.bodyTooLarge(limit)
 	}
-	head, err := io.ReadAll(io.LimitReader(h.r.Body, min(smallBodyBytes, limit)+1))
-	h.body = head
-	if err != nil {
-		return h.bodyUnreadable()
-	}
-	if int64(len(head)) <= min(smallBodyBytes, limit) {
-		return nil
+	h.memory = h.gateway.options.Memory.Share(callerbudget.Body, callerlimit.Address(h.r.Context()))
+	largest := limit + 1 // one more byte shows that a body is too large
+	if h.r.ContentLength >= 0 {
+		largest = h.r.ContentLength + 1
 	}
-	if !h.reserveBody(limit) {
-		return notRunRefusal(core.RefusedNoCapacity, "the bodies of other requests use up the memory", retryAtCapacity)
-	}
-	h.body = append(make([]byte, 0, max(h.r.ContentLength+1, 2*smallBodyBytes)), head...)
+	var err error
 	for err == nil {
 		if int64(len(h.body)) > limit {
 			return h.bodyTooLarge(limit)
 		}
 		if len(h.body) == cap(h.body) {
-			h.body = append(make([]byte, 0, min(2*int64(cap(h.body)), limit+1)), h.body...)
+			if refusal := h.growBody(largest); refusal != nil {
+				return refusal
+			}
 		}
 		var n int
 		n, err = h.r.Body.Read(h.body[len(h.body):cap(h.body)])
@@ -56,12 +57,26 @@
 	return nil
 }
 
-// reserveBody reserves the memory for a large body: what it has announced, or else the most it may have.
-func (h *requestHandler) reserveBody(limit int64) bool {
-	size := limit
-	if h.r.ContentLength > 0 {
-		size = h.r.ContentLength
+// growBody makes room for more of the body, which has at most largest bytes. What its caller has not sent yet takes
+// little memory, so that callers that announce a body and do not send it do not use the memory up.
+func (h *requestHandler) growBody(largest int64) *core.Refusal {
+	size := min(max(firstBodyBytes, int64(bodyGrowth*cap(h.body))), largest)
+	if size > smallBodyBytes+1 && h.reserved == 0 {
+		if int64(cap(h.body)) <= smallBodyBytes {
+			size = min(smallBodyBytes+1, largest)
+		} else if !h.reserveBody(largest - 1) {
+			return notRunRefusal(core.RefusedNoCapacity, "the bodies of other requests use up the memory", retryAtCapacity)
+		}
+	}
+	if err := h.memory.Grow(size - int64(cap(h.body))); err != nil {
+		return notRunRefusal(core.RefusedNoCapacity, err.Error(), retryAtCapacity)
 	}
+	h.body = append(make([]byte, 0, size), h.body...)
+	return nil
+}
+
+// reserveBody reserves the memory for a large body: what it has announced, or else the most it may have.
+func (h *requestHandler) reserveBody(size int64) bool {
 	wait := bodyWait
 	if h.request.Timeout > 0 {
 		wait = min(wait, time.Duration(bodyWaitFraction*float64(h.request.Timeout)))
@@ -78,8 +93,19 @@
 	return true
 }
 
-// releaseBody returns the memory reserved for the body.
+// releaseMemory returns the memory for the body and for responses.
+func (h *requestHandler) releaseMemory() {
+	for _, response := range h.responses {
+		response.release()
+	}
+	h.releaseBody()
+}
+
+// releaseBody returns the memory for the body.
 func (h *requestHandler) releaseBody() {
+	if h.memory != nil {
+		h.memory.Release()
+	}
 	if h.reserved > 0 {
 		h.gateway.bodies.Release(h.reserved)
 	}
@@ -97,8 +123,8 @@
 	return notRunRefusal(core.RefusedBadRequest, "the body could not be read", 0)
 }
 
-// refuseBody refuses a request whose body has not been read completely. The response is sent at once; what the
-// caller still sends is dropped.
+// refuseBody refuses a request whose body has not been read completely. The response is sent at once. What the
+// caller still sends is dropped, up to the size that a body may have; the rest of a larger one is not read.
 func (h *requestHandler) refuseBody(control *http.ResponseController, refusal *core.Refusal) {
 	if err := control.EnableFullDuplex(); err != nil {
 		h.log.WithError(err).Debug("response cannot be sent before the body has been read")
@@ -109,7 +135,7 @@
 		return // the caller has left
 	}
 	h.setDeadline(control.SetReadDeadline, refusedBodyTimeout)
-	if _, err := io.Copy(io.Discard, h.r.Body); err != nil {
+	if _, err := io.CopyN(io.Discard, h.r.Body, h.callerLimits().BodyBytes); err != nil && err != io.EOF {
 		h.log.WithError(err).Debug("body of a refused request was not read to its end")
 	}
 }
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/edgecontrol"
@@ -28,9 +29,11 @@
 	arrived      time.Duration
 	request      Request
 	body         []byte
-	reserved     int64             // bytes of the memory for large bodies
-	bodyUnread   bool              // the body has not been read completely
-	view         *edgecontrol.View // view under which the request was admitted
+	reserved     int64               // bytes of the memory for large bodies
+	memory       *callerlimit.Share  // for the body
+	responses    []*bufferedResponse // that were read, with their memory
+	bodyUnread   bool                // the body has not been read completely
+	view         *edgecontrol.View   // view under which the request was admitted
 	route        *core.Route
 	team         *core.TeamKeys // nil if no key was needed
 	pool         core.PoolID
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -35,6 +35,7 @@
 		s.sendHeader()
 		return false
 	}
+	s.responses = append(s.responses, message.response)
 	assignment := s.current.assignment
 	s.current.stop()
 	s.gateway.options.Controller.Release(assignment, s.outcome(message.response, nil))
@@ -172,6 +173,7 @@
 		}
 		return false
 	case message.kind == upstreamOpened:
+		s.responses = append(s.responses, message.response)
 		s.revertSwitch(message.response.NotRun, s.outcome(message.response, nil), strconv.Itoa(message.response.status))
 	default:
 		var unsent *UnsentError
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -49,7 +49,7 @@
 
 func (u *upstream) run(ctx context.Context, h *requestHandler, attempt Attempt) {
 	address := u.assignment.Target.Address
-	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt))
+	x, err := open(ctx, address, h.newAttemptRequest(ctx, address, attempt), h.gateway.options.Memory)
 	if err != nil {
 		u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 		return
@@ -69,7 +69,9 @@
 		if response == nil {
 			response = &bufferedResponse{ResponseInfo: info, status: x.response.StatusCode}
 		}
-		u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info, response: response})
+		if !u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info, response: response}) {
+			response.release()
+		}
 		return
 	}
 	u.header = forwardedHeader(x.response.Header)
