Give up requests that hold memory without being completed

Cause, found with a test: while memory was short, callers that announced a body and did not send it kept the memory of their heads for up to 30 s, so that ordinary requests were refused as long. A request that was refused before its body was read (a header too large, no id) waited for that body without end, since net/http reads it before it answers. And a head was counted with a space after each colon, so that legal heads of short lines were refused.

Requests refused before their body was read are answered at once, and their connection ends. Sizes of heads are counted without optional spaces.

TestServedBesideIncompleteRequests: no ordinary request was answered within 60 s beside 150 clients with legal heads of short lines and incomplete bodies before this change; afterwards one is, after 3 s.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/headscan"
 )
 
@@ -65,6 +66,7 @@
 	}
 	if reason := c.take(result); reason != "" {
 		valid, c.refusal = 0, reason
+		c.limiter.Relieve()
 	}
 	if valid == 0 {
 		return 0, c.refuse()
@@ -83,12 +85,16 @@
 	if c.dropped {
 		return reasonSilent
 	}
-	total := result.Open
+	total, largest := result.Open, result.Open
 	for _, cost := range result.Heads {
-		total += cost
+		total, largest = total+cost, max(largest, cost)
+	}
+	class := callerbudget.Head
+	if largest > callerbudget.UsualHeadBytes {
+		class = callerbudget.LargeHead
 	}
 	if more := total - c.open; more > 0 {
-		if reason := l.budget.Take(headClass, c.address, more); reason != "" {
+		if reason := l.budget.Take(class, c.address, more); reason != "" {
 			return string(reason)
 		}
 		c.taken += more
@@ -150,6 +156,7 @@
 // reject refuses a connection that was not admitted, and closes it.
 func (c *conn) reject(reason string) {
 	c.limiter.count(reason, c.address)
+	c.limiter.Relieve()
 	c.respond(reason)
 	_ = c.Conn.Close()
 }
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -14,13 +14,15 @@
 	budget  *callerbudget.Budget
 	// silent are the connections on which no head has been completed yet, oldest first. They may be closed in
 	// favour of new ones, since none of them can have a request in work.
-	silent  *list.List
-	reports map[string]*report // by reason
+	silent *list.List
+	// readings are the requests whose bodies are not complete, oldest first.
+	readings *list.List         // of *Reading
+	reports  map[string]*report // by reason
 }
 
 // New returns a limiter.
 func New(options Options) *Limiter {
-	return &Limiter{options: options, budget: callerbudget.New(options.Limits), silent: list.New(), reports: map[string]*report{}}
+	return &Limiter{options: options, budget: callerbudget.New(options.Limits), silent: list.New(), readings: list.New(), reports: map[string]*report{}}
 }
 
 // SetLimits changes the bounds. Connections and memory in use are not affected.
--- a/internal/callerlimit/refusal.go
+++ b/internal/callerlimit/refusal.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
-	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/headscan"
 )
 
 const (
-	headClass = callerbudget.Head
 	// reasonSilent is the reason for which a connection without a request is closed in favour of a new one.
 	reasonSilent = "silent_connection"
+	// reasonSlowBody is the reason for which a body that arrives slowly is given up while memory is short.
+	reasonSlowBody = "slow_body"
 	// retryAfter is the time after which a caller that found no room may come back.
 	retryAfter = 500 * time.Millisecond
 )
--- a/internal/callerlimit/share.go
+++ b/internal/callerlimit/share.go
@@ -17,6 +17,7 @@
 	}
 	if reason := s.limiter.take(s.class, s.address, n); reason != "" {
 		s.limiter.count(string(reason), s.address)
+		s.limiter.Relieve()
 		return &LimitError{Reason: string(reason)}
 	}
 	s.taken += n
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 // prepare decodes the request, reads its body and finds its route and team.
 func (h *requestHandler) prepare() *core.Refusal {
 	var err error
+	h.bodyUnread = h.r.ContentLength != 0
 	if h.request, err = h.gateway.options.Codec.DecodeRequest(h.r.Header); err != nil {
 		return notRunRefusal(core.RefusedBadRequest, err.Error(), 0)
 	}
@@ -113,9 +114,9 @@
 		return notRunRefusal(core.RefusedHeaderTooLarge, (&TooLargeError{Part: "header", Limit: limits.HeaderBytes}).Error(), 0)
 	}
 	if refusal := h.readBody(limits.BodyBytes); refusal != nil {
-		h.bodyUnread = true
 		return refusal
 	}
+	h.bodyUnread = false
 	return h.admit(h.gateway.options.Controller.View())
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -26,12 +26,12 @@
 	return copied
 }
 
-// headerBytes returns the size of the request line and header as they were sent.
+// headerBytes returns the least size of the request line and header as they were sent: with no space after a colon.
 func headerBytes(r *http.Request) int64 {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost:\r\n\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
+			size += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return int64(size)
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -32,7 +32,14 @@
 	if h.r.ContentLength > limit {
 		return h.bodyTooLarge(limit)
 	}
-	h.memory = h.gateway.options.Memory.Share(callerbudget.Body, callerlimit.Address(h.r.Context()))
+	if h.r.ContentLength == 0 {
+		return nil
+	}
+	address := callerlimit.Address(h.r.Context())
+	reading := h.gateway.options.Memory.StartReading(address, h.abortBody)
+	defer reading.End()
+	h.memory = h.gateway.options.Memory.Share(callerbudget.Body, address)
+	h.largeMemory = h.gateway.options.Memory.Share(callerbudget.LargeBody, address)
 	largest := limit + 1 // one more byte shows that a body is too large
 	if h.r.ContentLength >= 0 {
 		largest = h.r.ContentLength + 1
@@ -51,12 +58,20 @@
 		n, err = h.r.Body.Read(h.body[len(h.body):cap(h.body)])
 		h.body = h.body[:len(h.body)+n]
 	}
+	if reading.End() {
+		return notRunRefusal(core.RefusedNoCapacity, "the body arrived too slowly while memory was short", retryAtCapacity)
+	}
 	if err != io.EOF {
 		return h.bodyUnreadable()
 	}
 	return nil
 }
 
+// abortBody ends the read of the body.
+func (h *requestHandler) abortBody() {
+	h.setDeadline(http.NewResponseController(h.w).SetReadDeadline, time.Nanosecond)
+}
+
 // growBody makes room for more of the body, which has at most largest bytes. What its caller has not sent yet takes
 // little memory, so that callers that announce a body and do not send it do not use the memory up.
 func (h *requestHandler) growBody(largest int64) *core.Refusal {
@@ -68,7 +83,11 @@
 			return notRunRefusal(core.RefusedNoCapacity, "the bodies of other requests use up the memory", retryAtCapacity)
 		}
 	}
-	if err := h.memory.Grow(size - int64(cap(h.body))); err != nil {
+	memory := h.memory
+	if size > callerbudget.UsualBodyBytes+1 {
+		memory = h.largeMemory
+	}
+	if err := memory.Grow(size - int64(cap(h.body))); err != nil {
 		return notRunRefusal(core.RefusedNoCapacity, err.Error(), retryAtCapacity)
 	}
 	h.body = append(make([]byte, 0, size), h.body...)
@@ -85,6 +104,11 @@
 	defer cancel()
 	detach := context.AfterFunc(h.gateway.options.Stopping, cancel)
 	defer detach()
+	if h.gateway.bodies.TryAcquire(size) {
+		h.reserved = size
+		return true
+	}
+	h.gateway.options.Memory.Relieve()
 	if err := h.gateway.bodies.Acquire(ctx, size); err != nil {
 		h.log.WithError(err).WithField("bytes", size).Info("no memory for the body of a request")
 		return false
@@ -105,6 +129,7 @@
 func (h *requestHandler) releaseBody() {
 	if h.memory != nil {
 		h.memory.Release()
+		h.largeMemory.Release()
 	}
 	if h.reserved > 0 {
 		h.gateway.bodies.Release(h.reserved)
--- a/internal/gateway/request_handler.go
+++ b/internal/gateway/request_handler.go
@@ -30,9 +30,10 @@
 	request      Request
 	body         []byte
 	reserved     int64               // bytes of the memory for large bodies
-	memory       *callerlimit.Share  // for the body
+	memory       *callerlimit.Share  // for the body up to its usual size
+	largeMemory  *callerlimit.Share  // for the rest of the body
 	responses    []*bufferedResponse // that were read, with their memory
-	bodyUnread   bool                // the body has not been read completely
+	bodyUnread   bool                // the body has not been read completely; net/http would wait for its rest without end
 	view         *edgecontrol.View   // view under which the request was admitted
 	route        *core.Route
 	team         *core.TeamKeys // nil if no key was needed
