--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -25,13 +25,6 @@
 	return &Limiter{options: options, budget: callerbudget.New(options.Limits), silent: list.New(), readings: list.New(), reports: map[string]*report{}}
 }
 
-// SetLimits changes the bounds. Connections and memory in use are not affected.
-func (l *Limiter) SetLimits(limits callerbudget.Limits) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.budget.SetLimits(limits)
-}
-
 // Share returns a share of the memory for a class, of which nothing is taken yet. That of a nil Limiter is not limited.
 func (l *Limiter) Share(class callerbudget.Class, address string) *Share {
 	return &Share{limiter: l, class: class, address: address}
--- a/internal/decide/callerbudget/budget.go
+++ b/internal/decide/callerbudget/budget.go
@@ -18,9 +18,6 @@
 // New returns a budget of which nothing is taken.
 func New(limits Limits) *Budget { return &Budget{limits: limits, holdings: map[string]*holding{}} }
 
-// SetLimits changes the bounds. What is taken stays taken.
-func (b *Budget) SetLimits(limits Limits) { b.limits = limits }
-
 // Used returns the bytes that are taken.
 func (b *Budget) Used() int64 { return b.used }
 
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -32,13 +32,18 @@
 	event := streamEvent{isComment: true}
 	for {
 		line, err := r.lines.ReadSlice('\n')
-		event.bytes = append(event.bytes, line...)
-		if len(event.bytes) > maxEventBytes {
+		if len(event.bytes)+len(line) > maxEventBytes {
 			return streamEvent{}, &TooLargeError{Part: "event", Limit: maxEventBytes}
 		}
 		if err := r.share.grow(int64(len(line))); err != nil {
 			return streamEvent{}, err
 		}
+		room, holdErr := r.makeRoom(event.bytes, len(line))
+		if holdErr != nil {
+			return streamEvent{}, holdErr
+		}
+		event.bytes = room
+		event.bytes = append(event.bytes, line...)
 		if err == bufio.ErrBufferFull {
 			continue
 		}
@@ -59,3 +64,17 @@
 		}
 	}
 }
+
+// makeRoom returns an event with room for n more bytes. The memory for the buffer of a large event, and for the one that
+// it replaces, is taken before it is allocated.
+func (r *eventReader) makeRoom(event []byte, n int) ([]byte, error) {
+	need := len(event) + n
+	if need <= cap(event) || need <= memoryStep {
+		return event, nil
+	}
+	size := min(2*need, maxEventBytes)
+	if err := r.share.hold(int64(size + cap(event))); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, size), event...), nil
+}
