Let connections without an admitted request give way to new ones

Kept connections whose requests were all refused for their form, route or key held their places until the idle time-out. While they are idle, they are closed like silent ones, the oldest first, once there is no room.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"siskintide.example/siskintide/internal/decide/callerbudget"
@@ -28,9 +29,11 @@
 	address string
 	scanner headscan.Scanner // used by Read only, which the server does not call concurrently
 	refusal string           // reason to refuse the next Read; empty for none
+	// admitted is set once a request of the connection was admitted.
+	admitted atomic.Bool
 
 	// Guarded by the mutex of the limiter.
-	silent  *list.Element // in Limiter.silent; nil once a head is complete
+	silent  *list.Element // in Limiter.silent; nil while it must not be closed
 	dropped bool          // what it has taken was returned
 	taken   int64         // memory for heads
 	open    int64         // part of taken for the head that is not complete
@@ -120,6 +123,9 @@
 	c.heads = c.heads[1:]
 	if len(c.heads) == 0 {
 		c.heads = nil
+		if !c.admitted.Load() {
+			c.silent = l.silent.PushBack(c)
+		}
 	}
 }
 
--- a/internal/callerlimit/conn_test.go
+++ b/internal/callerlimit/conn_test.go
@@ -97,7 +97,11 @@
 	return response, string(body)
 }
 
+// ok answers a request, and admits it unless its path is /refused.
 func ok(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/refused" {
+		MarkAdmitted(r.Context())
+	}
 	body, _ := io.ReadAll(r.Body)
 	_, _ = fmt.Fprintf(w, "%s %s %d", r.URL.Path, Address(r.Context()), len(body))
 }
@@ -194,6 +198,35 @@
 	get(kept, reader)
 }
 
+// TestRefusedConnectionsGiveWay guards against kept connections, on which nothing was admitted, that keep others out.
+func TestRefusedConnectionsGiveWay(t *testing.T) {
+	s := newTestServer(t, callerbudget.Limits{Bytes: 1 << 20, Connections: 3}, ok)
+	get := func(conn net.Conn, path string) {
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		response, _ := readResponse(t, bufio.NewReader(conn))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	idle := func(connections int) {
+		require.Eventually(t, func() bool {
+			s.limiter.mu.Lock()
+			defer s.limiter.mu.Unlock()
+			return s.limiter.silent.Len() == connections
+		}, stepTimeout, time.Millisecond)
+	}
+	kept := s.dial()
+	get(kept, "/a")
+	for i := range 2 {
+		get(s.dial(), "/refused")
+		idle(i + 1)
+	}
+	get(s.dial(), "/a")
+	get(s.dial(), "/a")
+	get(kept, "/a")
+	require.Equal(t, 2, s.metrics.count(reasonSilent))
+	idle(0)
+}
+
 // TestHeadsWithoutMemory guards against heads that are parsed without memory for them, and against a log line for
 // each refusal.
 func TestHeadsWithoutMemory(t *testing.T) {
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -12,8 +12,8 @@
 	options Options
 	mu      sync.Mutex
 	budget  *callerbudget.Budget
-	// silent are the connections on which no head has been completed yet, oldest first. They may be closed in
-	// favour of new ones, since none of them can have a request in work.
+	// silent are the connections on which no request was admitted yet and none is being answered, oldest first. They
+	// may be closed in favour of new ones.
 	silent *list.List
 	// readings are the requests whose bodies are not complete, oldest first.
 	readings *list.List         // of *Reading
--- a/internal/callerlimit/listener.go
+++ b/internal/callerlimit/listener.go
@@ -41,19 +41,29 @@
 	}
 }
 
-// addressKey is the key of the caller's address in the context of a request.
-var addressKey = new(int)
+// connKey is the key of the connection in the context of a request.
+var connKey = new(int)
 
-// ConnContext is the hook of the server that lets Address find the caller's address.
+// ConnContext is the hook of the server that lets Address and MarkAdmitted find the connection.
 func (l *Limiter) ConnContext(ctx context.Context, served net.Conn) context.Context {
 	if c, ok := served.(*conn); ok {
-		return context.WithValue(ctx, addressKey, c.address)
+		return context.WithValue(ctx, connKey, c)
 	}
 	return ctx
 }
 
 // Address returns the address, without port, of the caller of a request; empty if it is not known.
 func Address(ctx context.Context) string {
-	address, _ := ctx.Value(addressKey).(string)
-	return address
+	if c, ok := ctx.Value(connKey).(*conn); ok {
+		return c.address
+	}
+	return ""
+}
+
+// MarkAdmitted records that a request was admitted on the connection of a request. While it is idle, a connection without an
+// admitted request may be closed in favour of a new one.
+func MarkAdmitted(ctx context.Context) {
+	if c, ok := ctx.Value(connKey).(*conn); ok {
+		c.admitted.Store(true)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/routetable"
 	"siskintide.example/siskintide/internal/edgecontrol"
@@ -71,6 +72,7 @@
 		h.refuse(refusal)
 		return
 	}
+	callerlimit.MarkAdmitted(r.Context())
 	h.setDeadline(control.SetWriteDeadline, h.timeLeft()+writeMargin)
 	h.log = h.log.WithField("request", h.request.ID).WithField("route", h.route.ID)
 	g.options.Controller.CountRequest(h.pool)
