--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/routetable"
 	"siskintide.example/siskintide/internal/edgecontrol"
@@ -37,7 +38,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, bodies: semaphore.NewWeighted(options.BodyMemory)}
+	return &Gateway{options: options, buffers: bufferBudget{memory: options.Memory}, bodies: semaphore.NewWeighted(options.BodyMemory)}
 }
 
 // ServeHTTP implements http.Handler. Routes match the path as it was sent, so the gateway
@@ -63,7 +64,7 @@
 	refusal := h.prepare()
 	detach()
 	h.setDeadline(control.SetReadDeadline, 0)
-	defer h.releaseBody()
+	defer h.releaseMemory()
 	if refusal != nil && h.bodyUnread {
 		h.refuseBody(control, refusal)
 		return
@@ -72,6 +73,7 @@
 		h.refuse(refusal)
 		return
 	}
+	callerlimit.MarkAdmitted(r.Context())
 	h.setDeadline(control.SetWriteDeadline, h.timeLeft()+writeMargin)
 	h.log = h.log.WithField("request", h.request.ID).WithField("route", h.route.ID)
 	g.options.Controller.CountRequest(h.pool)
@@ -105,24 +107,30 @@
 // prepare decodes the request, reads its body and finds its route and team.
 func (h *requestHandler) prepare() *core.Refusal {
 	var err error
+	h.bodyUnread = h.r.ContentLength != 0
 	if h.request, err = h.gateway.options.Codec.DecodeRequest(h.r.Header); err != nil {
 		return notRunRefusal(core.RefusedBadRequest, err.Error(), 0)
 	}
 	h.log = h.log.WithField("request", h.request.ID)
-	limits := core.CallerLimits{BodyBytes: defaultMaxBodyBytes}
-	if table := h.gateway.options.Controller.View().Table; table != nil {
-		limits = table.Config.Limits
-	}
+	limits := h.callerLimits()
 	if limits.HeaderBytes > 0 && headerBytes(h.r) > limits.HeaderBytes {
 		return notRunRefusal(core.RefusedHeaderTooLarge, (&TooLargeError{Part: "header", Limit: limits.HeaderBytes}).Error(), 0)
 	}
 	if refusal := h.readBody(limits.BodyBytes); refusal != nil {
-		h.bodyUnread = true
 		return refusal
 	}
+	h.bodyUnread = false
 	return h.admit(h.gateway.options.Controller.View())
 }
 
+// callerLimits returns the limits of the configuration, or the default while none is known.
+func (h *requestHandler) callerLimits() core.CallerLimits {
+	if table := h.gateway.options.Controller.View().Table; table != nil {
+		return table.Config.Limits
+	}
+	return core.CallerLimits{BodyBytes: defaultMaxBodyBytes}
+}
+
 // admit finds the route, team and pool in the view. It runs after the complete request has
 // been read, so that the age of the configuration is checked at a moment after the caller
 // sent the request.
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -40,6 +40,7 @@
 		}
 		return false
 	}
+	s.responses = append(s.responses, message.response)
 	assignment := s.current.assignment
 	s.current.stop()
 	s.gateway.options.Controller.Release(assignment, s.outcome(message.response, nil))
@@ -242,6 +243,7 @@
 		}
 		return false
 	case message.kind == upstreamOpened:
+		s.responses = append(s.responses, message.response)
 		s.revertSwitch(message.response.NotRun, s.outcome(message.response, nil), strconv.Itoa(message.response.status))
 	default:
 		s.recordCrash(s.next.assignment.Target.Target, message.err)
