--- a/tools/knownred/run.go
+++ b/tools/knownred/run.go
@@ -14,9 +14,13 @@
 // only test binaries that use it accept.
 const rapidImport = "pgregory.net/rapid"
 
+// alonePackage is the end of the import path of a package whose tests run apart from others: they measure the memory
+// of processes under a crowd of connections.
+const alonePackage = "/platform/hostile"
+
 // runTests runs the tests of all packages. Packages with property-based tests get the seed.
 func runTests(seed uint64) (*summary, error) {
-	plain, seeded, err := splitPackages()
+	plain, seeded, alone, err := splitPackages()
 	if err != nil {
 		return nil, err
 	}
@@ -24,25 +28,31 @@
 	if err := runPackages(result, plain); err != nil {
 		return nil, err
 	}
-	return result, runPackages(result, seeded, fmt.Sprintf("-rapid.seed=%d", seed))
+	if err := runPackages(result, seeded, fmt.Sprintf("-rapid.seed=%d", seed)); err != nil {
+		return nil, err
+	}
+	return result, runPackages(result, alone)
 }
 
-// splitPackages lists the packages without and with property-based tests.
-func splitPackages() (plain, seeded []string, err error) {
+// splitPackages lists the packages without and with property-based tests, and those whose tests run alone.
+func splitPackages() (plain, seeded, alone []string, err error) {
 	format := `{{.ImportPath}} {{range .TestImports}}{{.}} {{end}}{{range .XTestImports}}{{.}} {{end}}`
 	output, err := exec.Command("go", "list", "-f", format, "./...").Output()
 	if err != nil {
-		return nil, nil, fmt.Errorf("list packages: %w", err)
+		return nil, nil, nil, fmt.Errorf("list packages: %w", err)
 	}
 	for line := range strings.Lines(string(output)) {
 		fields := strings.Fields(line)
-		if strings.Contains(line, " "+rapidImport+" ") {
+		switch {
+		case strings.HasSuffix(fields[0], alonePackage):
+			alone = append(alone, fields[0])
+		case strings.Contains(line, " "+rapidImport+" "):
 			seeded = append(seeded, fields[0])
-		} else {
+		default:
 			plain = append(plain, fields[0])
 		}
 	}
-	return plain, seeded, nil
+	return plain, seeded, alone, nil
 }
 
 // runPackages runs the packages' tests and adds their events to the summary. It returns no
