Roll out versions of targets by order, from the order's row to completion

The operator's row op/rollout/SERVICE was ignored, and targets of all versions got requests at once. With the contract rollout, a host now sends requests to the version in force only. The host that ranks first records the rollout in the table rollouts by conditional writes, grants hosts counted quotas for the new version that expire, compares both versions by exact tests, and completes or rolls back. Without the contract nothing is read or written.

--- a/internal/decide/placement/balancer.go
+++ b/internal/decide/placement/balancer.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// RequestsAt returns the number of requests of all hosts that run at a target.
+func (b *Balancer) RequestsAt(id core.TargetID) int { return b.load(id).Requests }
+
 // load returns the load of all hosts on a target.
 func (b *Balancer) load(id core.TargetID) Load {
 	return b.own[id].plus(b.peers.totals[id])
--- a/internal/decide/registry/entry.go
+++ b/internal/decide/registry/entry.go
@@ -26,6 +26,9 @@
 		string(e.Target), string(e.Pool), e.Address, string(e.DataCentre),
 		strconv.Itoa(e.Slots), strconv.FormatBool(e.Leaving), strconv.FormatInt(e.Born, 10),
 	}
+	if e.Version != "" {
+		fields = append(fields, string(e.Version))
+	}
 	return xxhash.Sum64String(strings.Join(fields, "\x00"))
 }
 
--- /dev/null
+++ b/internal/decide/rollout/cell_key.go
@@ -0,0 +1,7 @@
+package rollout
+
+// cellKey identifies a cell.
+type cellKey struct {
+	stratum
+	isNew bool
+}
--- /dev/null
+++ b/internal/decide/rollout/judge.go
@@ -0,0 +1,119 @@
+package rollout
+
+import (
+	"math"
+)
+
+const (
+	// sequentialError bounds the probability that a version which does not differ from the old one is rolled
+	// back by the tests that are made while answers arrive. It is divided by all of them: by the strata, the
+	// measures, and the times at which a test is repeated.
+	sequentialError = 0.005
+	// finalError bounds the same for the tests made once, before traffic moves. They see all answers at once
+	// and so find what the sequential tests are too strict for.
+	finalError = 0.005
+	// nominalStrata is the number of strata among which the errors are divided, if there are not more.
+	nominalStrata = 8
+	// firstLook is the number of answers in a stratum at which it is tested first; it is tested again each
+	// time that there are lookGrowth as many.
+	firstLook  = 4
+	lookGrowth = 1.4
+)
+
+// judge tests whether a new version is worse than the old one, while answers arrive. All tests of a version
+// together keep the stated errors, since each of them is exact.
+type judge struct {
+	looks map[stratum]int // tests made by stratum; the zero stratum stands for all together
+}
+
+func newJudge() *judge { return &judge{looks: map[stratum]int{}} }
+
+// examine makes the tests that are due, and returns what speaks against the new version, or nil.
+func (j *judge) examine(e *evidence) *finding {
+	strata := e.strata()
+	for _, s := range strata {
+		answers := e.newAnswers(s)
+		if level, due := j.look(s, answers, len(strata)); due {
+			if found := e.test([]stratum{s}, level); found != nil {
+				found.route = s.route
+				return found
+			}
+		}
+	}
+	answers, _ := e.judged()
+	if level, due := j.look(stratum{}, int(answers), len(strata)); due {
+		return e.test(strata, level)
+	}
+	return nil
+}
+
+// examineFinally makes the tests before traffic moves.
+func (j *judge) examineFinally(e *evidence) *finding {
+	strata := e.strata()
+	level := finalError / float64(2*len(measures))
+	if found := e.test(strata, level); found != nil {
+		return found
+	}
+	for _, s := range strata {
+		if found := e.test([]stratum{s}, level/float64(max(len(strata), 1))); found != nil {
+			found.route = s.route
+			return found
+		}
+	}
+	return nil
+}
+
+// look reports whether a test is due, and at which level of significance. The level of the k-th test is
+// proportional to 1/k², so that the sum over any number of tests is bounded.
+func (j *judge) look(s stratum, answers, strata int) (level float64, due bool) {
+	next := j.looks[s]
+	if float64(answers) < firstLook*math.Pow(lookGrowth, float64(next)) {
+		return 0, false
+	}
+	for float64(answers) >= firstLook*math.Pow(lookGrowth, float64(next)) {
+		next++
+	}
+	j.looks[s] = next
+	tests := float64(len(measures) * (max(strata, nominalStrata) + 1))
+	return sequentialError / tests * 6 / (math.Pi * math.Pi * float64(next) * float64(next)), true
+}
+
+// newAnswers returns the number of answers of the new version in a stratum.
+func (e *evidence) newAnswers(s stratum) int {
+	if c := e.cells[cellKey{stratum: s, isNew: true}]; c != nil {
+		return answersOf(c)
+	}
+	return 0
+}
+
+// test compares the versions in some strata together by each measure, at a level of significance for each.
+func (e *evidence) test(strata []stratum, level float64) *finding {
+	for _, m := range measures {
+		var tables []comparison
+		sum := comparison{}
+		for _, s := range strata {
+			t := e.compare(m, s)
+			if t.newAll == 0 || t.oldAll == 0 {
+				continue
+			}
+			tables = append(tables, t)
+			sum = comparison{newBad: sum.newBad + t.newBad, newAll: sum.newAll + t.newAll, oldBad: sum.oldBad + t.oldBad, oldAll: sum.oldAll + t.oldAll}
+		}
+		if sum.newBad == 0 || excess(tables) < m.minExcess {
+			continue
+		}
+		if p := tailProbability(tables); p < level {
+			return &finding{measure: m.name, table: sum, probability: p}
+		}
+	}
+	return nil
+}
+
+// excess returns the mean over strata of the difference between the versions, by the new version's answers.
+func excess(tables []comparison) float64 {
+	sum, answers := 0.0, 0
+	for _, t := range tables {
+		sum, answers = sum+t.excess()*float64(t.newAll), answers+t.newAll
+	}
+	return sum / float64(max(answers, 1))
+}
--- /dev/null
+++ b/internal/decide/rollout/measure.go
@@ -0,0 +1,51 @@
+package rollout
+
+import (
+	"time"
+
+	"siskintide.example/siskintide/internal/core"
+)
+
+// measure is a property of answers by which versions are compared.
+type measure struct {
+	name string
+	// durations selects the durations that are compared; nil compares failures.
+	durations func(*core.RolloutCell) []uint32
+	// slowdown is the multiple of the median of both versions together from which an answer counts as slow.
+	// The median of both, and not that of the old version, keeps the test exact.
+	slowdown int
+	// minExcess is the smallest difference between the versions' fractions that matters.
+	minExcess float64
+}
+
+// minSlowness is the least by which a duration must exceed the median to count as slow. Differences below it
+// come from the scheduling of small hosts.
+const minSlowness = 25 * time.Millisecond
+
+func times(c *core.RolloutCell) []uint32 { return c.Times }
+
+func gaps(c *core.RolloutCell) []uint32 { return c.Gaps }
+
+// measures lists all measures. A response that is several times slower exceeds twice the median, and four times
+// the median if the durations of the route vary little.
+var measures = []measure{
+	{name: "failures", minExcess: 0.02},
+	{name: "time above twice the median", durations: times, slowdown: 2, minExcess: 0.08},
+	{name: "time above four times the median", durations: times, slowdown: 4, minExcess: 0.04},
+	{name: "pause above twice the median", durations: gaps, slowdown: 2, minExcess: 0.08},
+	{name: "pause above four times the median", durations: gaps, slowdown: 4, minExcess: 0.04},
+}
+
+// compare counts the answers with the property in the cells of one stratum; a cell may be nil.
+func (m measure) compare(newCell, oldCell *core.RolloutCell) comparison {
+	if newCell == nil || oldCell == nil {
+		return comparison{}
+	}
+	if m.durations == nil {
+		return comparison{newBad: min(int(newCell.Failed), int(newCell.Ended)), newAll: int(newCell.Ended), oldBad: min(int(oldCell.Failed), int(oldCell.Ended)), oldAll: int(oldCell.Ended)}
+	}
+	a, b := m.durations(newCell), m.durations(oldCell)
+	limit := BucketLimit(median(a, b))
+	first := bucketOf(max(time.Duration(m.slowdown)*limit, limit+minSlowness))
+	return comparison{newBad: countFrom(a, first), newAll: total(a), oldBad: countFrom(b, first), oldAll: total(b)}
+}
--- a/internal/edgecontrol/assignment.go
+++ b/internal/edgecontrol/assignment.go
@@ -16,6 +16,9 @@
 	// RetryAfter is the time until a permit is left for the request, or until a target that has asked to
 	// be sent nothing takes requests again; zero if it is not known.
 	RetryAfter time.Duration
-	load       placement.Load // added to the target
-	copy       placement.Load // added to the target that keeps the copy
+	// WorstGap is the longest pause between two events of the stream, set by the caller before the release.
+	WorstGap time.Duration
+	rollout  rolloutTicket
+	load     placement.Load // added to the target
+	copy     placement.Load // added to the target that keeps the copy
 }
--- a/internal/edgecontrol/first_update.go
+++ b/internal/edgecontrol/first_update.go
@@ -30,6 +30,7 @@
 	if len(s.hosts) != has.HostCount {
 		m.Hosts = s.hosts
 	}
+	s.addAllRollouts(&m)
 	return m
 }
 
--- a/internal/edgecontrol/hub_client.go
+++ b/internal/edgecontrol/hub_client.go
@@ -76,6 +76,7 @@
 			m.Revision = s.view.Table.Config.Revision
 		}
 	}
+	m.Rollouts = s.rolloutReports(now)
 	s.options.Send(from, m)
 }
 
@@ -100,6 +101,7 @@
 		s.chooser.RecordOutdated(from, s.now())
 	}
 	if from == s.hub {
+		s.acceptQuotas(m.Quotas, m.SentAt)
 		s.balancer.SetHubFailureRates(m.FailureRates)
 	}
 	if from == s.hub && m.Subscription == s.subscription.number && received > 0 && m.LastSent != received {
@@ -144,6 +146,7 @@
 	if m.Config != nil {
 		update.Config = m.Config.Value()
 	}
+	s.applyHubRollouts(m)
 	updateEvent{Update: update}.apply(s)
 	if update.Config != nil && s.view.Table.Config == update.Config {
 		s.sharedConfig = m.Config // already encoded
--- a/internal/edgecontrol/hub_placement.go
+++ b/internal/edgecontrol/hub_placement.go
@@ -37,6 +37,7 @@
 		Number: number, Pool: e.req.Pool, Request: request.ID, DataCentre: request.DataCentre,
 		Memory: request.Memory, Prompt: request.Prompt, WantsCopy: request.WantsCopy, TransfersMemory: request.TransfersMemory, Avoid: avoid,
 		RunningOn: e.req.RunningOn, NeedsGrant: needsGrant, MayWait: e.req.MayWait,
+		Versioned: e.req.Versioned, Version: e.req.Version, Probe: e.req.Probe,
 		Team: e.req.Team, Content: e.req.Content, Priority: e.req.Priority, TimeLeft: e.req.TimeLeft, MaxWait: e.req.MaxWait,
 	})
 	if sent {
@@ -64,6 +65,11 @@
 	return ids
 }
 
+// inVersion reports whether a candidate is of the version to which a request goes.
+func (s *state) inVersion(c placement.Candidate, req PlacementRequest) bool {
+	return s.rollouts == nil || !req.Versioned || c.Version == req.Version && s.allows(req.Pool, c.Version)
+}
+
 // handlePlacementResponse answers the waiting request with the target that the hub chose. If
 // the hub chose none, or one that this host does not know or avoids, the host chooses a target
 // itself.
@@ -81,15 +87,19 @@
 	choice := placement.Choice{Target: s.candidate(m.Target)}
 	if m.Copy != "" && s.view.Usable(m.Copy) {
 		choice.Copy = s.candidate(m.Copy)
+		if !s.inVersion(choice.Copy, waiting.req) {
+			choice.Copy = placement.Candidate{}
+		}
 	}
 	usable := m.Target != "" && (s.view.Usable(m.Target) || m.Target == waiting.req.RunningOn)
 	if waiting.needsGrant && m.Target == "" {
 		waiting.refuseRetry(s)
 		return
 	}
+	usable = usable && s.inVersion(choice.Target, waiting.req)
 	if !usable || s.balancer.Avoided(m.Target, s.now()) && waiting.req.RunningOn == "" {
 		waiting.placeLocally(s)
 		return
 	}
-	waiting.reply <- s.assign(choice, waiting.req.Request)
+	waiting.reply <- s.assign(choice, waiting.req)
 }
--- a/internal/edgecontrol/hub_server.go
+++ b/internal/edgecontrol/hub_server.go
@@ -78,7 +78,9 @@
 	if reliable && sub.lost {
 		s.sendUpdate(to, sub, s.firstUpdate(sub.request, now))
 	}
-	s.options.Send(to, message.HubResponse{SentAt: sub.request.SentAt, Subscription: sub.request.Subscription, AgeKnown: reliable && !sub.lost, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
+	quotas := s.rolloutQuotas(to, sub.request.Rollouts)
+	sub.request.Rollouts = nil
+	s.options.Send(to, message.HubResponse{Quotas: quotas, SentAt: sub.request.SentAt, Subscription: sub.request.Subscription, AgeKnown: reliable && !sub.lost, Age: age, LastSent: sub.sent, FailureRates: s.balancer.HighFailureRates(now)})
 }
 
 // stateAge returns the upper bound on the age of the configuration and the registry, and false
@@ -107,6 +109,7 @@
 
 // notifySubscribers sends the difference between two views to the subscribers.
 func (s *state) notifySubscribers(before, after *View) {
+	rolledOut := s.takeRolloutChanges()
 	if len(s.subscribers) == 0 {
 		return
 	}
@@ -134,7 +137,8 @@
 	if s.hostsChanged && s.now() >= s.hostsSentAt+hostListInterval {
 		m.Hosts, s.hostsChanged, s.hostsSentAt = s.hosts, false, s.now()
 	}
-	if m.Config == nil && !m.HasEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts) == 0 {
+	m.Rollouts = rolledOut
+	if m.Config == nil && !m.HasEvacuated && len(m.Registrations)+len(m.Removed)+len(m.Hosts)+len(m.Rollouts) == 0 {
 		return
 	}
 	active := s.chooser.Subscribers()
@@ -202,6 +206,9 @@
 		ID: m.Request, DataCentre: m.DataCentre, Memory: m.Memory, Prompt: m.Prompt,
 		WantsCopy: m.WantsCopy, TransfersMemory: m.TransfersMemory, Avoid: m.Avoid,
 	}}
+	if s.rollouts != nil && m.Versioned {
+		req.Versioned, req.Version, req.Probe = true, m.Version, m.Probe
+	}
 	if m.NeedsGrant && !s.grantRetry(m.Pool) {
 		s.options.Send(from, message.PlacementResponse{Number: m.Number})
 		return
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -42,6 +42,7 @@
 	defer close(l.done)
 	s := newState(&l.options)
 	s.startedAt = s.now()
+	s.view.VersionsUnknown = s.rollouts != nil
 	changed := make(chan struct{})
 	s.view.Changed = changed
 	l.publish(s)
@@ -98,6 +99,7 @@
 	s.sendLoad()
 	s.tickQuarantine()
 	s.tickLimits()
+	s.tickRollouts()
 }
 
 // View returns the latest view.
@@ -120,6 +122,11 @@
 	l.post(context.Background(), updateEvent{Update: update})
 }
 
+// HandleRolloutWritten records the result of a write of a pool's record.
+func (l *Loop) HandleRolloutWritten(write RolloutWrite, err error) {
+	l.post(context.Background(), rolloutWrittenEvent{pool: write.Record.Pool, sequence: write.Record.Sequence, err: err})
+}
+
 // HandleStoreStatus records whether the store is available.
 func (l *Loop) HandleStoreStatus(up bool) { l.post(context.Background(), storeEvent{up: up}) }
 
@@ -194,9 +201,9 @@
 // MarkStarted records that the target has processed the prompt of a request. It returns the
 // assignment with the remaining load.
 func (l *Loop) MarkStarted(assignment Assignment) Assignment {
-	if assignment.load.PendingPrefill > 0 {
+	if assignment.load.PendingPrefill > 0 || assignment.rollout.counts() && !assignment.rollout.timed {
 		l.post(context.Background(), startedEvent{assignment: assignment})
-		assignment.load.PendingPrefill = 0
+		assignment.load.PendingPrefill, assignment.rollout.timed = 0, true
 	}
 	return assignment
 }
--- a/internal/edgecontrol/options.go
+++ b/internal/edgecontrol/options.go
@@ -11,7 +11,7 @@
 	"siskintide.example/siskintide/internal/message"
 )
 
-// Options configures a Loop. All fields are required.
+// Options configures a Loop. All fields but Rollout are required.
 type Options struct {
 	Self        core.Host
 	RetryBudget retrybudget.Limits // retry budget of all hosts together
@@ -25,5 +25,8 @@
 	// SetPeers sets the hosts to keep links with. It must not block.
 	SetPeers func(hosts []core.Host)
 
+	// Rollout configures rollouts; nil if versions of targets do not matter.
+	Rollout *RolloutOptions
+
 	post func(event) // queues an event for the control goroutine
 }
--- a/internal/edgecontrol/place_event.go
+++ b/internal/edgecontrol/place_event.go
@@ -20,6 +20,7 @@
 		e.req.Request.DataCentre = s.options.Self.DataCentre
 	}
 	s.avoidResting(&e.req)
+	s.chooseVersion(&e.req)
 	covered := !e.req.Retry || s.retryBudget(e.req.Pool).TrySpend(s.now(), len(s.hosts)) || s.grantRetry(e.req.Pool)
 	spec := s.view.Table.Pool(e.req.Pool)
 	placedByHub := spec != nil && spec.Engine != nil || !s.issuesOwnPermits() && s.limited(e.req.Pool)
@@ -42,7 +43,15 @@
 
 // placeLocally answers with a target chosen from this host's own state.
 func (e placeEvent) placeLocally(s *state) {
-	s.place(e.req, s.issuesOwnPermits(), localReply{reply: e.reply})
+	if e.req.Probe {
+		// Targets of the new version take no part in the issue of permits, and no request waits for them.
+		if choice, ok := s.choose(e.req, false); ok && !s.shouldWait(choice, e.req) {
+			e.reply <- s.assign(choice, e.req)
+			return
+		}
+		s.unprobe(&e.req)
+	}
+	s.place(e.req, s.issuesOwnPermits(), localReply{reply: e.reply, req: e.req})
 }
 
 // shouldWait reports whether a request that may wait should do so, because even the chosen
@@ -58,10 +67,13 @@
 		return placement.Choice{}, false
 	}
 	if req.RunningOn == "" {
-		return s.balancer.Choose(s.permitted(s.candidates(req.Pool), usePermits), req.Request, s.now())
+		return s.balancer.Choose(s.permitted(s.requestCandidates(req), usePermits), req.Request, s.now())
 	}
-	candidates := s.permitted(s.candidates(req.Pool), false)
 	choice := placement.Choice{Target: s.candidate(req.RunningOn)}
+	if choice.Target.Address != "" && !s.allows(req.Pool, choice.Target.Version) {
+		return placement.Choice{}, false
+	}
+	candidates := s.permitted(s.requestCandidates(req), false)
 	if req.Request.WantsCopy {
 		if holder, ok := s.balancer.ChooseCopy(candidates, req.Request, req.RunningOn, s.now()); ok {
 			choice.Copy = holder
@@ -73,11 +85,12 @@
 // candidate returns the placement candidate for a target.
 func (s *state) candidate(id core.TargetID) placement.Candidate {
 	entry := s.view.Targets[id]
-	return placement.Candidate{Target: id, Address: entry.Address, DataCentre: entry.DataCentre, Slots: entry.Slots}
+	return placement.Candidate{Target: id, Address: entry.Address, DataCentre: entry.DataCentre, Slots: entry.Slots, Version: entry.Version}
 }
 
-func (s *state) assign(choice placement.Choice, request placement.Request) Assignment {
-	assignment := Assignment{Choice: choice, load: request.Load()}
+func (s *state) assign(choice placement.Choice, req PlacementRequest) Assignment {
+	request := req.Request
+	assignment := Assignment{Choice: choice, load: request.Load(), rollout: s.rolloutTicket(choice, req)}
 	s.balancer.Add(choice.Target.Target, assignment.load)
 	if choice.HasCopy() {
 		assignment.copy = placement.Load{Copies: request.Memory}
--- a/internal/edgecontrol/placement_request.go
+++ b/internal/edgecontrol/placement_request.go
@@ -20,6 +20,13 @@
 	// RunningOn is the target at which the generation runs or goes on. If it is set, only a target
 	// for the generation's next copy is chosen.
 	RunningOn core.TargetID
+	// Route is the route of the request. First is set if the request has not been placed before.
+	Route core.RouteID
+	First bool
+	// Versioned is set if only targets of Version may be chosen, and Probe if only those that are probed.
+	Versioned bool
+	Version   core.Version
+	Probe     bool
 	// The following decide which requests are served while all targets are limited.
 	Team     core.TeamID
 	Content  uint64 // identifies what the caller sends, also when it comes back after a rejection
--- a/internal/edgecontrol/release_event.go
+++ b/internal/edgecontrol/release_event.go
@@ -15,6 +15,7 @@
 		s.balancer.Remove(e.assignment.Copy.Target, e.assignment.copy)
 	}
 	s.loadChanged = true
+	s.countEnd(e.assignment, e.outcome)
 	if e.outcome != placement.Inconclusive {
 		s.balancer.RecordOutcome(e.assignment.Target, e.outcome, s.now())
 	}
--- a/internal/edgecontrol/started_event.go
+++ b/internal/edgecontrol/started_event.go
@@ -9,5 +9,6 @@
 
 func (e startedEvent) apply(s *state) {
 	s.balancer.Remove(e.assignment.Target.Target, placement.Load{PendingPrefill: e.assignment.load.PendingPrefill})
+	s.countStart(e.assignment.rollout)
 	s.loadChanged = true
 }
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -33,10 +33,10 @@
 	sharedRegistryAt     time.Duration
 	lastRegistryDigest   uint64 // zero after a change of the registry
 	balancer             *placement.Balancer
-	candidatesByPool     map[core.PoolID][]placement.Candidate // built lazily from the current view; nil after a change
-	retryBudgets         map[core.PoolID]*retrybudget.Budget   // this host's share of the retry budget
-	grantBudgets         map[core.PoolID]*retrybudget.Budget   // retries granted on request, to any host
-	ranksFirst           bool                                  // this host ranks before all others and grants retries
+	candidatesByPool     map[candidateKey][]placement.Candidate // built lazily from the current view; nil after a change
+	retryBudgets         map[core.PoolID]*retrybudget.Budget    // this host's share of the retry budget
+	grantBudgets         map[core.PoolID]*retrybudget.Budget    // retries granted on request, to any host
+	ranksFirst           bool                                   // this host ranks before all others and grants retries
 	quarantine           *quarantine.Tracker
 	evidenceSentAt       time.Duration
 	hubLacksEvidence     bool // evidence on prompt parts has not been sent to the hub
@@ -47,6 +47,7 @@
 	permitTimers         map[core.PoolID]bool // a permitsDueEvent will come
 	permitWaiters        map[uint64]permitWaiter
 	lastWaiter           uint64
+	rollouts             *rollouts // nil if versions do not matter
 	startedAt            time.Duration
 	hosts                []core.Host // hosts of the deployment, this one included
 	hostsKnown           bool        // the list of hosts has been read
@@ -78,6 +79,7 @@
 		hosts:         []core.Host{options.Self},
 		quarantine:    quarantine.NewTracker(hostFraction(options.Self.ID)),
 		limits:        ratelimit.NewLimits(),
+		rollouts:      newRollouts(options),
 		permits:       map[core.TargetID]*ratelimit.Permits{},
 		gates:         map[core.PoolID]*ratelimit.Gate{},
 		permitTimers:  map[core.PoolID]bool{},
@@ -108,10 +110,23 @@
 	return s.retryBudgets[pool]
 }
 
-// candidates lists the targets of a pool that may get new work. Callers must not modify the
-// list.
+// candidates lists the targets of a pool that may get new work, without those of a version that is being rolled
+// out. Callers must not modify the list.
 func (s *state) candidates(pool core.PoolID) []placement.Candidate {
-	all, listed := s.candidatesByPool[pool]
+	if s.rollouts == nil {
+		return s.candidatesOf(candidateKey{pool: pool})
+	}
+	version, known := s.mainVersion(pool)
+	if !known {
+		return nil
+	}
+	return s.candidatesOf(candidateKey{pool: pool, versioned: true, version: version})
+}
+
+// candidatesOf lists the targets that a key selects and that may get new work. Callers must not modify the list.
+func (s *state) candidatesOf(key candidateKey) []placement.Candidate {
+	pool := key.pool
+	all, listed := s.candidatesByPool[key]
 	if listed || s.view.Table == nil {
 		return all
 	}
@@ -125,6 +140,7 @@
 			Address:    entry.Address,
 			DataCentre: entry.DataCentre,
 			Slots:      entry.Slots,
+			Version:    entry.Version,
 		}
 		if spec != nil && spec.Engine != nil {
 			candidate.Memory = spec.Engine.MemoryTokens
@@ -132,8 +148,9 @@
 		all = append(all, candidate)
 	}
 	if s.candidatesByPool == nil {
-		s.candidatesByPool = map[core.PoolID][]placement.Candidate{}
+		s.candidatesByPool = map[candidateKey][]placement.Candidate{}
 	}
-	s.candidatesByPool[pool] = all
+	all = s.selectVersion(all, key)
+	s.candidatesByPool[key] = all
 	return all
 }
--- a/internal/edgecontrol/update.go
+++ b/internal/edgecontrol/update.go
@@ -31,6 +31,12 @@
 	FromHub bool
 	// Hosts is the list of hosts; nil means unchanged.
 	Hosts []core.Host
+	// Orders has the orders of rollouts that are in force; nil means unchanged.
+	Orders map[core.PoolID]core.RolloutOrder
+	// Rollouts has all records of rollouts; nil means unchanged.
+	Rollouts map[core.PoolID]RolloutRow
+	// StoreTime is the time on the store's clock at which it responded, in Unix time; zero if it is not known.
+	StoreTime time.Duration
 	// CoversRegistry is set if the read covered the registry.
 	CoversRegistry bool
 	// FullRegistry is set if Registrations holds all entries of the registry, not only the
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -42,6 +42,7 @@
 		s.setHosts(e.Hosts)
 	}
 	s.applyRegistry(e.Update)
+	s.applyRollouts(&e.Update)
 	if e.CoversConfig || e.CoversRegistry {
 		s.responsesDue = true
 		if !s.view.ReadsStore {
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -28,6 +28,7 @@
 	ReadsHosts       bool                   // this host reads the list of hosts too
 	HasSubscribers   bool                   // this host is the hub of other hosts
 	ReadInterval     time.Duration          // minimum time between two reads of a table of the store
+	VersionsUnknown  bool                   // it is not known which versions of targets may be used
 	Changed          <-chan struct{}        // closed when a newer view has been published
 }
 
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -94,6 +94,7 @@
 		Send:         h.linker.Send,
 		SetPeers:     h.linker.SetPeers,
 		MaxConfigAge: options.MaxConfigAge,
+		Rollout:      h.rollout(),
 	})
 	handler := gateway.New(gateway.Options{
 		Controller:   h.loop,
@@ -115,6 +116,21 @@
 	return h
 }
 
+// rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
+func (h *Host) rollout() *edgecontrol.RolloutOptions {
+	options := h.options.Rollout
+	if options == nil {
+		return nil
+	}
+	return &edgecontrol.RolloutOptions{
+		Bounds:  options.Bounds,
+		Metrics: telemetry.NewRolloutMetrics(h.metrics.Scope),
+		Write: func(write edgecontrol.RolloutWrite) {
+			h.running.Go(func() { h.loop.HandleRolloutWritten(write, options.Write(h.stopping, write)) })
+		},
+	}
+}
+
 // start opens the listeners and starts all goroutines.
 func (h *Host) start(ctx context.Context) error {
 	h.running.Go(func() { h.loop.Run(ctx) })
@@ -175,7 +191,7 @@
 	switch {
 	case view.Leaving():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
+	case view.VersionsUnknown || !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
 		http.Error(w, "configuration or registry is not known to be recent", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -14,7 +14,7 @@
 	"siskintide.example/siskintide/internal/gateway"
 )
 
-// Options configures a Host. All fields but MetricsAddress are required.
+// Options configures a Host. All fields but MetricsAddress and Rollout are required.
 type Options struct {
 	Self           core.Host
 	CallersAddress string // address of the callers' listener
@@ -34,6 +34,7 @@
 	// FollowStore reads the platform's store and passes the results to the loop until the
 	// context ends.
 	FollowStore   func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
+	Rollout       *RolloutOptions // nil if versions of targets do not matter
 	RetryBudget   retrybudget.Limits
 	MaxConfigAge  time.Duration // see gateway.Options.MaxConfigAge
 	BodyMemory    int64         // see gateway.Options.BodyMemory
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -85,7 +85,7 @@
 // callPlacement returns the request for a target other than those to avoid.
 func (h *requestHandler) callPlacement(avoid []core.TargetID) edgecontrol.PlacementRequest {
 	return edgecontrol.PlacementRequest{
-		Pool: h.pool, Request: h.placementRequest(avoid), Retry: h.attempts > 0,
+		Pool: h.pool, Route: h.route.ID, First: len(avoid) == 0, Request: h.placementRequest(avoid), Retry: h.attempts > 0,
 		Team: h.teamID(), Content: h.contentKey(), Priority: *h.priority(), TimeLeft: h.callerTimeLeft(), MaxWait: h.waitLeft(callWaitFraction),
 	}
 }
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 
@@ -24,6 +25,7 @@
 
 // finish ends the request after a complete stream.
 func (s *streamRelay) finish() {
+	s.current.assignment.WorstGap = s.worstGap
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
 	if s.events > 0 && s.events < soundEvents {
@@ -36,6 +38,7 @@
 // endLost ends a request whose generation cannot be continued.
 func (s *streamRelay) endLost() {
 	target := s.current.assignment.Target.Target
+	s.current.assignment.WorstGap = s.worstGap
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 	s.current = nil
 	if !s.headerSent {
@@ -104,6 +107,14 @@
 	return log.Fields{"target": s.current.assignment.Target.Target}
 }
 
+// longestSilence returns the longest pause between two events, including the one that lasts.
+func (s *streamRelay) longestSilence() time.Duration {
+	if s.firstEventAt == 0 {
+		return 0
+	}
+	return max(s.worstGap, s.now()-s.lastEventAt)
+}
+
 // releaseAll stops the open exchanges and releases all assignments and moved KV caches.
 func (s *streamRelay) releaseAll() {
 	select {
@@ -116,6 +127,7 @@
 	for _, open := range []*upstream{s.current, s.next} {
 		if open != nil {
 			open.stop()
+			open.assignment.WorstGap = s.longestSilence()
 			s.gateway.options.Controller.Release(open.assignment, placement.Inconclusive)
 		}
 	}
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -100,7 +100,9 @@
 	// Moves to an engine share its link as prompts share its processor, so the size of the
 	// KV cache counts as prompt tokens that are not processed yet.
 	request.Prompt, request.TransfersMemory, request.DataCentre = request.Memory, true, s.current.assignment.Target.DataCentre
-	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request})
+	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{
+		Pool: s.pool, Route: s.route.ID, Request: request, Versioned: true, Version: s.current.assignment.Target.Version,
+	})
 	if ok {
 		s.moveAssignment = &assignment
 		s.failover.RecordDestination()
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -132,7 +132,7 @@
 	request := s.placementRequest(nil)
 	request.Prompt = 0 // the KV cache is there
 	request.WantsCopy = s.wantsCopy()
-	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Request: request, RunningOn: to.Target, Retry: !s.retryCovered, Team: s.teamID(), Priority: *s.priority()})
+	assignment, ok := s.gateway.options.Controller.Place(s.ctx, edgecontrol.PlacementRequest{Pool: s.pool, Route: s.route.ID, Request: request, RunningOn: to.Target, Retry: !s.retryCovered, Team: s.teamID(), Priority: *s.priority()})
 	if !ok {
 		return nil
 	}
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -50,13 +50,14 @@
 	}
 	request := s.placementRequest(s.tried)
 	request.WantsCopy = s.wantsCopy()
-	req := edgecontrol.PlacementRequest{Pool: s.pool, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0, Team: s.teamID(), Content: s.contentKey(), Priority: *s.priority()}
+	req := edgecontrol.PlacementRequest{Pool: s.pool, Route: s.route.ID, First: len(s.tried) == 0, Request: request, Retry: s.attempts > 0, MayWait: s.attempts == 0, Team: s.teamID(), Content: s.contentKey(), Priority: *s.priority()}
 	for {
 		req.TimeLeft, req.MaxWait = s.callerTimeLeft(), s.waitLeft(capacityWaitFraction)
 		assignment, ok := s.gateway.options.Controller.Place(s.ctx, req)
 		if !assignment.AtCapacity || !s.waitForCapacity() {
 			return assignment, ok
 		}
+		req.First = false // it has been counted
 	}
 }
 
--- a/internal/message/hub_update.go
+++ b/internal/message/hub_update.go
@@ -16,6 +16,10 @@
 	Registry      *Shared[[]core.Registration] `cbor:"9,keyasint,omitempty"` // the whole registry
 	Hosts         []core.Host                  `cbor:"8,keyasint,omitempty"` // hosts of the deployment; empty if unchanged
 
+	// Rollouts has the records of rollouts that have changed, or all of them in a first update with HasRollouts.
+	Rollouts    []core.RolloutRecord `cbor:"15,keyasint,omitempty"`
+	HasRollouts bool                 `cbor:"16,keyasint,omitempty"`
+
 	RegistryDigest   uint64 `cbor:"12,keyasint,omitempty"` // of the hub's registry, in a first update that leaves it out
 	ConfigRevision   uint64 `cbor:"10,keyasint"`
 	RegistryRevision uint64 `cbor:"11,keyasint"`
--- a/internal/message/placement_request.go
+++ b/internal/message/placement_request.go
@@ -20,6 +20,10 @@
 	NeedsGrant      bool              `cbor:"11,keyasint,omitempty"` // the sender's share of the retry budget is used up
 	MayWait         bool              `cbor:"12,keyasint,omitempty"` // the request can wait while all targets are at capacity
 	TransfersMemory bool              `cbor:"10,keyasint,omitempty"` // see placement.Request
+	// Versioned is set if only targets of Version may be chosen, and Probe if only those that are probed.
+	Versioned bool         `cbor:"18,keyasint,omitempty"`
+	Version   core.Version `cbor:"19,keyasint,omitempty"`
+	Probe     bool         `cbor:"20,keyasint,omitempty"`
 	// The following decide which requests are served while all targets are limited; see
 	// edgecontrol.PlacementRequest.
 	Team     core.TeamID   `cbor:"13,keyasint,omitempty"`
