--- a/internal/core/rollout_cell.go
+++ b/internal/core/rollout_cell.go
@@ -6,8 +6,10 @@
 	Route  RouteID `cbor:"1,keyasint"`
 	Remote bool    `cbor:"2,keyasint,omitempty"` // the targets are in another data centre than the host
 	New    bool    `cbor:"3,keyasint,omitempty"` // the targets are of the new version
-	Ended  uint32  `cbor:"4,keyasint,omitempty"`
-	Failed uint32  `cbor:"5,keyasint,omitempty"`
+	// Window is the period, counted from the order, in which the requests were placed; see rollout.windowOf.
+	Window uint32 `cbor:"8,keyasint,omitempty"`
+	Ended  uint32 `cbor:"4,keyasint,omitempty"`
+	Failed uint32 `cbor:"5,keyasint,omitempty"`
 	// Times and Gaps count requests by the time to the first event, or to the whole answer of a call, and by
 	// the longest pause between two events. See rollout.BucketLimit for the limits of the
 	// entries.
--- a/internal/decide/rollout/cell_key.go
+++ b/internal/decide/rollout/cell_key.go
@@ -3,5 +3,6 @@
 // cellKey identifies a cell.
 type cellKey struct {
 	stratum
-	isNew bool
+	window uint32
+	isNew  bool
 }
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -21,7 +21,8 @@
 	record      core.RolloutRecord
 	quota       core.RolloutQuota
 	validUntil  time.Duration
-	failures    int // of the new version, in a row
+	since       time.Duration // when the order was learned of
+	failures    int           // of the new version, in a row
 	seen, used  uint64
 	routes      map[core.RouteID]uint64
 	cells       map[cellKey]*core.RolloutCell
@@ -49,12 +50,13 @@
 
 // SetRecord takes over the state of the rollout. A new order voids the quota and all counts, and another decider
 // gets all counts again.
-func (x *Exposure) SetRecord(r core.RolloutRecord) {
+func (x *Exposure) SetRecord(r core.RolloutRecord, now time.Duration) {
 	former := x.record
 	x.record = r
 	switch {
 	case former.Order != r.Order && !(former.To == r.To && r.Order.Era > former.Order.Era):
 		x.reset()
+		x.since = now
 	case former.Decider != r.Decider || former.Order != r.Order || !r.Phase.Active():
 		x.quota, x.validUntil = core.RolloutQuota{}, 0
 		for route := range x.routes {
@@ -122,16 +124,19 @@
 	maps.DeleteFunc(x.changedCells, func(_ cellKey, after uint64) bool { return after < x.reported })
 }
 
+// Window returns the window of a request that is placed now.
+func (x *Exposure) Window(now time.Duration) uint32 { return windowOf(now - x.since) }
+
 // RecordTime counts the time to a request's first event, or to the answer of a call.
-func (x *Exposure) RecordTime(route core.RouteID, remote, isNew bool, d time.Duration) {
-	if c := x.cell(route, remote, isNew); c != nil {
+func (x *Exposure) RecordTime(of Sample, d time.Duration) {
+	if c := x.cell(of); c != nil {
 		c.Times = count(c.Times, d)
 	}
 }
 
 // RecordEnd counts the end of a request, with the longest pause of its stream, or zero for a call.
-func (x *Exposure) RecordEnd(route core.RouteID, remote, isNew, failed bool, gap time.Duration) {
-	c := x.cell(route, remote, isNew)
+func (x *Exposure) RecordEnd(of Sample, failed bool, gap time.Duration) {
+	c := x.cell(of)
 	if c == nil {
 		return
 	}
@@ -143,22 +148,22 @@
 		c.Gaps = count(c.Gaps, gap)
 	}
 	switch {
-	case isNew && failed:
+	case of.New && failed:
 		x.failures++
-	case isNew:
+	case of.New:
 		x.failures = 0
 	}
 }
 
 // cell returns the cell to count in, or nil if there are too many.
-func (x *Exposure) cell(route core.RouteID, remote, isNew bool) *core.RolloutCell {
-	key := cellKey{stratum: stratum{route: route, remote: remote}, isNew: isNew}
+func (x *Exposure) cell(of Sample) *core.RolloutCell {
+	key := cellKey{stratum: stratum{route: of.Route, remote: of.Remote}, window: of.Window, isNew: of.New}
 	c := x.cells[key]
 	if c == nil {
 		if len(x.cells) >= maxCells || !x.record.Phase.Active() {
 			return nil
 		}
-		c = &core.RolloutCell{Route: route, Remote: remote, New: isNew}
+		c = &core.RolloutCell{Route: of.Route, Remote: of.Remote, New: of.New, Window: of.Window}
 		x.cells[key] = c
 	}
 	x.changedCells[key] = x.reported
--- a/internal/decide/rollout/host_state.go
+++ b/internal/decide/rollout/host_state.go
@@ -36,10 +36,10 @@
 }
 
 const (
-	// maxRoutes bounds the routes of a pool of which results are kept, and maxCells the cells: by route, version
-	// and data centre.
+	// maxRoutes bounds the routes of a pool of which results are kept, and maxCells the cells: by route, version,
+	// data centre and window.
 	maxRoutes = 256
-	maxCells  = 4 * maxRoutes
+	maxCells  = 16 * maxRoutes
 )
 
 // maxLeases bounds the leases of a host that are kept while it confirms none.
--- a/internal/decide/rollout/ledger.go
+++ b/internal/decide/rollout/ledger.go
@@ -131,13 +131,13 @@
 		return
 	}
 	latest := core.RolloutCell{
-		Route: c.Route, Remote: c.Remote, New: c.New,
+		Route: c.Route, Remote: c.Remote, New: c.New, Window: c.Window,
 		Ended: max(c.Ended, former.Ended), Failed: max(c.Failed, former.Failed),
 		Times: later(former.Times, c.Times), Gaps: later(former.Gaps, c.Gaps),
 	}
 	h.cells[key] = latest
 	l.sum.add(&core.RolloutCell{
-		Route: c.Route, Remote: c.Remote, New: c.New,
+		Route: c.Route, Remote: c.Remote, New: c.New, Window: c.Window,
 		Ended: latest.Ended - former.Ended, Failed: latest.Failed - former.Failed,
 		Times: difference(former.Times, latest.Times), Gaps: difference(former.Gaps, latest.Gaps),
 	})
--- a/internal/edgecontrol/rollout_control.go
+++ b/internal/edgecontrol/rollout_control.go
@@ -75,7 +75,7 @@
 	if !p.controller.Adopt(record, s.now()) {
 		return
 	}
-	p.exposure.SetRecord(record)
+	p.exposure.SetRecord(record, s.now())
 	if former.Phase == record.Phase && former.Order == record.Order && former.Decider == record.Decider && former.Current == record.Current {
 		return // only what the decider has reserved and counted has changed
 	}
--- a/internal/edgecontrol/rollout_ticket.go
+++ b/internal/edgecontrol/rollout_ticket.go
@@ -4,16 +4,15 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/rollout"
 )
 
 // rolloutTicket is what an assignment has to remember to count its result in a rollout.
 type rolloutTicket struct {
 	pool     core.PoolID
 	order    core.StorePosition
-	route    core.RouteID
 	version  core.Version
-	isNew    bool
-	remote   bool
+	sample   rollout.Sample
 	placedAt time.Duration
 	timed    bool // the time to the first event has been counted
 }
--- a/internal/edgecontrol/rollout_versions.go
+++ b/internal/edgecontrol/rollout_versions.go
@@ -177,15 +177,17 @@
 	v := choice.Target.Version
 	s.rollouts.options.Metrics.Exposed(req.Pool, v)
 	return rolloutTicket{
-		pool: req.Pool, order: record.Order, route: req.Route, version: v, isNew: p.isNew(v),
-		remote: choice.Target.DataCentre != s.options.Self.DataCentre, placedAt: s.now(), timed: req.RunningOn != "",
+		pool: req.Pool, order: record.Order, version: v, placedAt: s.now(), timed: req.RunningOn != "",
+		sample: rollout.Sample{
+			Route: req.Route, Remote: choice.Target.DataCentre != s.options.Self.DataCentre, New: p.isNew(v), Window: p.exposure.Window(s.now()),
+		},
 	}
 }
 
 // countStart counts the time to the first event of a stream.
 func (s *state) countStart(t rolloutTicket) {
 	if x := s.ticketExposure(t); x != nil && !t.timed {
-		x.RecordTime(t.route, t.remote, t.isNew, s.now()-t.placedAt)
+		x.RecordTime(t.sample, s.now()-t.placedAt)
 	}
 }
 
@@ -228,9 +230,9 @@
 		}
 	}
 	if !t.timed {
-		x.RecordTime(t.route, t.remote, t.isNew, took)
+		x.RecordTime(t.sample, took)
 	}
 	failed := outcome == placement.Failed || outcome == placement.Unreachable
-	x.RecordEnd(t.route, t.remote, t.isNew, failed, a.WorstGap)
+	x.RecordEnd(t.sample, failed, a.WorstGap)
 	s.rollouts.options.Metrics.Ended(t.pool, t.version, failed)
 }
