--- a/internal/decide/rollout/bounds.go
+++ b/internal/decide/rollout/bounds.go
@@ -20,6 +20,23 @@
 	slackMargin = 0.7
 )
 
+const (
+	// maxLeaseTTL is the longest time for which a host uses a quota, from the report that the quota answers. Reports
+	// are sent every 0.4 s, so that one or two may be lost.
+	maxLeaseTTL = 1200 * time.Millisecond
+	// rollbackFraction is the part of Bounds.RollbackTime for which a quota may last. The rest is for the answers to
+	// be reported and tested.
+	rollbackFraction = 0.25
+)
+
+// leaseTTL returns the time for which a host uses a quota.
+func (b Bounds) leaseTTL() time.Duration {
+	if b.RollbackTime <= 0 {
+		return maxLeaseTTL
+	}
+	return min(maxLeaseTTL, time.Duration(rollbackFraction*float64(b.RollbackTime)))
+}
+
 // Allowance returns the number of requests to the new version that the bounds allow after a number of
 // requests to the pool.
 func (b Bounds) Allowance(seen uint64) uint64 {
--- a/internal/decide/rollout/controller.go
+++ b/internal/decide/rollout/controller.go
@@ -33,6 +33,11 @@
 	// shareHorizon is the number of requests over which what is left of the limit is used, relative to those since
 	// the order.
 	shareHorizon = 0.5
+	// maxShareFactor bounds the part of the requests that is sent to the new version at a time, as a multiple of
+	// Bounds.Share: the few targets that are probed should have about as many requests as the others. Up to sparseRate
+	// requests a second are no load.
+	maxShareFactor = 2
+	sparseRate     = 4
 	// shareInterval is the time between two computations of the routes' shares.
 	shareInterval = 200 * time.Millisecond
 	// capacityPart is the part of the old targets' slots that the new targets must have.
@@ -53,7 +58,8 @@
 
 	ledger   *ledger
 	judge    *judge
-	against  *finding // what speaks against the new version; the rollout is being rolled back
+	against  *finding      // what speaks against the new version; the rollout is being rolled back
+	beganAt  time.Duration // when this decider began to decide on the order
 	shiftAt  time.Duration
 	shared   map[core.RouteID]float64
 	fraction float64
@@ -82,7 +88,7 @@
 	former := c.record
 	c.record, c.changeAt = r, now
 	if !c.known || former.Order != r.Order && !sameOrder(former, r) || former.Decider != r.Decider {
-		c.ledger, c.judge, c.against = newLedger(now), newJudge(), nil
+		c.ledger, c.judge, c.against, c.beganAt = newLedger(now), newJudge(), nil, now
 	}
 	if r.Phase == core.RolloutShifting && former.Phase != core.RolloutShifting {
 		c.shiftAt = now
@@ -255,7 +261,7 @@
 	quota.Lease, quota.Granted = issued.number, issued.granted
 	if now-c.sharedAt >= shareInterval || c.sharedAt == 0 {
 		c.sharedAt = now
-		c.share(limit)
+		c.share(limit, now)
 	}
 	quota.Shares, quota.DefaultShare = c.shared, c.fraction
 	return quota, true
@@ -271,12 +277,17 @@
 
 // share sets the fractions of the routes' requests that are sent to the new version. What is left is used up over
 // the next requests as fast as the routes allow.
-func (c *Controller) share(limit uint64) {
+func (c *Controller) share(limit uint64, now time.Duration) {
 	c.fraction, c.shared = 0, nil
 	if limit == 0 {
 		return
 	}
 	left := float64(limit) - float64(c.ledger.used())
-	c.fraction = min(max(left/(float64(c.ledger.seen())*shareHorizon+1), c.bounds.Share), maxShare)
+	seen := float64(c.ledger.seen())
+	most := maxShare
+	if elapsed := (now - c.beganAt).Seconds(); elapsed > 0 {
+		most = min(max(maxShareFactor*c.bounds.Share, sparseRate*elapsed/max(seen, 1)), maxShare)
+	}
+	c.fraction = min(max(left/(seen*shareHorizon+1), c.bounds.Share), most)
 	c.shared = spread(c.ledger.byRoute, c.fraction)
 }
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -18,6 +18,7 @@
 // goroutine only.
 type Exposure struct {
 	incarnation uint64
+	ttl         time.Duration // of quotas
 	record      core.RolloutRecord
 	quota       core.RolloutQuota
 	validUntil  time.Duration
@@ -35,8 +36,8 @@
 }
 
 // NewExposure returns the exposure of a host's process, whose incarnation is a number that is never used again.
-func NewExposure(incarnation uint64) *Exposure {
-	x := &Exposure{incarnation: incarnation}
+func NewExposure(incarnation uint64, bounds Bounds) *Exposure {
+	x := &Exposure{incarnation: incarnation, ttl: bounds.leaseTTL()}
 	x.reset()
 	return x
 }
@@ -116,7 +117,7 @@
 	if q.Order != x.record.Order || x.record.Phase != core.RolloutProbing || q.Lease <= x.quota.Lease {
 		return
 	}
-	x.quota, x.validUntil, x.failures = q, sentAt+LeaseTTL, 0
+	x.quota, x.validUntil, x.failures = q, sentAt+x.ttl, 0
 	if sentAt != x.reportedAt {
 		return
 	}
--- a/internal/decide/rollout/ledger.go
+++ b/internal/decide/rollout/ledger.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// LeaseTTL is the time for which a host uses a quota, from the report that the quota answers.
-	LeaseTTL = 1200 * time.Millisecond
 	// grantShare is the part of what is left that is granted to a host, relative to its part of the traffic. The
 	// rest is kept for hosts with more requests than before.
 	grantShare = 0.7
--- a/internal/decide/rollout/simulation_test.go
+++ b/internal/decide/rollout/simulation_test.go
@@ -91,7 +91,7 @@
 // restart replaces a host's process. It reads the store as it starts.
 func (s *simulation) restart(h *simHost) {
 	s.incarnation++
-	h.exposure, h.controller = NewExposure(s.incarnation), NewController(fmt.Sprintf("%s/%d", h.id, s.incarnation), simBounds)
+	h.exposure, h.controller = NewExposure(s.incarnation, simBounds), NewController(fmt.Sprintf("%s/%d", h.id, s.incarnation), simBounds)
 	h.record = core.RolloutRecord{}
 	s.adopt(h, s.stored)
 }
@@ -111,7 +111,9 @@
 
 func (s *simulation) up(h *simHost) bool { return s.now >= h.deadUntil && s.now >= h.frozen }
 
-func (s *simulation) delay() time.Duration { return time.Duration(s.random.IntN(60)) * time.Millisecond }
+func (s *simulation) delay() time.Duration {
+	return time.Duration(s.random.IntN(60)) * time.Millisecond
+}
 
 func (s *simulation) lost() bool { return s.random.Float64() < s.lossy }
 
--- a/internal/edgecontrol/rollout_versions.go
+++ b/internal/edgecontrol/rollout_versions.go
@@ -19,7 +19,7 @@
 func (s *state) rollout(pool core.PoolID) *poolRollout {
 	r := s.rollouts
 	if r.pools[pool] == nil {
-		r.pools[pool] = &poolRollout{controller: rollout.NewController(r.self, r.options.Bounds), exposure: rollout.NewExposure(r.incarnation)}
+		r.pools[pool] = &poolRollout{controller: rollout.NewController(r.self, r.options.Bounds), exposure: rollout.NewExposure(r.incarnation, r.options.Bounds)}
 	}
 	return r.pools[pool]
 }
