Judge streams by the pace of their first events, and keep the cold rate while probing

A stream of a slow version may last longer than the rollout, so its longest pause came too late to be judged. Requests that their callers give up count as failures of either version. Cold targets are not judged by times, and get their cold rate only.

--- a/internal/core/rollout_cell.go
+++ b/internal/core/rollout_cell.go
@@ -11,7 +11,7 @@
 	Ended  uint32 `cbor:"4,keyasint,omitempty"`
 	Failed uint32 `cbor:"5,keyasint,omitempty"`
 	// Times and Gaps count requests by the time to the first event, or to the whole answer of a call, and by
-	// the longest pause between two events. See rollout.BucketLimit for the limits of the
+	// the mean pause between the first events. See rollout.BucketLimit for the limits of the
 	// entries.
 	Times []uint32 `cbor:"6,keyasint,omitempty"`
 	Gaps  []uint32 `cbor:"7,keyasint,omitempty"`
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -135,8 +135,15 @@
 	}
 }
 
-// RecordEnd counts the end of a request, with the longest pause of its stream, or zero for a call.
-func (x *Exposure) RecordEnd(of Sample, failed bool, gap time.Duration) {
+// RecordPause counts the mean pause between the first events of a stream.
+func (x *Exposure) RecordPause(of Sample, d time.Duration) {
+	if c := x.cell(of); c != nil {
+		c.Gaps = count(c.Gaps, d)
+	}
+}
+
+// RecordEnd counts the end of a request.
+func (x *Exposure) RecordEnd(of Sample, failed bool) {
 	c := x.cell(of)
 	if c == nil {
 		return
@@ -145,9 +152,6 @@
 	if failed {
 		c.Failed++
 	}
-	if gap > 0 {
-		c.Gaps = count(c.Gaps, gap)
-	}
 	switch {
 	case of.New && failed:
 		x.failures++
--- a/internal/edgecontrol/assignment.go
+++ b/internal/edgecontrol/assignment.go
@@ -16,9 +16,10 @@
 	// RetryAfter is the time until a permit is left for the request, or until a target that has asked to
 	// be sent nothing takes requests again; zero if it is not known.
 	RetryAfter time.Duration
-	// WorstGap is the longest pause between two events of the stream, set by the caller before the release.
-	WorstGap time.Duration
-	rollout  rolloutTicket
-	load     placement.Load // added to the target
-	copy     placement.Load // added to the target that keeps the copy
+	// Pause is the mean pause between the first events of the stream, set by the caller before the release;
+	// zero if it is not known or has been recorded.
+	Pause   time.Duration
+	rollout rolloutTicket
+	load    placement.Load // added to the target
+	copy    placement.Load // added to the target that keeps the copy
 }
--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -208,6 +208,15 @@
 	return assignment
 }
 
+// MarkPaced records the mean pause between the first events of a stream. It returns the assignment without a pause.
+func (l *Loop) MarkPaced(assignment Assignment, pause time.Duration) Assignment {
+	if assignment.rollout.counts() && !assignment.rollout.paced {
+		l.post(context.Background(), pacedEvent{ticket: assignment.rollout, pause: pause})
+		assignment.rollout.paced = true
+	}
+	return assignment
+}
+
 // Release ends an assignment and records its outcome.
 func (l *Loop) Release(assignment Assignment, outcome placement.Outcome) {
 	l.post(context.Background(), releaseEvent{assignment: assignment, outcome: outcome})
--- a/internal/edgecontrol/rollout_ticket.go
+++ b/internal/edgecontrol/rollout_ticket.go
@@ -14,7 +14,8 @@
 	version  core.Version
 	sample   rollout.Sample
 	placedAt time.Duration
-	timed    bool // the time to the first event has been counted
+	timed    bool // the time to the first event has been counted, or is not
+	paced    bool // the pause between the first events has been counted, or is not
 }
 
 // counts reports whether the result is counted.
--- a/internal/edgecontrol/rollout_versions.go
+++ b/internal/edgecontrol/rollout_versions.go
@@ -86,13 +86,29 @@
 	if !req.First || !known || !record.Phase.Active() {
 		return
 	}
-	probed := len(s.unlimited(s.candidatesOf(candidateKey{pool: req.Pool, versioned: true, version: record.To, probe: true}))) > 0
+	probed := s.canProbe(req.Pool, record.To)
 	if !p.exposure.Arrive(req.Route, req.Request.ID, probed, s.now()) || record.Phase == core.RolloutShifting {
 		return
 	}
+	p.coldProbeAt = s.now()
 	req.Version, req.Probe = record.To, true
 }
 
+// canProbe reports whether a target of a new version can take a request. While all of them are cold, they get their
+// cold rate from all hosts together.
+func (s *state) canProbe(pool core.PoolID, v core.Version) bool {
+	targets := s.unlimited(s.candidatesOf(candidateKey{pool: pool, versioned: true, version: v, probe: true}))
+	if len(targets) == 0 {
+		return false
+	}
+	spec := s.view.Table.Pool(pool)
+	if spec == nil || spec.ColdRate <= 0 || s.view.Targets[targets[0].Target].ColdUntil <= s.now() {
+		return true
+	}
+	interval := float64(len(s.hosts)) / (spec.ColdRate * float64(len(targets)))
+	return s.now()-s.rollout(pool).coldProbeAt >= time.Duration(interval*float64(time.Second))
+}
+
 // unprobe sends a request to the version in force because no target of the new one can take it.
 func (s *state) unprobe(req *PlacementRequest) {
 	s.rollout(req.Pool).exposure.Return()
@@ -135,7 +151,10 @@
 	if key.probe {
 		return probeTargets(s.warm(all, 1), s.rollouts.options.Bounds.Share)
 	}
-	return s.warm(all, len(all)/2)
+	if record, _ := s.rollout(key.pool).controller.Record(); record.Phase == core.RolloutShifting && key.version == record.To {
+		return s.warm(all, len(all)/2)
+	}
+	return all
 }
 
 // warm returns the candidates that are not cold, or all if there are fewer than a number of them.
@@ -174,10 +193,11 @@
 	if !record.Phase.Active() {
 		return rolloutTicket{}
 	}
-	v := choice.Target.Version
+	v, isCold := choice.Target.Version, s.view.Targets[choice.Target.Target].ColdUntil > s.now()
 	s.rollouts.options.Metrics.Exposed(req.Pool, v)
 	return rolloutTicket{
-		pool: req.Pool, order: record.Order, version: v, placedAt: s.now(), timed: req.RunningOn != "",
+		pool: req.Pool, order: record.Order, version: v, placedAt: s.now(),
+		timed: isCold || req.RunningOn != "", paced: isCold || req.RunningOn != "",
 		sample: rollout.Sample{
 			Route: req.Route, Remote: choice.Target.DataCentre != s.options.Self.DataCentre, New: p.isNew(v), Window: p.exposure.Window(s.now()),
 		},
@@ -204,9 +224,16 @@
 }
 
 // minAbandoned is the time after which a request that its caller has given up is counted with the time it took. One
-// that ends sooner may not have been sent.
+// that ends sooner may not have been sent. Callers give up requests to both versions, and more of them if one is slow.
 const minAbandoned = 250 * time.Millisecond
 
+// countPause counts the mean pause between the first events of a stream.
+func (s *state) countPause(t rolloutTicket, pause time.Duration) {
+	if x := s.ticketExposure(t); x != nil && !t.paced && pause > 0 {
+		x.RecordPause(t.sample, pause)
+	}
+}
+
 // countEnd counts the end of a request. What a target was told to do, and what it refused to run, is not counted.
 func (s *state) countEnd(a Assignment, outcome placement.Outcome) {
 	t := a.rollout
@@ -215,15 +242,17 @@
 		return
 	}
 	took := s.now() - t.placedAt
+	failed := outcome == placement.Failed || outcome == placement.Unreachable
 	entry, known := s.view.Targets[a.Target.Target]
 	planned := !known || entry.Leaving
 	switch outcome {
 	case placement.Full, placement.Misdirected:
 		return
 	case placement.Inconclusive:
-		if took < minAbandoned {
+		if took < minAbandoned || planned {
 			return
 		}
+		failed = true // given up by its caller, or continued elsewhere after a failure
 	case placement.Unreachable:
 		if planned {
 			return
@@ -232,7 +261,7 @@
 	if !t.timed {
 		x.RecordTime(t.sample, took)
 	}
-	failed := outcome == placement.Failed || outcome == placement.Unreachable
-	x.RecordEnd(t.sample, failed, a.WorstGap)
+	s.countPause(t, a.Pause)
+	x.RecordEnd(t.sample, failed)
 	s.rollouts.options.Metrics.Ended(t.pool, t.version, failed)
 }
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -35,6 +35,8 @@
 	// MarkStarted records that the target has sent the first event, and returns the
 	// assignment with its load reduced accordingly.
 	MarkStarted(assignment edgecontrol.Assignment) edgecontrol.Assignment
+	// MarkPaced records the mean pause between the first events of a stream, and returns the assignment.
+	MarkPaced(assignment edgecontrol.Assignment, pause time.Duration) edgecontrol.Assignment
 	// Release ends an assignment and records the outcome of the attempt.
 	Release(assignment edgecontrol.Assignment, outcome placement.Outcome)
 }
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -25,7 +25,7 @@
 
 // finish ends the request after a complete stream.
 func (s *streamRelay) finish() {
-	s.current.assignment.WorstGap = s.worstGap
+	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	target := s.current.assignment.Target.Target
 	if s.events > 0 && s.events < soundEvents {
@@ -38,7 +38,7 @@
 // endLost ends a request whose generation cannot be continued.
 func (s *streamRelay) endLost() {
 	target := s.current.assignment.Target.Target
-	s.current.assignment.WorstGap = s.worstGap
+	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 	s.current = nil
 	if !s.headerSent {
@@ -107,12 +107,13 @@
 	return log.Fields{"target": s.current.assignment.Target.Target}
 }
 
-// longestSilence returns the longest pause between two events, including the one that lasts.
-func (s *streamRelay) longestSilence() time.Duration {
-	if s.firstEventAt == 0 {
+// meanPause returns the mean pause between the events so far, or zero if there are fewer than two, or if the stream
+// went on at another engine.
+func (s *streamRelay) meanPause() time.Duration {
+	if s.events < 2 || s.switches > 0 {
 		return 0
 	}
-	return max(s.worstGap, s.now()-s.lastEventAt)
+	return (s.lastEventAt - s.firstEventAt) / time.Duration(s.events-1)
 }
 
 // releaseAll stops the open exchanges and releases all assignments and moved KV caches.
@@ -127,7 +128,7 @@
 	for _, open := range []*upstream{s.current, s.next} {
 		if open != nil {
 			open.stop()
-			open.assignment.WorstGap = s.longestSilence()
+			open.assignment.Pause = s.meanPause()
 			s.gateway.options.Controller.Release(open.assignment, placement.Inconclusive)
 		}
 	}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -113,6 +113,9 @@
 		s.recordPromptSound(s.current.assignment.Target.Target)
 	}
 	s.lastEventAt = now
+	if s.events == pacedEvents {
+		s.current.assignment = s.gateway.options.Controller.MarkPaced(s.current.assignment, s.meanPause())
+	}
 	if event.hasID {
 		s.ids.record(event.id)
 	}
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -34,6 +34,9 @@
 	// maxSwitchOverlap is how long the former engine is kept running while the engine that
 	// takes over has not responded: two engines must not work on one generation for 400 ms.
 	maxSwitchOverlap = 300 * time.Millisecond
+	// pacedEvents is the number of events from which the pace of an engine shows. A stream of a slow version may
+	// last longer than the rollout.
+	pacedEvents = 12
 	// capacityWaitFraction is the part of the route's AnswerGoal for which a request waits
 	// for capacity. The prompt takes much of the rest.
 	capacityWaitFraction = 0.6
