--- a/internal/edgecontrol/rollout_control.go
+++ b/internal/edgecontrol/rollout_control.go
@@ -85,7 +85,8 @@
 		WithField("version", record.Current).WithField("to", record.To).WithField("order_revision", record.Order.Revision).
 		WithField("decider", record.Decider).WithField("sequence", record.Sequence).WithField("requests", record.Seen).
 		WithField("exposed", record.Used).WithField("reserved", record.Reserved).WithField("judged", record.Judged).
-		WithField("failed", record.Failed).WithField("reason", record.Reason).Info("rollout's state")
+		WithField("failed", record.Failed).WithField("reason", record.Reason).
+		WithField("elapsed_ms", (s.now() + s.rollouts.clock - record.StartedAt).Milliseconds()).Info("rollout's state")
 }
 
 // tickRollouts makes the decisions on rollouts that are due, if this host is the one that ranks first among those that
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -201,6 +201,9 @@
 	h.w.WriteHeader(response.status)
 	_, err := h.w.Write(response.body)
 	fields := log.Fields{"status": response.status, "target": assignment.Target.Target}
+	if v := assignment.Target.Version; v != "" {
+		fields["version"] = v
+	}
 	if err != nil {
 		fields["cause"] = err.Error()
 		h.recordEnd("caller_lost", fields)
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -31,8 +31,9 @@
 	if s.events > 0 && s.events < soundEvents {
 		s.recordPromptSound(target)
 	}
+	fields := s.fields(log.Fields{"target": target})
 	s.current = nil
-	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
+	s.recordEnd("answered", fields)
 }
 
 // endLost ends a request whose generation cannot be continued.
@@ -93,6 +94,9 @@
 	fields["worst_gap_after"] = s.worstGapAfter
 	fields["last_event"] = s.ids.last
 	fields["forecast_tokens"] = s.request.ForecastTokens()
+	if s.current != nil && s.current.assignment.Target.Version != "" {
+		fields["version"] = s.current.assignment.Target.Version
+	}
 	if s.firstEventAt > 0 {
 		fields["first_event_ms"] = (s.firstEventAt - s.arrived).Milliseconds()
 	}
