--- a/internal/core/registration.go
+++ b/internal/core/registration.go
@@ -11,7 +11,7 @@
 	Slots      int
 	Leaving    bool
 	ColdLeft   time.Duration // remaining time for which the target is cold, as of the registration
-	Version    Version       // of the software that the target runs
+	Version    Version       `cbor:",omitempty"` // of the software that the target runs
 	Born       int64         // start of the target in Unix milliseconds; zero if unknown
 	Revision   uint64        // revision of the registry's row
 	Era        uint64        // of the store, in which Revision counts
--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -84,7 +84,7 @@
 		x.used++
 		return true
 	}
-	if !canProbe || now >= x.validUntil || x.used >= x.quota.Granted || x.failures >= failureStop || fractionOf(id) >= x.share(route) {
+	if !canProbe || now >= x.validUntil || x.used >= x.quota.Granted || x.failures >= failureStop || !(fractionOf(id) < x.share(route)) {
 		return false
 	}
 	x.used++
