--- a/internal/decide/rollout/simulation_test.go
+++ b/internal/decide/rollout/simulation_test.go
@@ -328,7 +328,7 @@
 func TestExposureStaysBelowItsBoundWhateverFails(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fault := &simFault{part: rapid.Float64Range(0, 1).Draw(t, "part"), after: time.Duration(rapid.IntRange(0, 12).Draw(t, "after")) * time.Second}
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "hosts"), rapid.Float64Range(2, 600).Draw(t, "rate"), fault)
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 40).Draw(t, "hosts"), rapid.Float64Range(2, 600).Draw(t, "rate"), fault)
 		s.lossy = rapid.Float64Range(0, 0.4).Draw(t, "loss")
 		s.run(time.Second)
 		s.start()
