Count the broken connections of a crash once, and default the bounds on rollouts

All streams of an engine break when it crashes, which is no independent evidence against its version. A probed target that is avoided takes no further probes.

--- a/internal/decide/rollout/controller.go
+++ b/internal/decide/rollout/controller.go
@@ -36,7 +36,7 @@
 	// maxShareFactor bounds the part of the requests that is sent to the new version at a time, as a multiple of
 	// Bounds.Share: the few targets that are probed should have about as many requests as the others. Up to sparseRate
 	// requests a second are no load.
-	maxShareFactor = 2
+	maxShareFactor = 1.5
 	sparseRate     = 4
 	// shareInterval is the time between two computations of the routes' shares.
 	shareInterval = 200 * time.Millisecond
--- a/internal/edgecontrol/rollout_control.go
+++ b/internal/edgecontrol/rollout_control.go
@@ -26,7 +26,7 @@
 	started := uint64(options.Clock())
 	return &rollouts{
 		options: options.Rollout, self: fmt.Sprintf("%s/%d", options.Self.ID, started), incarnation: started,
-		orders: map[core.PoolID]core.RolloutOrder{}, pools: map[core.PoolID]*poolRollout{},
+		orders: map[core.PoolID]core.RolloutOrder{}, pools: map[core.PoolID]*poolRollout{}, broken: map[core.TargetID]time.Duration{},
 	}
 }
 
--- a/internal/edgecontrol/rollout_versions.go
+++ b/internal/edgecontrol/rollout_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -98,7 +99,7 @@
 // cold rate from all hosts together.
 func (s *state) canProbe(pool core.PoolID, v core.Version) bool {
 	targets := s.unlimited(s.candidatesOf(candidateKey{pool: pool, versioned: true, version: v, probe: true}))
-	if len(targets) == 0 {
+	if !slices.ContainsFunc(targets, func(c placement.Candidate) bool { return !s.balancer.Avoided(c.Target, s.now()) }) {
 		return false
 	}
 	spec := s.view.Table.Pool(pool)
@@ -109,6 +110,21 @@
 	return s.now()-s.rollout(pool).coldProbeAt >= time.Duration(interval*float64(time.Second))
 }
 
+// crashPeriod is the time in which broken connections of one target count as one failure: those of all its requests
+// break when it crashes.
+const crashPeriod = time.Second
+
+// brokeBefore records that a connection to a target broke, and reports whether another one did within crashPeriod.
+func (r *rollouts) brokeBefore(id core.TargetID, now time.Duration) bool {
+	at, known := r.broken[id]
+	if known && now-at < crashPeriod {
+		return true
+	}
+	maps.DeleteFunc(r.broken, func(_ core.TargetID, at time.Duration) bool { return now-at >= crashPeriod })
+	r.broken[id] = now
+	return false
+}
+
 // unprobe sends a request to the version in force because no target of the new one can take it.
 func (s *state) unprobe(req *PlacementRequest) {
 	s.rollout(req.Pool).exposure.Return()
@@ -254,7 +270,7 @@
 		}
 		failed = true // given up by its caller, or continued elsewhere after a failure
 	case placement.Unreachable:
-		if planned {
+		if planned || s.rollouts.brokeBefore(a.Target.Target, s.now()) {
 			return
 		}
 	}
--- a/internal/edgecontrol/rollouts.go
+++ b/internal/edgecontrol/rollouts.go
@@ -16,7 +16,8 @@
 	known       bool // the records have been read by this host or its hub
 	ownRead     bool // the records have been read by this host
 	pools       map[core.PoolID]*poolRollout
-	changed     []core.RolloutRecord // that subscribers have not been sent
-	clock       time.Duration        // store's clock less this host's clock
-	reportedAt  time.Duration        // of this host's exposure, to itself
+	changed     []core.RolloutRecord            // that subscribers have not been sent
+	clock       time.Duration                   // store's clock less this host's clock
+	broken      map[core.TargetID]time.Duration // when a connection to a target broke, if that was counted as a failure
+	reportedAt  time.Duration                   // of this host's exposure, to itself
 }
