Probe longer where requests are short, and test a fault under load

Calls end soon at the old targets, so the shift needs less time than for streams. The longer the new version is probed, the fewer late faults show only once all traffic is there.

--- a/internal/decide/rollout/controller.go
+++ b/internal/decide/rollout/controller.go
@@ -15,9 +15,12 @@
 	fenceTime = 1500 * time.Millisecond
 	// renewInterval is the time between two writes of the record of an active rollout.
 	renewInterval = 500 * time.Millisecond
-	// probePart is the part of the order's time for which the new version is only probed. A fault that shows later
-	// than that is seen when all traffic is there.
-	probePart = 0.72
+	// probePart is the least part of the order's time for which the new version is only probed. A fault that shows
+	// later than that is seen when all traffic is there, so it lasts until callShift or streamShift before the end:
+	// the time that calls and streams have to end at the old targets.
+	probePart   = 0.72
+	callShift   = 1600 * time.Millisecond
+	streamShift = 12 * time.Second
 	// lastCallPart is the part of the order's time at which the rollout ends at the latest, and lastCallMargin the
 	// least time that is left then for the write, and for the delay until the order was seen.
 	lastCallPart   = 0.92
@@ -181,7 +184,7 @@
 		}
 		return nil
 	}
-	if elapsed < time.Duration(probePart*float64(s.Order.Duration)) && elapsed < lastCall {
+	if elapsed < probeTime(s, lastCall) {
 		return nil
 	}
 	if against := c.judge.examineFinally(e); against != nil {
@@ -204,6 +207,15 @@
 	return nil
 }
 
+// probeTime returns the time since the order at which the new version is no longer only probed.
+func probeTime(s Situation, lastCall time.Duration) time.Duration {
+	shift := callShift
+	if s.Streams {
+		shift = streamShift
+	}
+	return min(max(time.Duration(probePart*float64(s.Order.Duration)), lastCall-shift), lastCall)
+}
+
 // canCarry reports whether the new targets can take over the requests of the old ones. Cold targets count only if the
 // rollout must end now.
 func canCarry(targets map[core.Version]VersionTargets, r core.RolloutRecord, late bool) bool {
--- a/internal/decide/rollout/controller_test.go
+++ b/internal/decide/rollout/controller_test.go
@@ -102,19 +102,20 @@
 	f.report("h", 0, core.RolloutCell{}, core.RolloutCell{})
 	f.report("h", 9, core.RolloutCell{Ended: 9}, core.RolloutCell{Ended: 900})
 	f.situation.Targets["v1"] = VersionTargets{Slots: 10, WarmSlots: 10, Busy: 3}
-	f.pass(7300 * time.Millisecond)
+	f.pass(7600 * time.Millisecond)
 	f.write(f.Next(f.situation))
 	require.Equal(t, core.RolloutShifting, f.phase())
 	require.Equal(t, core.Version("v2"), f.record.Main())
-	f.pass(1300 * time.Millisecond)
+	f.pass(1250 * time.Millisecond)
 	if next := f.Next(f.situation); next != nil {
 		f.write(next)
 	}
 	require.Equal(t, core.RolloutShifting, f.phase())
 	f.situation.Targets["v1"] = VersionTargets{Slots: 10, WarmSlots: 10}
-	f.pass(200 * time.Millisecond)
+	f.pass(100 * time.Millisecond)
 	f.write(f.Next(f.situation))
 	require.Equal(t, core.RolloutCompleted, f.phase())
+	require.Less(t, f.situation.StoreTime, 1000*time.Hour+9100*time.Millisecond, "not only at the last call")
 }
 
 // A decider must not grant what it has not reserved in the store, nor more than the steps allow, whatever hosts report.
--- a/internal/decide/rollout/situation.go
+++ b/internal/decide/rollout/situation.go
@@ -12,6 +12,8 @@
 	// StoreTime is the time on the store's clock, which all deciders share.
 	StoreTime time.Duration
 	// Order is the order in force, or nil if there is none.
-	Order   *core.RolloutOrder
+	Order *core.RolloutOrder
+	// Streams is set if the pool serves streams, which run for longer than calls.
+	Streams bool
 	Targets map[core.Version]VersionTargets
 }
--- a/internal/edgecontrol/rollout_control.go
+++ b/internal/edgecontrol/rollout_control.go
@@ -130,6 +130,9 @@
 		return
 	}
 	situation := rollout.Situation{Now: now, StoreTime: now + s.rollouts.clock, Targets: s.versionTargets(pool)}
+	if spec := s.view.Table.Pool(pool); spec != nil {
+		situation.Streams = spec.Engine != nil
+	}
 	if ordered {
 		situation.Order = &order
 	}
