Join windows with few answers, test the later half, and keep slack for late faults

A simulation with few requests missed most bad versions: tables of one second and one route hardly had answers. Tables now join windows until they have enough answers, and the tests before the shift may err more often.

--- a/internal/decide/rollout/comparison.go
+++ b/internal/decide/rollout/comparison.go
@@ -3,7 +3,7 @@
 // comparison counts, of the answers of both versions in one stratum, those with a property such as failure.
 type comparison struct {
 	newBad, newAll, oldBad, oldAll int
-	window                         uint32
+	badWindows                     []uint32 // in which the new version has answers with the property
 }
 
 // excess returns by how much the fraction of the new version's answers with the property exceeds that of the old
--- a/internal/decide/rollout/controller.go
+++ b/internal/decide/rollout/controller.go
@@ -40,7 +40,10 @@
 	// Bounds.Share: the few targets that are probed should have about as many requests as the others. Up to sparseRate
 	// requests a second are no load.
 	maxShareFactor = 1.5
-	sparseRate     = 4
+	sparseRate     = 6
+	// lateSlack is the part of the slack that is kept for the end of the probing, so that faults that show late are
+	// found with little traffic, too. It is released evenly over the time.
+	lateSlack = 0.5
 	// shareInterval is the time between two computations of the routes' shares.
 	shareInterval = 200 * time.Millisecond
 	// capacityPart is the part of the old targets' slots that the new targets must have.
@@ -62,6 +65,7 @@
 	ledger   *ledger
 	judge    *judge
 	against  *finding      // what speaks against the new version; the rollout is being rolled back
+	progress float64       // part of the time for probing that has passed
 	beganAt  time.Duration // when this decider began to decide on the order
 	shiftAt  time.Duration
 	shared   map[core.RouteID]float64
@@ -91,7 +95,7 @@
 	former := c.record
 	c.record, c.changeAt = r, now
 	if !c.known || former.Order != r.Order && !sameOrder(former, r) || former.Decider != r.Decider {
-		c.ledger, c.judge, c.against, c.beganAt = newLedger(now), newJudge(), nil, now
+		c.ledger, c.judge, c.against, c.beganAt, c.progress = newLedger(now), newJudge(), nil, now, 0
 	}
 	if r.Phase == core.RolloutShifting && former.Phase != core.RolloutShifting {
 		c.shiftAt = now
@@ -184,7 +188,8 @@
 		}
 		return nil
 	}
-	if elapsed < probeTime(s, lastCall) {
+	c.progress = min(max(float64(elapsed)/float64(probeTime(s, lastCall)), 0), 1)
+	if c.progress < 1 {
 		return nil
 	}
 	if against := c.judge.examineFinally(e); against != nil {
@@ -284,7 +289,9 @@
 func (c *Controller) limit() uint64 {
 	judged := c.ledger.sum.judged
 	step := c.record.Carried + firstStep + stepGrowth*judged
-	return min(c.record.Reserved, step)
+	held := uint64(lateSlack * slackMargin * c.bounds.Slack * (1 - c.progress))
+	allowed := c.reservable()
+	return min(c.record.Reserved, step, allowed-min(held, allowed))
 }
 
 // share sets the fractions of the routes' requests that are sent to the new version. What is left is used up over
--- a/internal/decide/rollout/judge.go
+++ b/internal/decide/rollout/judge.go
@@ -8,10 +8,10 @@
 	// sequentialError bounds the probability that a version which does not differ from the old one is rolled
 	// back by the tests that are made while answers arrive. It is divided by all of them: by the strata, the
 	// measures, and the times at which a test is repeated.
-	sequentialError = 0.005
+	sequentialError = 0.01
 	// finalError bounds the same for the tests made once, before traffic moves. They see all answers at once
 	// and so find what the sequential tests are too strict for.
-	finalError = 0.005
+	finalError = 0.03
 	// nominalStrata is the number of strata among which the errors are divided, if there are not more.
 	nominalStrata = 8
 	// firstLook is the number of answers in a stratum at which it is tested first; it is tested again each
@@ -34,27 +34,36 @@
 	for _, s := range strata {
 		answers := int(e.answers[s])
 		if level, due := j.look(s, answers, len(strata)); due {
-			if found := e.test([]stratum{s}, level); found != nil {
+			if found := e.test([]stratum{s}, level, 0); found != nil {
 				found.route = s.route
 				return found
 			}
 		}
 	}
 	if level, due := j.look(stratum{}, int(e.judged), len(strata)); due {
-		return e.test(strata, level)
+		return e.testAll(strata, level)
 	}
 	return nil
 }
 
+// testAll tests strata together: over all windows, and over the later half, where a fault that shows late is not diluted.
+// Each test has half of the level.
+func (e *evidence) testAll(strata []stratum, level float64) *finding {
+	if found := e.test(strata, level/2, 0); found != nil {
+		return found
+	}
+	return e.test(strata, level/2, e.latest()/2+1)
+}
+
 // examineFinally makes the tests before traffic moves.
 func (j *judge) examineFinally(e *evidence) *finding {
 	strata := e.strata()
 	level := finalError / float64(2*len(measures))
-	if found := e.test(strata, level); found != nil {
+	if found := e.testAll(strata, level); found != nil {
 		return found
 	}
 	for _, s := range strata {
-		if found := e.test([]stratum{s}, level/float64(max(len(strata), 1))); found != nil {
+		if found := e.test([]stratum{s}, level/float64(max(len(strata), 1)), 0); found != nil {
 			found.route = s.route
 			return found
 		}
@@ -77,10 +86,11 @@
 	return sequentialError / tests * 6 / (math.Pi * math.Pi * float64(next) * float64(next)), true
 }
 
-// test compares the versions in some strata together by each measure, at a level of significance for each.
-func (e *evidence) test(strata []stratum, level float64) *finding {
+// test compares the versions in some strata together by each measure, at a level of significance for each,
+// from a window on.
+func (e *evidence) test(strata []stratum, level float64, from uint32) *finding {
 	for _, m := range measures {
-		tables := e.compare(m, strata)
+		tables := e.compare(m, strata, from)
 		sum, windows := summarise(tables)
 		if sum.newBad == 0 || windows < minWindows && sum.newBad < manyBad || excess(tables) < m.minExcess {
 			continue
@@ -106,8 +116,8 @@
 	for _, t := range tables {
 		sum.newBad, sum.newAll = sum.newBad+t.newBad, sum.newAll+t.newAll
 		sum.oldBad, sum.oldAll = sum.oldBad+t.oldBad, sum.oldAll+t.oldAll
-		if t.newBad > 0 {
-			windows[t.window] = true
+		for _, w := range t.badWindows {
+			windows[w] = true
 		}
 	}
 	return sum, len(windows)
--- a/internal/decide/rollout/measure.go
+++ b/internal/decide/rollout/measure.go
@@ -42,20 +42,23 @@
 	{name: "pause above four times the median", durations: gaps, slowdown: 4, minExcess: 0.04},
 }
 
-// compare counts the answers with the property in the cells of one stratum; a cell may be nil.
-func (m measure) compare(newCell, oldCell *core.RolloutCell) comparison {
-	if newCell == nil || oldCell == nil {
-		return comparison{}
-	}
+// threshold returns the entry from which durations count as slow, given the answers of both versions.
+func (m measure) threshold(newCell, oldCell *core.RolloutCell) int {
 	if m.durations == nil {
-		return comparison{newBad: min(int(newCell.Failed), int(newCell.Ended)), newAll: int(newCell.Ended), oldBad: min(int(oldCell.Failed), int(oldCell.Ended)), oldAll: int(oldCell.Ended)}
+		return 0
 	}
-	a, b := m.durations(newCell), m.durations(oldCell)
 	slowdown := m.slowdown
 	if m.startsStream && len(newCell.Gaps)+len(oldCell.Gaps) > 0 {
 		slowdown = max(slowdown, streamSlowdown)
 	}
-	limit := BucketLimit(median(a, b))
-	first := bucketOf(max(time.Duration(slowdown)*limit, limit+minSlowness))
-	return comparison{newBad: countFrom(a, first), newAll: total(a), oldBad: countFrom(b, first), oldAll: total(b)}
+	limit := BucketLimit(median(m.durations(newCell), m.durations(oldCell)))
+	return bucketOf(max(time.Duration(slowdown)*limit, limit+minSlowness))
+}
+
+// count returns how many answers of a cell have the property, and how many there are.
+func (m measure) count(c *core.RolloutCell, threshold int) (bad, all int) {
+	if m.durations == nil {
+		return min(int(c.Failed), int(c.Ended)), int(c.Ended)
+	}
+	return countFrom(m.durations(c), threshold), total(m.durations(c))
 }
