--- a/internal/edgecontrol/options.go
+++ b/internal/edgecontrol/options.go
@@ -11,7 +11,7 @@
 	"siskintide.example/siskintide/internal/message"
 )
 
-// Options configures a Loop. All fields are required but PaceMetrics.
+// Options configures a Loop. All fields are required but PaceMetrics and Rollout.
 type Options struct {
 	Self        core.Host
 	RetryBudget retrybudget.Limits // retry budget of all hosts together
@@ -28,5 +28,8 @@
 	// PaceMetrics records the learned pace of engines; nil records nothing.
 	PaceMetrics PaceMetrics
 
+	// Rollout configures rollouts; nil if versions of targets do not matter.
+	Rollout *RolloutOptions
+
 	post func(event) // queues an event for the control goroutine
 }
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -103,6 +103,7 @@
 		Send:         h.linker.Send,
 		SetPeers:     h.linker.SetPeers,
 		MaxConfigAge: options.MaxConfigAge,
+		Rollout:      h.rollout(),
 		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
 	h.limiter = callerlimit.New(callerlimit.Options{
@@ -146,6 +147,21 @@
 	return table.Config.Limits.HeaderBytes + headerSlack
 }
 
+// rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
+func (h *Host) rollout() *edgecontrol.RolloutOptions {
+	options := h.options.Rollout
+	if options == nil {
+		return nil
+	}
+	return &edgecontrol.RolloutOptions{
+		Bounds:  options.Bounds,
+		Metrics: telemetry.NewRolloutMetrics(h.metrics.Scope),
+		Write: func(write edgecontrol.RolloutWrite) {
+			h.running.Go(func() { h.loop.HandleRolloutWritten(write, options.Write(h.stopping, write)) })
+		},
+	}
+}
+
 // start opens the listeners and starts all goroutines.
 func (h *Host) start(ctx context.Context) error {
 	h.running.Go(func() { h.loop.Run(ctx) })
@@ -207,7 +223,7 @@
 	switch {
 	case view.Leaving():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
+	case view.VersionsUnknown || !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
 		http.Error(w, "configuration or registry is not known to be recent", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -15,7 +15,7 @@
 	"siskintide.example/siskintide/internal/gateway"
 )
 
-// Options configures a Host. All fields but MetricsAddress are required.
+// Options configures a Host. All fields but MetricsAddress and Rollout are required.
 type Options struct {
 	Self           core.Host
 	CallersAddress string // address of the callers' listener
@@ -40,6 +40,7 @@
 	BodyMemory   int64         // see gateway.Options.BodyMemory
 	// CallerLimits bounds the connections and the memory of callers.
 	CallerLimits  callerbudget.Limits
-	ShutdownGrace time.Duration // from the signal to stop until the process is killed
-	Output        io.Writer     // destination of the log
+	Rollout       *RolloutOptions // nil if versions of targets do not matter
+	ShutdownGrace time.Duration   // from the signal to stop until the process is killed
+	Output        io.Writer       // destination of the log
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -88,7 +88,7 @@
 	request := h.placementRequest(avoid)
 	request.Prefix = h.prefix()
 	return edgecontrol.PlacementRequest{
-		Pool: h.pool, Request: request, Retry: h.attempts > 0,
+		Pool: h.pool, Route: h.route.ID, First: len(avoid) == 0, Request: request, Retry: h.attempts > 0,
 		Team: h.teamID(), Content: h.contentKey(), Priority: *h.priority(), TimeLeft: h.callerTimeLeft(), MaxWait: h.waitLeft(callWaitFraction),
 	}
 }
@@ -211,6 +211,9 @@
 	h.w.WriteHeader(response.status)
 	_, err := h.w.Write(response.body)
 	fields := log.Fields{"status": response.status, "target": assignment.Target.Target}
+	if v := assignment.Target.Version; v != "" {
+		fields["version"] = v
+	}
 	if err != nil {
 		fields["cause"] = err.Error()
 		h.recordEnd("caller_lost", fields)
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -38,6 +38,8 @@
 	MarkStarted(assignment edgecontrol.Assignment) edgecontrol.Assignment
 	// RecordPace records the times between events of a stream at an engine.
 	RecordPace(target core.TargetID, sums pace.Sums)
+	// MarkPaced records the mean pause between the first events of a stream, and returns the assignment.
+	MarkPaced(assignment edgecontrol.Assignment, pause time.Duration) edgecontrol.Assignment
 	// Release ends an assignment and records the outcome of the attempt.
 	Release(assignment edgecontrol.Assignment, outcome placement.Outcome)
 }
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 
@@ -27,19 +28,22 @@
 
 // finish ends the request after a complete stream.
 func (s *streamRelay) finish() {
+	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	s.countResumption(resumptionContinued)
 	target := s.current.assignment.Target.Target
 	if s.events > 0 && !s.soundRecorded {
 		s.recordSound()
 	}
+	fields := s.fields(log.Fields{"target": target})
 	s.current = nil
-	s.recordEnd("answered", s.fields(log.Fields{"target": target}))
+	s.recordEnd("answered", fields)
 }
 
 // endLost ends a request whose generation cannot be continued.
 func (s *streamRelay) endLost() {
 	target := s.current.assignment.Target.Target
+	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
 	s.current = nil
 	s.countResumption(resumptionFailed)
@@ -112,6 +116,9 @@
 	if s.pace.goal > 0 {
 		fields["late_pauses"] = s.pace.late
 	}
+	if s.current != nil && s.current.assignment.Target.Version != "" {
+		fields["version"] = s.current.assignment.Target.Version
+	}
 	if s.firstEventAt > 0 {
 		fields["first_event_ms"] = (s.firstEventAt - s.arrived).Milliseconds()
 	}
@@ -126,6 +133,15 @@
 	return log.Fields{"target": s.current.assignment.Target.Target}
 }
 
+// meanPause returns the mean pause between the events so far, or zero if there are fewer than two, or if the stream
+// went on at another engine.
+func (s *streamRelay) meanPause() time.Duration {
+	if s.events < 2 || s.switches > 0 {
+		return 0
+	}
+	return (s.lastEventAt - s.firstEventAt) / time.Duration(s.events-1)
+}
+
 // releaseAll stops the open exchanges and releases all assignments and moved KV caches.
 func (s *streamRelay) releaseAll() {
 	select {
@@ -138,6 +154,7 @@
 	for _, open := range []*upstream{s.current, s.next} {
 		if open != nil {
 			open.stop()
+			open.assignment.Pause = s.meanPause()
 			s.gateway.options.Controller.Release(open.assignment, placement.Inconclusive)
 		}
 	}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -131,6 +131,9 @@
 	if s.pace.event(s.current.assignment.Target.Target, received, now) {
 		s.reportPace()
 	}
+	if s.events == pacedEvents {
+		s.current.assignment = s.gateway.options.Controller.MarkPaced(s.current.assignment, s.meanPause())
+	}
 	if event.hasID {
 		s.ids.record(event.id)
 	}
