--- a/internal/decide/rollout/controller.go
+++ b/internal/decide/rollout/controller.go
@@ -183,18 +183,20 @@
 	elapsed := s.StoreTime - c.record.StartedAt
 	lastCall := min(time.Duration(lastCallPart*float64(s.Order.Duration)), s.Order.Duration-lastCallMargin)
 	if c.record.Phase == core.RolloutShifting {
-		if elapsed >= lastCall || s.Now-c.shiftAt >= minShift && s.Targets[c.record.Current].Busy == 0 {
-			return c.end(next, core.RolloutCompleted, "nothing speaks against the version")
+		if elapsed < lastCall && (s.Now-c.shiftAt < minShift || s.Targets[c.record.Current].Busy > 0) {
+			return nil
 		}
-		return nil
+		if c.against = c.judge.examineFinally(e); c.against != nil {
+			return c.end(next, core.RolloutRolledBack, describe(c.against))
+		}
+		return c.end(next, core.RolloutCompleted, "nothing speaks against the version")
 	}
 	c.progress = min(max(float64(elapsed)/float64(probeTime(s, lastCall)), 0), 1)
 	if c.progress < 1 {
 		return nil
 	}
-	if against := c.judge.examineFinally(e); against != nil {
-		c.against = against
-		return c.end(next, core.RolloutRolledBack, describe(against))
+	if c.against = c.judge.examineFinally(e); c.against != nil {
+		return c.end(next, core.RolloutRolledBack, describe(c.against))
 	}
 	judged := e.judged
 	ready := judged >= minJudged && 2*judged >= c.ledger.used() && canCarry(s.Targets, c.record, elapsed >= lastCall)
