Do not judge answers during the shift by their times

TestRolloutGoesOnInARestoredStore/completed failed beside load (load average 28): during the shift the old version has no answers of the same time, so a slow moment of the machine spoke against the new version.

--- a/internal/decide/rollout/simulation_test.go
+++ b/internal/decide/rollout/simulation_test.go
@@ -282,7 +282,9 @@
 		if isNew {
 			s.running--
 		}
-		exposure.RecordTime(sample, took)
+		if record.Phase != core.RolloutShifting {
+			exposure.RecordTime(sample, took)
+		}
 		exposure.RecordEnd(sample, failed)
 	})
 }
--- a/internal/edgecontrol/rollout_versions.go
+++ b/internal/edgecontrol/rollout_versions.go
@@ -211,9 +211,12 @@
 	}
 	v, isCold := choice.Target.Version, s.view.Targets[choice.Target.Target].ColdUntil > s.now()
 	s.rollouts.options.Metrics.Exposed(req.Pool, v)
+	// While traffic shifts, the old version has no answers of the same time. Times of before are no comparison: what
+	// slows down all targets for a moment would speak against the new version.
+	untimed := isCold || req.RunningOn != "" || record.Phase == core.RolloutShifting
 	return rolloutTicket{
 		pool: req.Pool, order: record.Order, version: v, placedAt: s.now(),
-		timed: isCold || req.RunningOn != "", paced: isCold || req.RunningOn != "",
+		timed: untimed, paced: untimed,
 		sample: rollout.Sample{
 			Route: req.Route, Remote: choice.Target.DataCentre != s.options.Self.DataCentre, New: p.isNew(v), Window: p.exposure.Window(s.now()),
 		},
--- a/internal/edgecontrol/rollouts_test.go
+++ b/internal/edgecontrol/rollouts_test.go
@@ -150,6 +150,22 @@
 	}
 }
 
+// While traffic shifts, all answers are of the new version. Their times must not be compared with those of before: a
+// moment in which the machine was slow rolled a good version back.
+func TestAnswersDuringTheShiftAreNotTimed(t *testing.T) {
+	h, _ := ordered(t)
+	choice := placement.Choice{Target: h.candidate("v2-0")}
+	ticket := h.rolloutTicket(choice, PlacementRequest{Pool: "llm"})
+	require.True(t, ticket.counts())
+	require.False(t, ticket.timed || ticket.paced)
+	record, _ := h.rollout("llm").controller.Record()
+	record.Sequence, record.Phase = record.Sequence+1, core.RolloutShifting
+	h.adoptRecord(record)
+	ticket = h.rolloutTicket(choice, PlacementRequest{Pool: "llm"})
+	require.True(t, ticket.counts())
+	require.True(t, ticket.timed && ticket.paced)
+}
+
 // After a rollback nothing may be sent to the new version, not even for a stream that runs there.
 func TestNothingGoesOnAtARolledBackVersion(t *testing.T) {
 	h, _ := ordered(t)
