Add siskintide check-routes

It reviews a file and compares it with the one in force, calls nothing and changes nothing. Findings end it with status 1, so that a script can stop before it sends a configuration; a file that cannot be read, with 2, as for other commands.

--- a/internal/commandline/arguments.go
+++ b/internal/commandline/arguments.go
@@ -13,6 +13,8 @@
 	acceptOverload bool
 	acceptUnserved bool
 	weightBytes    int64
+	inForce        string                 // file with the configuration in force
+	hostMB         int64                  // memory of the smallest host, in MiB
 	slots          [maxPositionals]string // positional values after the command
 }
 
--- a/internal/commandline/exit_code.go
+++ b/internal/commandline/exit_code.go
@@ -6,7 +6,7 @@
 const (
 	// ExitOK means that the command succeeded.
 	ExitOK ExitCode = 0
-	// ExitFailed means that the plan was refused or not confirmed, or that a call failed.
+	// ExitFailed means that the plan was refused or not confirmed, that a call failed, or that a review has findings.
 	ExitFailed ExitCode = 1
 	// ExitInvalidInput means that arguments, files, declarations or the key are not valid.
 	ExitInvalidInput ExitCode = 2
--- a/internal/commandline/parser.go
+++ b/internal/commandline/parser.go
@@ -8,13 +8,14 @@
 
 const description = `Plans and confirms changes of a siskintide deployment.
 
-Exit status: 0 done; 1 refused, not confirmed or failed; 2 wrong input; 3 another change came
-first, read the new plan. The operator key is taken from --key-file or SISKINTIDE_OPERATOR_KEY,
+Exit status: 0 done; 1 refused, not confirmed or failed, or a review has findings; 2 wrong
+input; 3 another change came first, read the new plan. The operator key is taken from --key-file or SISKINTIDE_OPERATOR_KEY,
 the admin addresses from --host or SISKINTIDE_HOSTS.`
 
 const examples = `
   Examples:
     siskintide check examples/stemmebu/*.jsonc
+    siskintide check-routes next.json --in-force current.json
     siskintide status --host 10.0.1.1:7003
     siskintide plan declarations.jsonc --output json > plan.json
     siskintide confirm plan.json
@@ -36,6 +37,7 @@
 	parser.Bool(&a.yes, "y", "yes", "Confirm without asking.")
 	commands := []*command{
 		newCommand(a, "check", "files", "Checks settings files and declarations; calls nothing.", runCheck),
+		newCommand(a, "check-routes", "file", "Reviews a configuration for the platform; calls nothing.", runCheckRoutes),
 		newCommand(a, "init", "files", "Accepts declarations as the first configuration.", runInit),
 		newCommand(a, "plan", "files", "Shows what declarations would change; changes nothing.", runPlan),
 		newCommand(a, "apply", "files", "Plans declarations, asks and confirms.", runApply),
@@ -76,6 +78,9 @@
 	case "take-out", "drain", "apply", "plan":
 		c.parser.Bool(&a.acceptOverload, "", "accept-overload", "Allow load beyond the warm bounds of what remains.")
 		c.parser.Bool(&a.acceptUnserved, "", "accept-unserved", "Allow a model or service to be left without a target.")
+	case "check-routes":
+		c.parser.String(&a.inForce, "", "in-force", "File with the configuration in force, to compare with.")
+		c.parser.Int64(&a.hostMB, "", "host-memory-mb", "Memory of the smallest host, in MiB.")
 	case "bring-in":
 		c.parser.Int64(&a.weightBytes, "", "weight-bytes", "Size of the new version's weights; the declared size if absent.")
 	}
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -9,12 +9,13 @@
 	"siskintide.example/siskintide/internal/operatorapi"
 	"siskintide.example/siskintide/internal/operatortext"
 	"siskintide.example/siskintide/internal/settings"
+	"siskintide.example/siskintide/platform"
 )
 
 // Run executes one command line; args does not include the program name. For unknown
 // arguments the parser prints the help and ends the process with status 2.
 func Run(ctx context.Context, args []string, env Environment) ExitCode {
-	a := &arguments{output: "text"}
+	a := &arguments{output: "text", hostMB: platform.SmallestHostMB}
 	parser, commands := newParser(a)
 	if err := parser.ParseArgs(args); err != nil {
 		_, _ = fmt.Fprintln(env.Err, "siskintide:", err)
@@ -51,7 +52,8 @@
 	var input *InputError
 	var invalid *settings.InvalidError
 	var unread *settings.ReadError
-	if errors.As(err, &input) || errors.As(err, &invalid) || errors.As(err, &unread) {
+	var malformed *platform.ConfigFormError
+	if errors.As(err, &input) || errors.As(err, &invalid) || errors.As(err, &unread) || errors.As(err, &malformed) {
 		return ExitInvalidInput
 	}
 	return ExitFailed
