Let large bodies leave room for new connections and usual heads

With 1,000 callers that do not complete bodies of 1 MB on a host of 134 MB, no ordinary request was answered within 60 s: bodies could fill the memory beyond the ceilings of connections and heads. Large heads and bodies now come first in the order of ceilings, the memory of connections is bounded by their number, and a body counts as large beyond 4 KiB.

--- a/internal/decide/callerbudget/class.go
+++ b/internal/decide/callerbudget/class.go
@@ -5,14 +5,15 @@
 type Class int
 
 const (
-	// Connection is an open connection of a caller.
+	// Connection is an open connection of a caller. Its ceiling is that of usual heads, since large requests must not keep
+	// new callers out.
 	Connection Class = iota
 	// LargeHead is the head of a request that takes more than UsualHeadBytes.
 	LargeHead
-	// Head is the head of a request, from its first byte to the end of the request.
-	Head
 	// LargeBody is what the body of a request has beyond UsualBodyBytes.
 	LargeBody
+	// Head is the head of a request, from its first byte to the end of the request.
+	Head
 	// Body is the body of a request.
 	Body
 	// LargeAnswer is what a buffered response or event has beyond the usual size.
@@ -26,11 +27,15 @@
 	// UsualHeadBytes is the memory for a head with up to a hundred lines. Heads that take more are served while there
 	// is enough memory.
 	UsualHeadBytes = 24 << 10
-	// UsualBodyBytes is the size of a body, or buffer for one, up to which it goes before larger ones.
-	UsualBodyBytes = 64 << 10
+	// UsualBodyBytes is the size of a body up to which it goes before larger ones. A thousand callers that send
+	// as much and no more leave room for the heads of others.
+	UsualBodyBytes = 4 << 10
 )
 
+// connectionCeiling is the part of the whole memory that connections may have.
+const connectionCeiling = 0.5
+
 // ceilings are the parts of the whole memory up to which each class may fill it.
 var ceilings = [classCount]float64{
-	Connection: 0.5, LargeHead: 0.58, Head: 0.65, LargeBody: 0.72, Body: 0.78, LargeAnswer: 0.86, Answer: 1,
+	Connection: 0.72, LargeHead: 0.56, LargeBody: 0.66, Head: 0.72, Body: 0.78, LargeAnswer: 0.86, Answer: 1,
 }
--- a/internal/decide/callerbudget/limits.go
+++ b/internal/decide/callerbudget/limits.go
@@ -32,8 +32,8 @@
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	return Limits{
-		Bytes:       int64(memoryRatio * float64(memory)),
-		Connections: max(1, int(connectionRatio*float64(descriptors-fileDescriptors))),
-	}
+	bytes := int64(memoryRatio * float64(memory))
+	byMemory := int(connectionCeiling * float64(bytes) / ConnectionBytes)
+	byDescriptors := int(connectionRatio * float64(descriptors-fileDescriptors))
+	return Limits{Bytes: bytes, Connections: max(1, min(byMemory, byDescriptors))}
 }
