Soak: callers that resume streams at any host

The soak did not use the resumable route, so that nothing tested resumption while host processes are killed.

Three more callers request streams on that route. After a broken response, a gap of eight times gap-aim-ms, or a break of their own link (one attempt in four), they come back with Last-Event-Id and a new id at any host. Half of the engines honour the id, the others send all events again. Checked: what a caller keeps over its attempts is the beginning of one whole run, and all of it after a complete response; no attempt is run again beyond max-attempts; at most three attempts run at more engines, moved generations included, as BUDGET has it; an attempt refused as not run has not run. Requests whose caller's own link broke are left out of the share served after the faults.

Weighed: a bound on engines without the allowance of three; moves are not limited by max-attempts (see docs/design/resumable-streams.md), and one attempt ran at four engines with a daemon that holds no prompt parts. The callers have their own draws, so that a seed keeps its other faults.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -14,6 +14,8 @@
 	// reconnectTime is the time after a fault with suspendsTimeBounds until time bounds
 	// apply again.
 	reconnectTime = 3 * time.Second
+	// maxBeyondAttempts is the number of attempts that may run at more engines than the route's max-attempts.
+	maxBeyondAttempts = 3
 	// maxPrintedViolations limits the broken guarantees that are printed.
 	maxPrintedViolations = 20
 )
@@ -25,7 +27,7 @@
 	complete, sent := 0, 0
 	for _, request := range s.sent {
 		s.checkRequest(request)
-		if request.sentAt.After(from) && request.sentAt.Add(request.uploading).Before(to.Add(-2*time.Second)) && s.isCurrentKey(request.key) {
+		if !request.linkBroken && request.sentAt.After(from) && request.sentAt.Add(request.uploading).Before(to.Add(-2*time.Second)) && s.isCurrentKey(request.key) {
 			sent++
 			if request.outcome == outcomeComplete {
 				complete++
@@ -35,6 +37,9 @@
 	if sent == 0 || float64(complete) < minServedShare*float64(sent) {
 		s.recordViolation("%d of %d requests served after the faults", complete, sent)
 	}
+	if s.beyondAttempts > maxBeyondAttempts {
+		s.recordViolation("%d attempts ran at more than %d engines", s.beyondAttempts, platformtest.ResumableAttempts)
+	}
 	for _, h := range s.hosts {
 		if h.unexpectedExits > 0 {
 			s.recordViolation("%s exited unexpectedly %d times", h.boot.Node, h.unexpectedExits)
@@ -56,6 +61,9 @@
 	if request.outcome == outcomeRefused && request.atMostOnce && starts > 0 {
 		s.recordViolation("request %s was refused as not run, but ran", request.id)
 	}
+	if request.resumable && s.checkResumable(request, runs) {
+		s.beyondAttempts++
+	}
 	if revokedAt, ok := s.revokedAt[request.key]; ok && starts > 0 && request.sentAt.Sub(revokedAt) > platformtest.BootRevokeMS*time.Millisecond {
 		s.recordViolation("request %s ran with a key that was revoked %s before", request.id, request.sentAt.Sub(revokedAt))
 	}
@@ -72,6 +80,23 @@
 	}
 }
 
+// checkResumable checks that an attempt at a stream that may be resumed was not run if it was refused, and was not
+// run again beyond the route's number of engines. It reports whether the attempt ran at more engines; a host may move
+// a generation with its memory beyond that number.
+func (s *soak) checkResumable(request *sentRequest, runs []platformtest.Run) (beyond bool) {
+	runners := map[string]bool{}
+	for _, run := range runs {
+		if _, moved := run.Headers["Kv-From"]; !moved && len(runners) >= platformtest.ResumableAttempts {
+			s.recordViolation("request %s was run again after it had run at %d engines", request.id, len(runners))
+		}
+		runners[run.Runner] = true
+	}
+	if request.outcome == outcomeRefused && len(runs) > 0 {
+		s.recordViolation("request %s was refused as not run, but ran at %d engines", request.id, len(runners))
+	}
+	return len(runners) > platformtest.ResumableAttempts
+}
+
 // lossExcused reports whether the host or a target of a request had a fault other than a planned stop, a moment
 // before the request was sent or later.
 func (s *soak) lossExcused(request *sentRequest, runs []platformtest.Run) bool {
@@ -109,6 +134,7 @@
 	}
 	fmt.Printf("seed %d: %d faults, %d requests: %d whole, %d refused, %d failed; %d promises broken\n", s.options.Seed, len(s.faultNames),
 		len(s.sent), counts[outcomeComplete], counts[outcomeRefused], counts[outcomeFailed], len(s.violations))
+	fmt.Printf("streams resumed by callers: %d, %d of them whole; %d attempts beyond the number of engines\n", s.resumedCount, s.resumedWhole, s.beyondAttempts)
 	if len(s.violations) == 0 {
 		return 0
 	}
--- /dev/null
+++ b/tools/soak/draws.go
@@ -0,0 +1,7 @@
+package main
+
+// Sequences of random draws by their users, apart from those of the clients, the faults and the restorations. Each user
+// has its own, so that a seed keeps its other faults.
+const (
+	resumingCallers = 100 // and the caller's number
+)
--- a/tools/soak/sent_request.go
+++ b/tools/soak/sent_request.go
@@ -8,11 +8,13 @@
 	key        string
 	atMostOnce bool // must not run more than once
 	stream     bool
+	resumable  bool // may run more than once
 	sentAt     time.Time
 	endedAt    time.Time
 	outcome    outcome
 	host       string
 	answered   bool          // a complete response has arrived, whatever its status
 	uploading  time.Duration // pause within the body
-	abandoned  bool          // the run ended before the response
+	abandoned  bool          // the run ended, or the caller's link broke, before the response
+	linkBroken bool          // the caller's link broke, without a fault of the deployment
 }
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -51,6 +51,9 @@
 	timeBoundsSuspended []interval
 	broken              map[string][]interval // periods of faults, by the host or target that they break
 	sent                []*sentRequest
+	resumedCount        int // streams that callers have resumed
+	resumedWhole        int // of them, those that callers have whole
+	beyondAttempts      int // attempts that ran at more engines than the route's max-attempts
 	faultNames          []string
 	violations          []string
 }
@@ -131,12 +134,15 @@
 	for number := range clientCount {
 		wg.Go(func() { s.runClient(ctx, number) })
 	}
-	restorations, end := context.WithCancel(ctx)
-	var restoring sync.WaitGroup
-	restoring.Go(func() { s.injectRestorations(restorations, rand.New(rand.NewPCG(s.options.Seed, 1))) })
+	for number := range resumingCallerCount {
+		wg.Go(func() { s.runResumingCallers(ctx, number) })
+	}
+	faulty, end := context.WithCancel(ctx)
+	var injecting sync.WaitGroup
+	injecting.Go(func() { s.injectRestorations(faulty, rand.New(rand.NewPCG(s.options.Seed, 1))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
 	end()
-	restoring.Wait()
+	injecting.Wait()
 	<-time.After(reconnectTime) // until then a host may still be ready by what it knew before the fault
 	if !s.awaitReady() {
 		s.recordViolation("hosts were not ready %s after the last fault", readyTimeout)
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -12,6 +12,8 @@
 	framingCount   = 3 // of streams
 	cutAfterEvents = 7 // events of a stream that is cut within the next one
 	cutBytes       = 9 // bytes of the event within which it is cut
+	// resumptionCount is the number of ways to treat the header Last-Event-Id: to honour it, and to send all events again.
+	resumptionCount = 2
 )
 
 // target is a simulated target behind a proxy.
@@ -43,6 +45,7 @@
 	}
 	t.Runner = platformtest.NewRunner(s.recorder, s.platformStore, options)
 	t.framing = platformtest.StreamFraming(s.targetCount % framingCount)
+	t.SetResumption(platformtest.Resumption(s.targetCount / len(zones) % resumptionCount))
 	t.spoil(platformtest.RunnerHealthy)
 	t.server = &http.Server{Handler: t.Runner}
 	go func() { _ = t.server.Serve(listener) }() // returns when the target crashes
