Soak: parts of prompts under which engines crash

docs/incidents/crashes-without-a-response.md: the forms of a crash that stand-ins did not show were not counted against the prompt. The soak knew no such crash at all.

A part of a prompt is deadly for up to 9 s, in one of the six forms of the incident: without a head or after a head and 0 to 3 events, with connections reset or closed in order. An engine that begins to respond to it ends, its listener too, and another one replaces it. Requests with the part go to random hosts five times a second, on both routes of streams. Checked: later than 3 s after the fifth crash at most three more requests reach engines. As for the other time bounds, requests do not count while hosts may miss updates, and 3 s after that.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -40,6 +40,9 @@
 	if s.beyondAttempts > maxBeyondAttempts {
 		s.recordViolation("%d attempts ran at more than %d engines", s.beyondAttempts, platformtest.ResumableAttempts)
 	}
+	for _, part := range s.deadly {
+		s.checkDeadlyPart(part)
+	}
 	for _, h := range s.hosts {
 		if h.unexpectedExits > 0 {
 			s.recordViolation("%s exited unexpectedly %d times", h.boot.Node, h.unexpectedExits)
@@ -135,6 +138,9 @@
 	fmt.Printf("seed %d: %d faults, %d requests: %d whole, %d refused, %d failed; %d promises broken\n", s.options.Seed, len(s.faultNames),
 		len(s.sent), counts[outcomeComplete], counts[outcomeRefused], counts[outcomeFailed], len(s.violations))
 	fmt.Printf("streams resumed by callers: %d, %d of them whole; %d attempts beyond the number of engines\n", s.resumedCount, s.resumedWhole, s.beyondAttempts)
+	for _, part := range s.deadly {
+		fmt.Println(part.summary())
+	}
 	if len(s.violations) == 0 {
 		return 0
 	}
--- a/tools/soak/draws.go
+++ b/tools/soak/draws.go
@@ -4,4 +4,6 @@
 // has its own, so that a seed keeps its other faults.
 const (
 	resumingCallers = 100 // and the caller's number
+	deadlyParts     = 200
+	deadlyCaller    = 201
 )
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -51,6 +51,7 @@
 	timeBoundsSuspended []interval
 	broken              map[string][]interval // periods of faults, by the host or target that they break
 	sent                []*sentRequest
+	deadly              []*deadlyPart
 	resumedCount        int // streams that callers have resumed
 	resumedWhole        int // of them, those that callers have whole
 	beyondAttempts      int // attempts that ran at more engines than the route's max-attempts
@@ -140,6 +141,7 @@
 	faulty, end := context.WithCancel(ctx)
 	var injecting sync.WaitGroup
 	injecting.Go(func() { s.injectRestorations(faulty, rand.New(rand.NewPCG(s.options.Seed, 1))) })
+	injecting.Go(func() { s.injectDeadlyParts(faulty, rand.New(rand.NewPCG(s.options.Seed, deadlyParts))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
 	end()
 	injecting.Wait()
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -47,7 +47,12 @@
 	t.framing = platformtest.StreamFraming(s.targetCount % framingCount)
 	t.SetResumption(platformtest.Resumption(s.targetCount / len(zones) % resumptionCount))
 	t.spoil(platformtest.RunnerHealthy)
-	t.server = &http.Server{Handler: t.Runner}
+	t.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if part := s.deadlyPartOf(request); part != nil && engine && !t.Killed() && s.serveDeadly(t, part, w, request) {
+			return
+		}
+		t.ServeHTTP(w, request)
+	})}
 	go func() { _ = t.server.Serve(listener) }() // returns when the target crashes
 	t.Register("ready")
 	s.targets = append(s.targets, t)
@@ -70,3 +75,14 @@
 	t.proxy.close()
 	_ = t.server.Close()
 }
+
+// crashAs stops the target as a form of a crash has it.
+func (t *target) crashAs(form crashForm) {
+	if form.reset {
+		t.crash()
+		return
+	}
+	_ = t.proxy.listener.Close()
+	t.Kill()
+	_ = t.server.Close() // the proxy passes on the orderly ends
+}
