Soak: callers outside the limits

Part 3 of docs/design/engine-load.md: no process may end of heads without end or bodies far over the limit. The soak had no such callers.

Now and then six connections to one host send heads in short lines, header and request lines and empty lines without end, or bodies over the limit, announced or in chunks, for 0.5 to 1.5 s. The checks are the present ones: no unexpected exit, and ordinary requests are served after the faults. Each connection sends at most 4 KiB a millisecond, so that the soak does not take the machine from the hosts. Memory is not measured; that is for the tests of limits.

--- a/tools/soak/draws.go
+++ b/tools/soak/draws.go
@@ -6,4 +6,5 @@
 	resumingCallers = 100 // and the caller's number
 	deadlyParts     = 200
 	deadlyCaller    = 201
+	oversizedCalls  = 202
 )
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -142,6 +142,7 @@
 	var injecting sync.WaitGroup
 	injecting.Go(func() { s.injectRestorations(faulty, rand.New(rand.NewPCG(s.options.Seed, 1))) })
 	injecting.Go(func() { s.injectDeadlyParts(faulty, rand.New(rand.NewPCG(s.options.Seed, deadlyParts))) })
+	injecting.Go(func() { s.injectOversizedCalls(faulty, rand.New(rand.NewPCG(s.options.Seed, oversizedCalls))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
 	end()
 	injecting.Wait()
