--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -12,6 +12,8 @@
 	framingCount   = 3 // of streams
 	cutAfterEvents = 7 // events of a stream that is cut within the next one
 	cutBytes       = 9 // bytes of the event within which it is cut
+	// resumptionCount is the number of ways to treat the header Last-Event-Id: to honour it, and to send all events again.
+	resumptionCount = 2
 )
 
 // target is a simulated target behind a proxy.
@@ -43,8 +45,14 @@
 	}
 	t.Runner = platformtest.NewRunner(s.recorder, s.platformStore, options)
 	t.framing = platformtest.StreamFraming(s.targetCount % framingCount)
+	t.SetResumption(platformtest.Resumption(s.targetCount / len(zones) % resumptionCount))
 	t.spoil(platformtest.RunnerHealthy)
-	t.server = &http.Server{Handler: t.Runner}
+	t.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if part := s.deadlyPartOf(request); part != nil && engine && !t.Killed() && s.serveDeadly(t, part, w, request) {
+			return
+		}
+		t.ServeHTTP(w, request)
+	})}
 	go func() { _ = t.server.Serve(listener) }() // returns when the target crashes
 	t.Register("ready")
 	s.targets = append(s.targets, t)
@@ -67,3 +75,14 @@
 	t.proxy.close()
 	_ = t.server.Close()
 }
+
+// crashAs stops the target as a form of a crash has it.
+func (t *target) crashAs(form crashForm) {
+	if form.reset {
+		t.crash()
+		return
+	}
+	_ = t.proxy.listener.Close()
+	t.Kill()
+	_ = t.server.Close() // the proxy passes on the orderly ends
+}
