Limiter test: wait for the end of each refused connection

Cause: the test closes its side of a refused connection and dials the next one at once. When the server has not closed the former connections by then, the limiter evicts the oldest for the new one and logs that with a reason of its own (printed: no_memory, then silent_connection). Two lines for two reasons are allowed; what the test guards against is a line for each refusal. Ruled out: a second line for the same reason, in all failures seen.

--- a/internal/callerlimit/conn_test.go
+++ b/internal/callerlimit/conn_test.go
@@ -239,8 +239,14 @@
 		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 		require.True(t, response.Close)
 		require.NoError(t, conn.Close())
+		// A connection that the server has not closed yet would be evicted for a later one, which is logged as well.
+		require.Eventually(t, func() bool {
+			used, connections := s.used()
+			return used == 0 && connections == 0
+		}, stepTimeout, time.Millisecond)
 	}
 	require.Equal(t, 5, s.metrics.count(string(callerbudget.NoMemory)))
+	require.Zero(t, s.metrics.count(reasonSilent))
 	require.Len(t, s.log.Entries, 1)
 	conn := s.dial()
 	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
