Pace: learn from counts how many streams a prompt makes late

Cause, from a trace of every report and send: engines are slowed for moments to two and a half times their step time, and a prompt that a slow engine reads in meanwhile makes all streams there late. Ruled out: two prompts at once (most late pauses had one), memory that moves, the class of the request, preemptions (7 of 372). Forecasts from the mean pause missed it, because reports are older than the moments last.

The tracker now counts prompts times running streams, and streams that became late, by the speed of the engine, and forecasts from both what a prompt does to the streams that run, and what the prompts that usually come will do to a stream. A recent factor moves an engine that is slowed now to the bucket of a slower one. A request that would wait for memory at an engine costs more than one that makes streams late, since other engines may have room.

--- a/internal/decide/pace/engine.go
+++ b/internal/decide/pace/engine.go
@@ -16,6 +16,11 @@
 	// minFactor and maxFactor bound an engine's factor.
 	minFactor = 0.1
 	maxFactor = 10.0
+	// recentHalfLife is the time in which recent events lose half of their weight. Engines are slowed for moments of
+	// 0.3 to 2 s, and a report comes every 0.3 s.
+	recentHalfLife = 300 * time.Millisecond
+	// promptHalfLife is the time in which prompts that were placed lose half of their weight in the rate of prompts.
+	promptHalfLife = 5 * time.Second
 	// maxTypicalPrompts bounds the mean of the pending prompts.
 	maxTypicalPrompts = 100
 	// confirmAfter is the time after a long pause from which events in time show that the engine had not fallen
@@ -30,16 +35,28 @@
 	late    float64 // late pauses, with engineHalfLife
 	last    Load    // at the report before
 	factor  float64 // to the curve of the pool, as of the last refresh
+	recent  moments // with recentHalfLife
+	current float64 // factor of the latest events, as of the last refresh
 	trouble float64 // share of the pauses that were late
 	limit   memoryLimit
 	// suspect is the memory share at a long pause that may come from a preemption; zero for none.
 	suspect   float64
 	suspectAt time.Duration
 	seenAt    time.Duration
+	// prompts is the number of prompts placed here, in units of promptScale, with promptHalfLife; promptAt is the time
+	// of the last one, and promptFactor the factor at that time.
+	prompts      float64
+	promptAt     time.Duration
+	promptFactor float64
+	// As of the last refresh: prompts that come in a second, the rate of promptHarm, and that of the latest events.
+	perSecond, usualHarm, currentHarm float64
 }
 
 func newEngine(pool core.PoolID, load Load, now time.Duration) *engine {
-	return &engine{pool: pool, seen: moments{at: now}, last: load, factor: 1, limit: newMemoryLimit(now)}
+	return &engine{
+		pool: pool, seen: moments{at: now}, recent: moments{at: now}, last: load, factor: 1, current: 1, limit: newMemoryLimit(now), seenAt: now,
+		promptAt: now, promptFactor: 1,
+	}
 }
 
 // decay ages what was seen.
@@ -48,19 +65,19 @@
 		e.late *= math.Exp2(-float64(now-e.seen.at) / float64(engineHalfLife))
 	}
 	e.seen.decay(now, engineHalfLife)
+	e.recent.decay(now, recentHalfLife)
 	e.limit.recover(now)
 }
 
-// refresh computes the factor and the share of late pauses.
-func (e *engine) refresh(curve Curve) {
-	e.factor, e.trouble = 1, 0
-	if !curve.Known() || e.seen.w <= 0 {
-		return
+// refresh computes the factors, the share of late pauses, and what prompts do here.
+func (e *engine) refresh(p *poolCurve, now time.Duration) {
+	e.factor, e.current, e.trouble = 1, 1, 0
+	if p.curve.Known() && e.seen.w > 0 {
+		e.factor = e.seen.factor(p.curve, 1)
+		e.current = e.recent.factor(p.curve, e.factor)
+		e.trouble = min(e.late/(e.seen.w+priorEvents), 1)
 	}
-	predicted := e.seen.predicted(curve)
-	prior := priorEvents * curve.Base
-	e.factor = min(max((e.seen.y+prior)/(predicted+prior), minFactor), maxFactor)
-	e.trouble = min(e.late/(e.seen.w+priorEvents), 1)
+	e.perSecond, e.usualHarm, e.currentHarm = e.promptRate(now), p.harm.rate(e.factor), p.harm.rate(e.slowest())
 }
 
 // suspectPreemption records a long pause under a load.
@@ -76,6 +93,20 @@
 	return e.suspect > 0 && now-e.suspectAt >= confirmAfter && sums.Events > 2*sums.Late
 }
 
+// recordPrompt records a prompt that was placed here.
+func (e *engine) recordPrompt(prompt core.Tokens, now time.Duration) {
+	e.prompts = e.prompts*math.Exp2(-float64(max(now-e.promptAt, 0))/float64(promptHalfLife)) + prompts(prompt)
+	e.promptAt, e.promptFactor = max(now, e.promptAt), e.slowest()
+}
+
+// promptRate returns the prompts, in units of promptScale, that come in a second.
+func (e *engine) promptRate(now time.Duration) float64 {
+	return e.prompts * math.Exp2(-float64(max(now-e.promptAt, 0))/float64(promptHalfLife)) * math.Ln2 / promptHalfLife.Seconds()
+}
+
+// slowest returns the factor of the engine, or that of its latest events if it is slowed.
+func (e *engine) slowest() float64 { return max(e.factor, e.current) }
+
 // typicalPrompts returns the mean of the pending prompts, in units of promptScale, while events were seen.
 func (e *engine) typicalPrompts() float64 {
 	if e.seen.w <= 0 {
--- a/internal/decide/pace/late_curve.go
+++ b/internal/decide/pace/late_curve.go
@@ -42,33 +42,15 @@
 	c.late[bucket] += float64(late)
 }
 
-// refresh ages what was seen and computes the shares anew. A longer forecast pause never has a smaller share: where
-// it seems to, buckets are averaged (pool adjacent violators).
+// refresh ages what was seen and computes the shares anew. A longer forecast pause never has a smaller share.
 func (c *lateCurve) refresh(now time.Duration) {
 	f := math.Exp2(-float64(max(now-c.at, 0)) / float64(lateHalfLife))
 	c.at = max(now, c.at)
-	var values, weights [lateBuckets]float64
-	var counts [lateBuckets]int
-	blocks := 0
 	for i := range lateBuckets {
 		c.events[i], c.late[i] = c.events[i]*f, c.late[i]*f
-		weight := c.events[i] + latePrior
-		values[blocks], weights[blocks], counts[blocks] = (c.late[i]+latePrior*priorLate(i))/weight, weight, 1
-		blocks++
-		for blocks > 1 && values[blocks-2] > values[blocks-1] {
-			a, b := blocks-2, blocks-1
-			values[a] = (values[a]*weights[a] + values[b]*weights[b]) / (weights[a] + weights[b])
-			weights[a], counts[a] = weights[a]+weights[b], counts[a]+counts[b]
-			blocks--
-		}
-	}
-	i := 0
-	for block := range blocks {
-		for range counts[block] {
-			c.shares[i] = values[block]
-			i++
-		}
+		c.shares[i] = (c.late[i] + latePrior*priorLate(i)) / (c.events[i] + latePrior)
 	}
+	raise(c.shares[:], func(i int) float64 { return c.events[i] + latePrior })
 }
 
 // priorLate is the share of late pauses in a bucket of which nothing was seen: none up to 0.8 of the goal, all from
--- a/internal/decide/pace/moments.go
+++ b/internal/decide/pace/moments.go
@@ -40,6 +40,12 @@
 	return m.w*c.Base + m.x1*c.PerRequest + m.x2*c.PerPrompt
 }
 
+// factor returns the ratio of the times that were seen to a curve. priorEvents with a given ratio are added.
+func (m *moments) factor(c Curve, prior float64) float64 {
+	added := priorEvents * c.Base
+	return min(max((m.y+prior*added)/(m.predicted(c)+added), minFactor), maxFactor)
+}
+
 // fit returns the curve with the least squared error. Slopes are not negative: more load never makes events come
 // sooner.
 func (m *moments) fit() Curve {
--- a/internal/decide/pace/pool_curve.go
+++ b/internal/decide/pace/pool_curve.go
@@ -12,19 +12,21 @@
 	seen    moments // divided by the engines' factors, with poolHalfLife
 	curve   Curve   // time between events of an average engine
 	late    lateCurve
+	harm    promptHarm
 	limit   memoryLimit
 	factors float64 // sum over the pool's engines, while they are refreshed
 	engines float64
 }
 
 func newPoolCurve(now time.Duration) *poolCurve {
-	return &poolCurve{seen: moments{at: now}, late: newLateCurve(now), limit: newMemoryLimit(now)}
+	return &poolCurve{seen: moments{at: now}, late: newLateCurve(now), harm: newPromptHarm(now), limit: newMemoryLimit(now)}
 }
 
 // refresh fits the curve anew.
 func (p *poolCurve) refresh(now time.Duration) {
 	p.seen.decay(now, poolHalfLife)
 	p.late.refresh(now)
+	p.harm.refresh(now)
 	p.limit.recover(now)
 	p.curve, p.factors, p.engines = Curve{}, 0, 0
 	if p.seen.w >= minPoolEvents {
--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -63,6 +63,7 @@
 	mean := milliseconds(sums.Time) / float64(sums.Events)
 	e.decay(now)
 	e.seen.add(float64(sums.Events), between, mean)
+	e.recent.add(float64(sums.Events), between, mean)
 	e.late += float64(sums.Late)
 	p.seen.decay(now, poolHalfLife)
 	p.seen.add(float64(sums.Events), between, mean/e.factor)
@@ -74,25 +75,40 @@
 	}
 	if float64(sums.Longest) >= preemptionShare*float64(sums.Goal) {
 		e.suspectPreemption(between, now)
-		sums.Late = 0 // steps do not explain it
+		sums.Late, sums.LateStreams = 0, 0 // steps do not explain it
 	}
+	p.harm.record(e.promptFactor, sums.LateStreams)
 	if p.curve.Known() {
 		p.late.add(e.factor*p.curve.At(between)/milliseconds(sums.Goal), sums.Events, sums.Late)
 	}
 	return lowered
 }
 
+// RecordPrompt records that a prompt was placed at an engine that had a load without it.
+func (t *Tracker) RecordPrompt(pool core.PoolID, target core.TargetID, load Load, prompt core.Tokens, now time.Duration) {
+	p, e := t.pools[pool], t.engines[target]
+	if p == nil || prompt <= 0 {
+		return // no reports yet
+	}
+	if e == nil || e.pool != pool {
+		e = newEngine(pool, load, now)
+		t.engines[target] = e
+	}
+	e.recordPrompt(prompt, now)
+	p.harm.expose(e.promptFactor, load.Requests, prompt)
+}
+
 // Refresh ages all that is known, and computes curves and factors anew.
 func (t *Tracker) Refresh(now time.Duration) {
-	maps.DeleteFunc(t.engines, func(_ core.TargetID, e *engine) bool { return now-e.seenAt >= engineTTL })
 	maps.DeleteFunc(t.pools, func(_ core.PoolID, p *poolCurve) bool { return now-p.seen.at >= engineTTL })
+	maps.DeleteFunc(t.engines, func(_ core.TargetID, e *engine) bool { return now-e.seenAt >= engineTTL || t.pools[e.pool] == nil })
 	for _, p := range t.pools {
 		p.refresh(now)
 	}
 	for _, e := range t.engines {
 		p := t.pools[e.pool]
 		e.decay(now)
-		e.refresh(p.curve)
+		e.refresh(t.pools[e.pool], now)
 		p.factors, p.engines = p.factors+e.factor, p.engines+1
 	}
 	// Factors and curve are only known up to a constant. It is chosen such that the mean factor is 1.
@@ -102,7 +118,7 @@
 		}
 	}
 	for _, e := range t.engines {
-		e.refresh(t.pools[e.pool].curve)
+		e.refresh(t.pools[e.pool], now)
 	}
 }
 
@@ -134,18 +150,21 @@
 		return Forecast{}, false
 	}
 	f := Forecast{Factor: 1, MemoryLimit: p.limit.share}
-	prompts := 0.0
+	typical, perSecond, usualHarm, currentHarm := 0.0, 0.0, p.harm.rates[averageBucket], p.harm.rates[averageBucket]
 	if e := t.engines[target]; e != nil && e.pool == pool {
 		f.Factor, f.Trouble, f.MemoryLimit = e.factor, e.trouble, min(e.limit.share, f.MemoryLimit)
-		prompts = e.typicalPrompts()
+		typical, perSecond, usualHarm, currentHarm = e.typicalPrompts(), e.perSecond, e.usualHarm, e.currentHarm
 	}
 	goal := milliseconds(stream.Goal)
-	now := f.Factor * p.curve.At(load)
+	before := f.Factor * p.curve.At(load)
 	reading := Load{Requests: load.Requests + 1, PendingPrefill: load.PendingPrefill + stream.Prompt}
 	f.Pause = f.Factor * p.curve.At(reading)
-	f.Late = atLeastOnce(p.lateShare(load.Requests+1, prompts, f.Factor, goal), float64(stream.Events))
-	more := p.late.share(f.Pause/goal) - p.late.share(now/goal)
-	f.Caused = float64(load.Requests) * atLeastOnce(more, float64(stream.Prompt)/prefillTokensPerEvent)
+	f.Late = atLeastOnce(p.lateShare(load.Requests+1, typical, f.Factor, goal), float64(stream.Events))
+	seconds := before * float64(stream.Events) / 1000
+	f.Late = max(f.Late, atLeastOnce(usualHarm, perSecond*seconds))
+	more := p.late.share(f.Pause/goal) - p.late.share(before/goal)
+	f.Caused = atLeastOnce(more, float64(stream.Prompt)/prefillTokensPerEvent)
+	f.Caused = float64(load.Requests) * max(f.Caused, min(currentHarm*prompts(stream.Prompt), 1))
 	return f, true
 }
 
--- a/internal/decide/pace/tracker_test.go
+++ b/internal/decide/pace/tracker_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+func drawLoad(t *rapid.T, label string) Load {
+	return Load{
+		Requests:       rapid.IntRange(0, 200).Draw(t, label+"requests"),
+		PendingPrefill: core.Tokens(rapid.IntRange(0, 200_000).Draw(t, label+"pending")),
+		MemoryShare:    rapid.Float64Range(0, 5).Draw(t, label+"share"),
+	}
+}
+
 func testStream() Stream { return Stream{Prompt: 3000, Events: 187, Goal: testGoal} }
 
 func forecast(t *testing.T, tracker *Tracker, id core.TargetID, load Load) Forecast {
@@ -197,13 +205,6 @@
 func TestForecastsStayInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker, now := NewTracker(), time.Duration(0)
-		drawLoad := func(label string) Load {
-			return Load{
-				Requests:       rapid.IntRange(0, 200).Draw(t, label+"requests"),
-				PendingPrefill: core.Tokens(rapid.IntRange(0, 200_000).Draw(t, label+"pending")),
-				MemoryShare:    rapid.Float64Range(0, 5).Draw(t, label+"share"),
-			}
-		}
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			label := fmt.Sprint(i)
 			now += time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, label+"passed"))
@@ -212,11 +213,11 @@
 			if rapid.Bool().Draw(t, label+"plausible") {
 				sums = Sums{Events: rapid.IntRange(0, 500).Draw(t, label+"n"), Time: time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, label+"t")), Longest: time.Second, Late: 1, Goal: testGoal}
 			}
-			tracker.Record(testPool, id, sums, drawLoad(label), now)
+			tracker.Record(testPool, id, sums, drawLoad(t, label), now)
 			if rapid.Bool().Draw(t, label+"refresh") {
 				tracker.Refresh(now)
 			}
-			f, known := tracker.Forecast(testPool, id, drawLoad(label+"at"), testStream())
+			f, known := tracker.Forecast(testPool, id, drawLoad(t, label+"at"), testStream())
 			if !known {
 				continue
 			}
--- a/internal/decide/placement/balancer_pace.go
+++ b/internal/decide/placement/balancer_pace.go
@@ -10,10 +10,13 @@
 const (
 	// latePenalty weighs the probability that a pause of the stream is late, and causedPenalty each running stream
 	// that its prompt makes late.
-	latePenalty   = 2.0
-	causedPenalty = 1.0
+	latePenalty   = 4.0
+	causedPenalty = 6.0
 	// maxLatePenalty bounds both together, so that failures weigh more.
-	maxLatePenalty = 4.0
+	maxLatePenalty = 6.0
+	// fullPenalty is added for an engine without memory for the request: it would wait there, although engines at which
+	// more streams become late may have room.
+	fullPenalty = 2 * maxLatePenalty
 	// limitPenalty weighs the share of the memory by which forecasts exceed the learned limit.
 	limitPenalty = 10.0
 	// slowPrefillWeight weighs the additional time in which a slow engine reads in the pending prompts.
@@ -28,6 +31,12 @@
 	return b.pace.Record(pool, c.Target, sums, paceLoad(&c, b.load(c.Target)), now)
 }
 
+// RecordPrompt records that a request with a prompt was placed at an engine, before its load is added.
+func (b *Balancer) RecordPrompt(choice Choice, request Request, now time.Duration) {
+	c := choice.Target
+	b.pace.RecordPrompt(request.Pool, c.Target, paceLoad(&c, b.load(c.Target)), request.promptToRead()-choice.ExpectedCached, now)
+}
+
 // Pace forecasts what a stream would meet and cause at an engine. It returns false if too little is known.
 func (b *Balancer) Pace(c Candidate, request Request) (pace.Forecast, bool) {
 	return b.forecastPace(&c, request, paceLoad(&c, b.load(c.Target)))
@@ -64,6 +73,9 @@
 	share := load.MemoryShare + float64(request.Memory)/float64(max(c.Memory, 1))
 	cost := min(latePenalty*f.Late+causedPenalty*f.Caused, maxLatePenalty)
 	cost += limitPenalty * max(share-f.MemoryLimit, 0)
+	if share > maxMemoryShare {
+		cost += fullPenalty
+	}
 	cost += slowPrefillWeight * (f.Factor - 1) * float64(load.PendingPrefill+request.promptToRead()) / prefillScale
 	return cost + troublePenalty*f.Trouble
 }
--- a/internal/decide/placement/pace_model_test.go
+++ b/internal/decide/placement/pace_model_test.go
@@ -31,6 +31,11 @@
 	modelReport        = 300 * time.Millisecond // between two reports of pace without late pauses
 	modelFlushEvents   = 4
 	modelStall         = 100 * time.Millisecond
+	modelShortPrompt   = 2550
+	modelShortOutput   = 2 * modelEventTokens
+	modelSlowdown      = 2.5 // of a slowed engine's steps
+	modelSlowedEvery   = 6 * time.Second
+	modelSlowedFor     = 1200 * time.Millisecond // at most
 )
 
 var modelCentres = []core.DataCentreID{"a", "b", "c"}
@@ -49,6 +54,7 @@
 	worst     time.Duration
 	cause     string // of the worst pause
 	preempted bool   // since the last event
+	late      bool
 	pending   core.Tokens
 	unsent    pace.Sums
 }
@@ -63,6 +69,8 @@
 	queue       []*modelStream
 	nextStep    time.Duration
 	silentUntil time.Duration
+	slowedFrom  time.Duration
+	slowedUntil time.Duration
 	arrivals    int
 	preemptions int
 	reports     pace.Sums
@@ -97,6 +105,8 @@
 	jitter float64 // mean milliseconds by which hosts delay an event
 	hidden int     // tokens of each engine's memory that no forecast counts
 	hint   float64 // mean ratio of the forecast output to the real one
+	short  float64 // share of the requests that have two events
+	slowed bool    // engines are slowed for moments
 }
 
 func newModel(seed uint64, speeds ...float64) *model {
@@ -205,6 +215,9 @@
 	output := max(int(modelOutput*(0.4+1.2*m.random.Float64())), modelEventTokens)
 	prompt := core.Tokens(modelPrompt * (0.7 + 0.6*m.random.Float64()))
 	hint := core.Tokens(float64(output) * m.hint * (0.8 + 0.4*m.random.Float64()))
+	if m.short > 0 && m.random.Float64() < m.short {
+		output, prompt, hint = modelShortOutput, prompt*modelShortPrompt/modelPrompt, modelShortOutput
+	}
 	s := &modelStream{output: output, arrived: m.now, toPrefill: int(prompt)}
 	centre := modelCentres[0]
 	if at := m.random.Float64(); at > m.local {
@@ -224,6 +237,9 @@
 		return false
 	}
 	e.arrivals++
+	if m.paced {
+		m.balancer.RecordPrompt(Choice{Target: e.candidate}, s.request, m.now)
+	}
 	s.engine, s.pending = e, s.request.Prompt
 	m.balancer.Add(e.candidate.Target, s.request.Load())
 	if len(e.running)+len(e.queue) == 0 {
@@ -241,6 +257,21 @@
 	return used
 }
 
+// speed returns the speed of an engine at this moment.
+func (m *model) speed(e *modelEngine) float64 {
+	if !m.slowed {
+		return e.speed
+	}
+	if m.now >= e.slowedUntil {
+		e.slowedFrom = m.now + time.Duration(m.delays.ExpFloat64()*float64(modelSlowedEvery))
+		e.slowedUntil = e.slowedFrom + time.Duration((0.25+0.75*m.delays.Float64())*float64(modelSlowedFor))
+	}
+	if m.now >= e.slowedFrom {
+		return e.speed / modelSlowdown
+	}
+	return e.speed
+}
+
 // step plays one decode step of an engine.
 func (m *model) step(e *modelEngine) {
 	if e.silentUntil > m.now {
@@ -275,7 +306,7 @@
 			}
 		}
 	}
-	end := m.now + time.Duration(ms/e.speed*float64(time.Millisecond))
+	end := m.now + time.Duration(ms/m.speed(e)*float64(time.Millisecond))
 	prefilled := false
 	var left []*modelStream
 	for _, s := range e.running {
@@ -321,6 +352,10 @@
 			}
 		}
 		s.unsent.Record(gap, modelGapGoal)
+		if gap > modelGapGoal && !s.late {
+			s.late = true
+			s.unsent.LateStreams++
+		}
 		if s.unsent.Events >= modelFlushEvents || gap > modelGapGoal {
 			s.engine.reports = s.engine.reports.Plus(s.unsent)
 			s.unsent = pace.Sums{}
--- a/internal/edgecontrol/pace.go
+++ b/internal/edgecontrol/pace.go
@@ -66,7 +66,7 @@
 // recordPeerPace learns from a subscriber's report.
 func (s *state) recordPeerPace(reports []message.TargetPace) {
 	for _, m := range reports {
-		s.recordPace(m.Target, pace.Sums{Events: m.Events, Time: m.Time, Late: m.Late, Longest: m.Longest, Goal: m.Goal})
+		s.recordPace(m.Target, pace.Sums{Events: m.Events, Time: m.Time, Late: m.Late, Longest: m.Longest, Goal: m.Goal, LateStreams: m.LateStreams})
 	}
 }
 
@@ -82,6 +82,14 @@
 	req.Request.Pool, req.Request.Events = req.Pool, int(tokens)/max(spec.Engine.EventTokens, 1)
 }
 
+// recordPrompt records a prompt that this host has placed at an engine.
+func (s *state) recordPrompt(req PlacementRequest, choice placement.Choice) {
+	s.setPace(&req)
+	if req.Request.GapGoal > 0 && req.RunningOn == "" {
+		s.balancer.RecordPrompt(choice, req.Request, s.now())
+	}
+}
+
 // recordAvoided counts and logs that a target was passed over for its pace.
 func (s *state) recordAvoided(req *PlacementRequest, choice placement.Choice) {
 	if choice.Avoided == "" {
--- a/internal/edgecontrol/pace_report.go
+++ b/internal/edgecontrol/pace_report.go
@@ -35,7 +35,7 @@
 func (r *paceReport) list() []message.TargetPace {
 	var all []message.TargetPace
 	for id, sums := range r.unsent {
-		all = append(all, message.TargetPace{Target: id, Events: sums.Events, Time: sums.Time, Late: sums.Late, Longest: sums.Longest, Goal: sums.Goal})
+		all = append(all, message.TargetPace{Target: id, Events: sums.Events, Time: sums.Time, Late: sums.Late, Longest: sums.Longest, Goal: sums.Goal, LateStreams: sums.LateStreams})
 	}
 	return all
 }
--- a/internal/edgecontrol/permits.go
+++ b/internal/edgecontrol/permits.go
@@ -113,6 +113,7 @@
 	case ok:
 		s.usePermit(req, choice.Target.Target)
 		s.recordPrefix(req, choice)
+		s.recordPrompt(req, choice)
 		reply.placed(s, choice, req.Request)
 	case req.Request.TransfersMemory || !s.awaitPermit(req, issuing, promised, reply):
 		reply.unplaced(s, Assignment{RetryAfter: s.restLeft(req.Pool)})
@@ -154,6 +155,7 @@
 	}
 	s.usePermit(w.req, choice.Target.Target)
 	s.recordPrefix(w.req, choice)
+	s.recordPrompt(w.req, choice)
 	w.reply.placed(s, choice, w.req.Request)
 }
 
--- a/internal/gateway/stream_pace.go
+++ b/internal/gateway/stream_pace.go
@@ -53,6 +53,9 @@
 	before := p.sums.Late
 	p.sums.Record(now-p.since, p.goal)
 	p.sums.Longest = max(p.sums.Longest, now-p.eventAt)
+	if p.late == 0 && p.sums.Late > before {
+		p.sums.LateStreams++
+	}
 	p.late += p.sums.Late - before
 	p.since = now
 }
--- a/internal/gateway/stream_pace_test.go
+++ b/internal/gateway/stream_pace_test.go
@@ -36,7 +36,7 @@
 	require.False(t, p.overdue(time.Second+paceGoal))
 	now := p.due()
 	require.True(t, p.overdue(now))
-	require.Equal(t, pace.Sums{Events: 1, Time: now - time.Second, Late: 1, Longest: now - time.Second, Goal: paceGoal}, p.take(now))
+	require.Equal(t, pace.Sums{Events: 1, Time: now - time.Second, Late: 1, Longest: now - time.Second, Goal: paceGoal, LateStreams: 1}, p.take(now))
 	require.False(t, p.overdue(now), "one pause is recorded again at once")
 	require.Greater(t, p.due(), now)
 
@@ -46,6 +46,7 @@
 	sums := p.take(now + 20*time.Millisecond)
 	require.Equal(t, now+20*time.Millisecond-time.Second, sums.Longest, "the pause is cut at the goal, so that no preemption is noticed")
 	require.Equal(t, 1, sums.Late)
+	require.Zero(t, sums.LateStreams, "a stream becomes late once")
 }
 
 // A switch to another engine, and a caller that does not read, would make a fast engine look slow.
--- a/internal/message/target_pace.go
+++ b/internal/message/target_pace.go
@@ -14,4 +14,6 @@
 	Late    int           `cbor:"4,keyasint,omitempty"` // of those, times over Goal
 	Longest time.Duration `cbor:"5,keyasint"`           // longest pause; it may have begun before the last report
 	Goal    time.Duration `cbor:"6,keyasint"`           // longest pause that is not late
+	// LateStreams is the number of streams of which a pause was late for the first time.
+	LateStreams int `cbor:"7,keyasint,omitempty"`
 }
