Streams: count the attempt that a switch leaves before its engine has responded

A resumable stream whose first engine had sent no head when it was left for the engine with the copy had no counted attempt. When that engine failed as well, the rerun was placed as a first send: Retry was not set, so the budget was not asked, MayWait let it wait like a new request, and the bound of four sends counted one too few.

Cause: handleNextMessage recorded the run of the former engine, but not the attempt. attempts is otherwise counted when a response head or a failure of the current engine arrives, and neither comes from an engine that was left.

The other ways out of an attempt without a head (failure, refusal, hold) count it.

The switch now counts the attempt and the run through countSilentRun, which does so once for each attempt.

--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -183,9 +183,7 @@
 	case message.kind == upstreamOpened && message.response == nil:
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.current.stop()
-		if !s.current.counted {
-			s.recordRun()
-		}
+		s.countSilentRun()
 		s.current, s.next = s.next, nil
 		s.current.counted = true
 		s.reruns.RecordRun()
