Streams: do not count the pause around a rerun as an engine's own

Seen: in a rollout, a stream that went on at another engine after a rerun reported a mean pause over the events of both engines and the time between them, against the version of the second one. A good version that took over streams of crashed engines looked several times slower than it is.

Cause: meanPause left out streams with switches, as its comment says, but reruns within one response are counted in resumptions, which came later.

Evidence: TestPauseOfRerunIsNotMeasured failed with a mean pause of 1 s where none can be known. The first event of the stream stays firstEventAt, so the sum always spans the gap.

Streams with a rerun now report no pause. countPause ignores zero, and such streams are few beside those that judge a version.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -134,9 +134,9 @@
 }
 
 // meanPause returns the mean pause between the events so far, or zero if there are fewer than two, or if the stream
-// went on at another engine.
+// went on at another engine: the pause would be that of several engines, and of the time between them.
 func (s *streamRelay) meanPause() time.Duration {
-	if s.events < 2 || s.switches > 0 {
+	if s.events < 2 || s.switches > 0 || s.resumptions > 0 {
 		return 0
 	}
 	return (s.lastEventAt - s.firstEventAt) / time.Duration(s.events-1)
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -86,3 +87,16 @@
 	require.False(t, controller.placed[0].MayWait)
 	require.Equal(t, 1, s.attempts)
 }
+
+// TestPauseOfRerunIsNotMeasured guards against a pause between two engines, and pauses of the former one, that count
+// against the engine, and so the version, that goes on with the stream.
+func TestPauseOfRerunIsNotMeasured(t *testing.T) {
+	s := newTestRelay(&placingController{view: &edgecontrol.View{Table: &routetable.Table{Config: &core.RoutingConfig{}}}})
+	s.events, s.firstEventAt, s.lastEventAt = 3, time.Second, 3*time.Second
+	require.Equal(t, time.Second, s.meanPause())
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() {
+		s.headerSent = true
+		s.rerun("first", io.ErrUnexpectedEOF.Error())
+	})
+	require.Zero(t, s.meanPause())
+}
