Streams: send no request again whose caller's id meets events without ids

Seen: a caller that sends Last-Event-Id for a stream whose events have no ids made the request run at max-attempts engines, each of which fails in the same way, and took the retry budget of the service for it. Others are then refused reruns that would have helped.

Cause: checkCallersID knew gaps and short runs, but not UnnumberedEventError, though without the id the stream would have been passed on.

Evidence: TestUnnumberedStreamIsNotRunAgainForAnID saw three runs at three engines; now it sees one. The response is broken off as before.

--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -92,12 +92,14 @@
 	return s.resumed != notResumed && s.ids.known && !event.hasID && !event.isComment
 }
 
-// checkCallersID forbids to send the request again after a failure that the caller's id may have caused. It would
-// cause the same at another engine, at the expense of the retry budget.
+// checkCallersID forbids to send the request again after a failure that the caller's id may have caused: a gap, a run
+// that ends too early, or events without ids. It would cause the same at another engine, at the expense of the retry
+// budget.
 func (s *streamRelay) checkCallersID(cause error) {
 	var gap *EventGapError
 	var short *ShortRunError
-	if s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short)) {
+	var unnumbered *UnnumberedEventError
+	if s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short) || errors.As(cause, &unnumbered)) {
 		s.reruns.Forbid()
 	}
 }
