Streams: a failure that the caller's id may have caused is not held against the engine

Seen by other callers: an engine was avoided for seconds, and counted as failed, after a caller had resumed a stream with an id beyond its end, or one for a stream without ids. The host logged "target avoided after a failed send". Two such requests at two engines of a data centre within 1.5 s made the data centre count as cut off, so one caller could turn all others away from sound engines.

Cause: endLost released each lost generation as Unreachable, also one whose engine responded in order and was given up for what the caller's id asked for.

Gaps and short runs without an id of the caller stay failures of the engine.

Such attempts now end as Inconclusive, which changes no rate and no back-off.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -44,7 +44,7 @@
 func (s *streamRelay) endLost() {
 	target := s.current.assignment.Target.Target
 	s.current.assignment.Pause = s.meanPause()
-	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
+	s.gateway.options.Controller.Release(s.current.assignment, s.lostOutcome())
 	s.current = nil
 	s.countResumption(resumptionFailed)
 	if !s.headerSent {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -21,6 +21,7 @@
 	reruns             *failover.Reruns  // nil if the stream may not be resumed
 	resumed            resumption        // who has asked the current engine to go on; empty once it does
 	resumptions        int               // of the stream by this host
+	callersID          bool              // the caller's id may have caused the last failure
 	runBeganAt         time.Duration     // of the first of runEvents
 	runEvents          int               // events received since the prompt was last sent, including repeated ones
 	fallback           *bufferedResponse // of an engine that failed, if no other answers; nil for none
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -94,16 +94,25 @@
 
 // checkCallersID forbids to send the request again after a failure that the caller's id may have caused: a gap, a run
 // that ends too early, or events without ids. It would cause the same at another engine, at the expense of the retry
-// budget.
+// budget. It shows nothing about the engine.
 func (s *streamRelay) checkCallersID(cause error) {
 	var gap *EventGapError
 	var short *ShortRunError
 	var unnumbered *UnnumberedEventError
-	if s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short) || errors.As(cause, &unnumbered)) {
+	s.callersID = s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short) || errors.As(cause, &unnumbered))
+	if s.callersID {
 		s.reruns.Forbid()
 	}
 }
 
+// lostOutcome returns the outcome of an attempt whose generation is lost.
+func (s *streamRelay) lostOutcome() placement.Outcome {
+	if s.callersID {
+		return placement.Inconclusive
+	}
+	return placement.Unreachable
+}
+
 // handleFailureResponse handles the complete response of an engine that may have run the request and sent no stream.
 // It reports whether the request is finished.
 func (s *streamRelay) handleFailureResponse(response *bufferedResponse, assignment edgecontrol.Assignment) bool {
