Caller limits: a refused request does not end the one in work before it

Seen by callers: on a connection with a request in work, a request behind it that had to be refused (head too large, empty lines, two lengths, no memory) made the host give the first one up as if its caller had left: its engine was stopped and no answer came.

Cause: net/http reads one byte ahead while a handler runs, and takes any error of that read but its own deadline for a caller that has left. conn.refuse returned its error at once. conn.Read also dropped all bytes of a read whose heads found no memory, those of the body before them included.

While an earlier request is in work the read now drops what follows, up to 64 KiB, until the caller leaves or the server ends it by a deadline; then the connection is refused as before. Bytes before the first head without memory are passed on (Result.FirstHead). A refusal within the body of the request in work still ends its read at once (Result.InBody, TestBadBodyOfRequestInWork). A refusal is counted once.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -29,6 +29,8 @@
 	address string
 	scanner headscan.Scanner // used by Read only, which the server does not call concurrently
 	refusal string           // reason to refuse the next Read; empty for none
+	inBody  bool             // the refusal is for the body of the last request with a complete head
+	counted bool             // the refusal has been counted
 	// admitted is set once a request of the connection was admitted.
 	admitted atomic.Bool
 
@@ -65,10 +67,10 @@
 	result := c.scanner.Scan(p[:n], limit)
 	valid := n
 	if result.Reason != "" {
-		valid, c.refusal = result.Valid, string(result.Reason)
+		valid, c.refusal, c.inBody = result.Valid, string(result.Reason), result.InBody
 	}
 	if reason := c.take(result); reason != "" {
-		valid, c.refusal = 0, reason
+		valid, c.refusal, c.inBody = c.validWithoutHeads(result, valid), reason, false
 		c.limiter.Relieve()
 	}
 	if valid == 0 {
@@ -110,6 +112,26 @@
 	return ""
 }
 
+// validWithoutHeads returns how many of the valid bytes may be passed on if there is no memory for the heads among them:
+// those of the request in work.
+func (c *conn) validWithoutHeads(result headscan.Result, valid int) int {
+	switch {
+	case c.headsInWork() == 0:
+		return 0
+	case len(result.Heads) == 0:
+		return valid // with the beginning of a head, which stays in the buffer of the connection
+	default:
+		return result.FirstHead
+	}
+}
+
+// headsInWork returns the number of requests whose heads are complete and that were not answered yet.
+func (c *conn) headsInWork() int {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return len(c.heads)
+}
+
 // endRequest returns the memory of the head of the request that was answered.
 func (c *conn) endRequest() {
 	l := c.limiter
@@ -133,13 +155,19 @@
 // server, which closes the connection.
 func (c *conn) refuse() error {
 	reason := c.refusal
-	c.limiter.count(reason, c.address)
-	c.limiter.mu.Lock()
-	answering := len(c.heads) > 0
-	c.limiter.mu.Unlock()
-	if !answering {
+	if !c.counted {
+		c.counted = true
+		c.limiter.count(reason, c.address)
+	}
+	switch inWork := c.headsInWork(); {
+	case inWork == 0:
 		c.respond(reason)
 		c.linger()
+	case c.inBody && inWork == 1: // the request in work cannot be read to its end
+	default:
+		if err := c.awaitAnswer(); err != nil {
+			return err
+		}
 	}
 	// The server answers other errors than those of the network with a response of its own.
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &LimitError{Reason: reason}}
@@ -153,6 +181,21 @@
 	}
 }
 
+// awaitAnswer drops what the caller sends behind a request in work, whose body is complete. The server reads then only to
+// notice that the caller has left: it takes any other error for that and gives the request up, and ends the read by a
+// deadline once it has answered. A caller that sends more than lingerBytes loses the request in work.
+func (c *conn) awaitAnswer() error {
+	var dropped [512]byte
+	for left := lingerBytes; left > 0; {
+		n, err := c.Conn.Read(dropped[:])
+		if err != nil {
+			return err
+		}
+		left -= n
+	}
+	return nil
+}
+
 // linger drops what the caller still sends, within bounds.
 func (c *conn) linger() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/decide/headscan/result.go
+++ b/internal/decide/headscan/result.go
@@ -9,8 +9,12 @@
 	Open int64
 	// HeadStart is the offset of the first byte of that head; zero if it is in an earlier call.
 	HeadStart int
+	// FirstHead is the offset of the first byte of the first of Heads; zero if it is in an earlier call.
+	FirstHead int
 	// Reason is set if a request must be refused. It was found at the offset Valid; the bytes before it do not
 	// complete that request.
 	Reason Reason
 	Valid  int
+	// InBody is set if the Reason was found in the body of the last request with a complete head.
+	InBody bool
 }
--- a/internal/decide/headscan/scanner.go
+++ b/internal/decide/headscan/scanner.go
@@ -63,9 +63,12 @@
 		if s.phase == phaseBefore && p[at] != '\r' && p[at] != '\n' {
 			s.begin()
 			result.HeadStart = at
+			if len(result.Heads) == 0 {
+				result.FirstHead = at
+			}
 		}
 		if reason := s.scanByte(p[at], limit, &result); reason != "" {
-			result.Reason, result.Valid = reason, at
+			result.Reason, result.Valid, result.InBody = reason, at, s.phase == phaseChunkSize || s.phase == phaseTrailer
 			break
 		}
 		at++
