Caller limits: count the memory of trailers

Seen: trailers after a chunked body were bounded in bytes, but took no memory of the budget. net/http parses up to 4 KB of them and keeps them with the request for as long as it is in work. A thousand callers, each with a valid request in work, could so hold tens of megabytes beyond the budget.

Cause: the scanner reported costs of heads only.

The scanner counts the lines of trailers and reports their cost like that of heads (Result.Trailers, Open). It is taken before they are parsed, and returned with that of the last request. Without room the read of the body fails, and the request is refused as not run.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -37,9 +37,9 @@
 	// Guarded by the mutex of the limiter.
 	silent  *list.Element // in Limiter.silent; nil while it must not be closed
 	dropped bool          // what it has taken was returned
-	taken   int64         // memory for heads
-	open    int64         // part of taken for the head that is not complete
-	heads   []int64       // parts of taken for complete heads that were not answered yet, in order
+	taken   int64         // memory for heads and trailers
+	open    int64         // part of taken for the head, or the trailers, that are not complete
+	heads   []int64       // parts of taken for complete heads, and their trailers, that were not answered yet, in order
 }
 
 func newConn(accepted net.Conn, limiter *Limiter) *conn {
@@ -70,7 +70,8 @@
 		valid, c.refusal, c.inBody = result.Valid, string(result.Reason), result.InBody
 	}
 	if reason := c.take(result); reason != "" {
-		valid, c.refusal, c.inBody = c.validWithoutHeads(result, valid), reason, false
+		c.refusal, c.inBody = reason, result.Trailers > 0 || result.InBody && len(result.Heads) == 0
+		valid = c.validWithoutHeads(result, valid)
 		c.limiter.Relieve()
 	}
 	if valid == 0 {
@@ -81,7 +82,7 @@
 
 // take takes the memory for the heads of a result. It returns a reason if there is no room.
 func (c *conn) take(result headscan.Result) string {
-	if len(result.Heads) == 0 && result.Open == c.open {
+	if len(result.Heads) == 0 && result.Trailers == 0 && result.Open == c.open {
 		return ""
 	}
 	l := c.limiter
@@ -90,7 +91,7 @@
 	if c.dropped {
 		return reasonSilent
 	}
-	total, largest := result.Open, result.Open
+	total, largest := result.Open+result.Trailers, max(result.Open, result.Trailers)
 	for _, cost := range result.Heads {
 		total, largest = total+cost, max(largest, cost)
 	}
@@ -106,17 +107,30 @@
 	}
 	c.open = result.Open
 	c.heads = append(c.heads, result.Heads...)
+	if result.Trailers > 0 {
+		c.addTrailers(result.Trailers)
+	}
 	if len(result.Heads) > 0 {
 		l.heard(c)
 	}
 	return ""
 }
 
-// validWithoutHeads returns how many of the valid bytes may be passed on if there is no memory for the heads among them:
-// those of the request in work.
+// addTrailers adds the memory of trailers to that of the last request, or returns it if there is none. The mutex is held.
+func (c *conn) addTrailers(cost int64) {
+	if last := len(c.heads) - 1; last >= 0 {
+		c.heads[last] += cost
+		return
+	}
+	c.limiter.budget.Give(c.address, cost)
+	c.taken -= cost
+}
+
+// validWithoutHeads returns how many of the valid bytes may be passed on if there is no memory for the heads or trailers
+// among them: those of the body of the request in work.
 func (c *conn) validWithoutHeads(result headscan.Result, valid int) int {
 	switch {
-	case c.headsInWork() == 0:
+	case c.headsInWork() == 0 || c.inBody:
 		return 0
 	case len(result.Heads) == 0:
 		return valid // with the beginning of a head, which stays in the buffer of the connection
--- a/internal/callerlimit/pipelining_test.go
+++ b/internal/callerlimit/pipelining_test.go
@@ -28,6 +28,7 @@
 		"no memory":                            {head + body, bad, http.StatusServiceUnavailable},
 		"no memory, with the end of the body":  {head + "bo", "dy" + bad, http.StatusServiceUnavailable},
 		"no memory, part of the head":          {head + "bo", "dy" + bad[:9], http.StatusServiceUnavailable},
+		"no memory, with a chunk":              {head + "bo", "dy" + chunkedHead + "4", http.StatusServiceUnavailable},
 		"no memory, two heads":                 {head + "bo", "dy" + bad + bad, http.StatusServiceUnavailable},
 		"no memory, rest of the head":          {head + body + bad[:9], bad[9:], http.StatusServiceUnavailable},
 		"no memory, head that is not complete": {head + body, bad[:9], http.StatusServiceUnavailable},
--- a/internal/decide/headscan/scanner.go
+++ b/internal/decide/headscan/scanner.go
@@ -32,8 +32,8 @@
 // Scanner scans the bytes that one connection receives. The zero value is at the beginning of a connection.
 type Scanner struct {
 	phase     phase
-	size      int64 // bytes of the head, or of lines before or after it
-	lines     int64
+	size      int64           // bytes of the head, or of lines before or after it
+	lines     int64           // complete header lines, or trailers
 	line      [keptBytes]byte // beginning of the current line
 	lineSize  int64
 	tail      [len(version11)]byte // end of the request line, without its end of line
@@ -43,7 +43,7 @@
 	remaining int64 // bytes of the body or chunk
 }
 
-// cost returns the memory that the current head takes.
+// cost returns the memory that the current head, or the current trailers, take.
 func (s *Scanner) cost() int64 { return byteCopies*s.size + LineBytes*s.lines }
 
 // Scan scans bytes that follow those of earlier calls. A head has at most limit bytes. After a Reason the scanner
@@ -68,14 +68,15 @@
 			}
 		}
 		if reason := s.scanByte(p[at], limit, &result); reason != "" {
-			result.Reason, result.Valid, result.InBody = reason, at, s.phase == phaseChunkSize || s.phase == phaseTrailer
+			result.Reason, result.Valid = reason, at
 			break
 		}
 		at++
 	}
-	if s.phase == phaseStart || s.phase == phaseHeader {
+	if s.phase == phaseStart || s.phase == phaseHeader || s.phase == phaseTrailer {
 		result.Open = s.cost()
 	}
+	result.InBody = s.phase == phaseChunkSize || s.phase == phaseTrailer
 	return result
 }
 
@@ -131,7 +132,8 @@
 	case s.phase == phaseChunkSize:
 		return s.endChunkSize(line, cut)
 	case line == "" && !cut && s.phase == phaseTrailer:
-		s.phase, s.size = phaseBefore, 0
+		result.Trailers += s.cost()
+		s.phase, s.size, s.lines = phaseBefore, 0, 0
 	case line == "" && !cut:
 		return s.endHead(result)
 	case line[0] == ' ' || line[0] == '\t':
@@ -139,6 +141,8 @@
 	case s.phase == phaseHeader:
 		s.lines++
 		return s.endHeaderLine(line, cut)
+	default: // a trailer
+		s.lines++
 	}
 	return ""
 }
