Placement by prefix: keep parts of prompts only up to the prompt's size

Seen: first events of sessions came later by a prefill. A request whose Prompt-Prefix names a part larger than its prompt, by mistake or on purpose, dropped all that the estimate knew of the engine where it was placed, since the first parts count as the most recently used and what follows them no longer fits into the engine's memory. A few such requests empty the estimate of a pool.

Cause: the estimate trusted the sizes that callers name. Only what it credits was bounded by the prompt's tokens, not what it keeps.

Evidence: TestPartsBeyondThePromptTakeNoRoom expected 3,000 cached tokens of the other prompt and got 0.

RecordPrefix now cuts the parts where they exceed the prompt, whose size counts as load and is bounded by admission. Parts within the prompt are recorded as before, without a copy.

--- a/internal/decide/placement/prefix_cost.go
+++ b/internal/decide/placement/prefix_cost.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
@@ -19,10 +20,25 @@
 // RecordPrefix records that a request was placed at a target. It does nothing if the request names no prefix.
 func (b *Balancer) RecordPrefix(c Candidate, request Request, now time.Duration) {
 	if len(request.Prefix) > 0 {
-		b.prefixes.Record(c.Target, request.Prefix, c.Memory, now)
+		b.prefixes.Record(c.Target, within(request.Prefix, request.Prompt), c.Memory, now)
 	}
 }
 
+// within returns the leading parts that fit into a prompt, the last one with what is left for it. Callers name the sizes
+// of parts; larger ones would push what the engine has of other prompts out of the estimate.
+func within(parts []core.PrefixPart, prompt core.Tokens) []core.PrefixPart {
+	left := prompt
+	for i, part := range parts {
+		if part.Tokens > left {
+			cut := slices.Clone(parts[:i+1])
+			cut[i].Tokens = left
+			return cut
+		}
+		left -= max(part.Tokens, 0)
+	}
+	return parts
+}
+
 // expectedCached returns the tokens of a request that a target is expected not to prefill.
 func (b *Balancer) expectedCached(c *Candidate, request Request, now time.Duration) core.Tokens {
 	if request.query == nil {
