Streams: drop the responses of failed engines once another one responds

Seen: responses were refused or cut for lack of buffer memory while streams ran that had begun after another engine's 5xx. Such a response has up to 8 MiB, the buffers of a host have 16 MiB together.

Cause: since an engine's 5xx is followed by another engine, the first response is kept as the fallback, and the memory of all responses was returned only at the end of the request: after the whole stream, for seconds.

Evidence: TestFailureResponsesAreDroppedAtTheHead found 983,040 bytes still taken after the head had been sent.

Once the head has been sent no buffered response can be, so its memory is returned there. A second release of the same response has no effect.

--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -119,10 +119,16 @@
 
 // releaseMemory returns the memory for the body and for responses.
 func (h *requestHandler) releaseMemory() {
+	h.releaseResponses()
+	h.releaseBody()
+}
+
+// releaseResponses returns the memory for responses. None of them is sent to the caller any more.
+func (h *requestHandler) releaseResponses() {
 	for _, response := range h.responses {
 		response.release()
 	}
-	h.releaseBody()
+	h.responses = nil
 }
 
 // releaseBody returns the memory for the body.
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -65,6 +65,8 @@
 	}
 	s.w.WriteHeader(http.StatusOK)
 	s.headerSent = true
+	s.fallback = nil // the responses of engines that failed before are not sent any more
+	s.releaseResponses()
 	s.flush()
 }
 
