--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -15,7 +15,7 @@
 // request, is finished.
 func (s *streamRelay) handleEnd(marked bool) bool {
 	if s.ids.behind() {
-		return s.handleFailure(&ShortRunError{Last: s.ids.last, Got: s.ids.again})
+		return s.handleFailure(&ShortRunError{Last: s.ids.last, Got: s.ids.lastRepeated})
 	}
 	if s.failover.RecordEnd(marked) {
 		s.finish()
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -43,7 +43,7 @@
 // recordSteps records the steps between the ids of the stream's events for streams that are resumed later.
 func (s *streamRelay) recordSteps() {
 	if s.route.Resumable {
-		s.gateway.steps.record(s.pool, s.ids.seen)
+		s.gateway.steps.record(s.pool, s.ids.ownStep)
 	}
 }
 
