Streams: do not send a request again to the engine of a failed switch

Seen: after an engine had crashed and the engine with the copy had failed to go on, the request could be sent to that second engine again. It ran twice at one engine, and a rerun of max-attempts and of the retry budget was spent on an engine that had just failed under it.

Cause: only engines that were given the request from its prompt, or were current, are in the list of engines to avoid; one that failed before the switch was open is not. Unreachable engines are backed off, but one that answered with a 5xx is not.

Evidence: TestRerunAvoidsEngineOfFailedSwitch: only the first engine was avoided.

An engine whose switch failed after it may have run the request is now avoided. One that refused it without running it stays a candidate.

--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -211,7 +211,8 @@
 
 // revertSwitch returns to the former engine after a failed switch.
 func (s *streamRelay) revertSwitch(notRun bool, outcome placement.Outcome, cause string) {
-	s.log.WithField("target", s.next.assignment.Target.Target).WithField("not_run", notRun).WithField("cause", cause).
+	target := s.next.assignment.Target.Target
+	s.log.WithField("target", target).WithField("not_run", notRun).WithField("cause", cause).
 		Warn("engine did not go on with the stream")
 	s.gateway.options.Controller.Release(s.next.assignment, outcome)
 	s.next.stop()
@@ -221,6 +222,7 @@
 		result = failover.NotDone
 	} else {
 		s.reruns.RecordRun()
+		s.recordTried(target)
 	}
 	s.failover.RecordSwitch(result, false, s.now())
 }
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -149,6 +149,13 @@
 	return s.rerun(assignment.Target.Target, "stream failed")
 }
 
+// recordTried records that the request must not be sent to an engine again.
+func (s *streamRelay) recordTried(target core.TargetID) {
+	if !slices.Contains(s.tried, target) {
+		s.tried = append(s.tried, target)
+	}
+}
+
 // rerun sends the request to another engine, which goes on after the last event that the caller has. The former
 // engine has been stopped. It reports whether the request is finished.
 func (s *streamRelay) rerun(from core.TargetID, cause string) bool {
@@ -157,9 +164,7 @@
 		s.endEarly()
 		return true
 	}
-	if !slices.Contains(s.tried, from) {
-		s.tried = append(s.tried, from)
-	}
+	s.recordTried(from)
 	entry := s.log.WithField("from", from).WithField("cause", cause).WithField("runs", s.possibleRuns).WithField("left_ms", s.timeLeft().Milliseconds())
 	if s.ids.known {
 		entry = entry.WithField("after_event", s.ids.last)
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -100,3 +100,25 @@
 	})
 	require.Zero(t, s.meanPause())
 }
+
+// TestRerunAvoidsEngineOfFailedSwitch guards against a request that is sent again to the engine that has just failed to go
+// on with it from its copy.
+func TestRerunAvoidsEngineOfFailedSwitch(t *testing.T) {
+	for name, failure := range map[string]upstreamMessage{
+		"broken off": {kind: upstreamFailed, err: &ExchangeError{Phase: phaseRequest, Cause: io.ErrUnexpectedEOF}},
+		"failed":     {kind: upstreamOpened, response: &bufferedResponse{status: http.StatusInternalServerError}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			controller := &placingController{view: &edgecontrol.View{Table: &routetable.Table{Config: &core.RoutingConfig{}}}}
+			s := newTestRelay(controller)
+			s.headerSent = true
+			s.next = newTestUpstream("copy")
+			s.failover.RecordDisconnect()
+			require.Equal(t, failover.SwitchToCopy, s.failover.Next(s.now()).Kind)
+			require.False(t, s.handleNextMessage(failure))
+			require.PanicsWithValue(t, http.ErrAbortHandler, func() { s.applyNextStep(controller.view) })
+			require.Len(t, controller.placed, 1)
+			require.ElementsMatch(t, []core.TargetID{"first", "copy"}, controller.placed[0].Request.Avoid)
+		})
+	}
+}
