Streams: do not learn the pause of a rerun as that of the engine that was left

Seen: an engine whose stream had broken off, for instance with its connection, was taken for slow: the time until another engine went on counted as late pauses of the former one, one for each gap goal that passed. Placement then kept streams away from it. The stream's log line named late pauses that no engine had made.

Cause: the pause under way belongs to the engine that sent the last event, until another one sends an event. streamPace leaves the pause of a switch out only then, while overdue records it before.

Evidence: TestPauseOfRerunIsNotTheFormerEngines found a late pause at the former engine 2 s after the rerun.

A rerun passes on what has been summed and ends the engine's record, so that overdue has nothing to record and the next event begins a new one.

--- a/internal/gateway/stream_pace.go
+++ b/internal/gateway/stream_pace.go
@@ -48,6 +48,9 @@
 	return p.sums.Late > 0 || now-p.flushedAt >= paceFlushInterval
 }
 
+// endRun records that the run at the engine has failed. The pause until another engine sends an event is that of neither.
+func (p *streamPace) endRun() { p.target = "" }
+
 // record adds the time until now that has not been recorded yet.
 func (p *streamPace) record(now time.Duration) {
 	before := p.sums.Late
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -165,6 +165,8 @@
 		return true
 	}
 	s.recordTried(from)
+	s.reportPace()
+	s.pace.endRun()
 	entry := s.log.WithField("from", from).WithField("cause", cause).WithField("runs", s.possibleRuns).WithField("left_ms", s.timeLeft().Milliseconds())
 	if s.ids.known {
 		entry = entry.WithField("after_event", s.ids.last)
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -122,3 +122,19 @@
 		})
 	}
 }
+
+// TestPauseOfRerunIsNotTheFormerEngines guards against the pause until another engine goes on, which counts as late at the
+// engine that was left, so that placement takes it for slow.
+func TestPauseOfRerunIsNotTheFormerEngines(t *testing.T) {
+	s := newTestRelay(&placingController{view: &edgecontrol.View{Table: &routetable.Table{Config: &core.RoutingConfig{}}}})
+	s.headerSent = true
+	s.pace = streamPace{goal: 180 * time.Millisecond}
+	s.pace.event("first", time.Second, time.Second)
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { s.rerun("first", io.ErrUnexpectedEOF.Error()) })
+	require.False(t, s.pace.overdue(3*time.Second))
+	require.Zero(t, s.pace.late)
+	s.pace.event("second", 3*time.Second, 3*time.Second)
+	require.Zero(t, s.pace.sums.Events, "the pause is not that of the second engine either")
+	s.pace.event("second", 3100*time.Millisecond, 3100*time.Millisecond)
+	require.Equal(t, 1, int(s.pace.sums.Events))
+}
