--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -29,15 +29,17 @@
 	address string
 	scanner headscan.Scanner // used by Read only, which the server does not call concurrently
 	refusal string           // reason to refuse the next Read; empty for none
+	inBody  bool             // the refusal is for the body of the last request with a complete head
+	counted bool             // the refusal has been counted
 	// admitted is set once a request of the connection was admitted.
 	admitted atomic.Bool
 
 	// Guarded by the mutex of the limiter.
 	silent  *list.Element // in Limiter.silent; nil while it must not be closed
 	dropped bool          // what it has taken was returned
-	taken   int64         // memory for heads
-	open    int64         // part of taken for the head that is not complete
-	heads   []int64       // parts of taken for complete heads that were not answered yet, in order
+	taken   int64         // memory for heads and trailers
+	open    int64         // part of taken for the head, or the trailers, that are not complete
+	heads   []int64       // parts of taken for complete heads, and their trailers, that were not answered yet, in order
 }
 
 func newConn(accepted net.Conn, limiter *Limiter) *conn {
@@ -65,10 +67,11 @@
 	result := c.scanner.Scan(p[:n], limit)
 	valid := n
 	if result.Reason != "" {
-		valid, c.refusal = result.Valid, string(result.Reason)
+		valid, c.refusal, c.inBody = result.Valid, string(result.Reason), result.InBody
 	}
 	if reason := c.take(result); reason != "" {
-		valid, c.refusal = 0, reason
+		c.refusal, c.inBody = reason, result.Trailers > 0 || result.InBody && len(result.Heads) == 0
+		valid = c.validWithoutHeads(result, valid)
 		c.limiter.Relieve()
 	}
 	if valid == 0 {
@@ -79,7 +82,7 @@
 
 // take takes the memory for the heads of a result. It returns a reason if there is no room.
 func (c *conn) take(result headscan.Result) string {
-	if len(result.Heads) == 0 && result.Open == c.open {
+	if len(result.Heads) == 0 && result.Trailers == 0 && result.Open == c.open {
 		return ""
 	}
 	l := c.limiter
@@ -88,7 +91,7 @@
 	if c.dropped {
 		return reasonSilent
 	}
-	total, largest := result.Open, result.Open
+	total, largest := result.Open+result.Trailers, max(result.Open, result.Trailers)
 	for _, cost := range result.Heads {
 		total, largest = total+cost, max(largest, cost)
 	}
@@ -104,12 +107,45 @@
 	}
 	c.open = result.Open
 	c.heads = append(c.heads, result.Heads...)
+	if result.Trailers > 0 {
+		c.addTrailers(result.Trailers)
+	}
 	if len(result.Heads) > 0 {
 		l.heard(c)
 	}
 	return ""
 }
 
+// addTrailers adds the memory of trailers to that of the last request, or returns it if there is none. The mutex is held.
+func (c *conn) addTrailers(cost int64) {
+	if last := len(c.heads) - 1; last >= 0 {
+		c.heads[last] += cost
+		return
+	}
+	c.limiter.budget.Give(c.address, cost)
+	c.taken -= cost
+}
+
+// validWithoutHeads returns how many of the valid bytes may be passed on if there is no memory for the heads or trailers
+// among them: those of the body of the request in work.
+func (c *conn) validWithoutHeads(result headscan.Result, valid int) int {
+	switch {
+	case c.headsInWork() == 0 || c.inBody:
+		return 0
+	case len(result.Heads) == 0:
+		return valid // with the beginning of a head, which stays in the buffer of the connection
+	default:
+		return result.FirstHead
+	}
+}
+
+// headsInWork returns the number of requests whose heads are complete and that were not answered yet.
+func (c *conn) headsInWork() int {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return len(c.heads)
+}
+
 // endRequest returns the memory of the head of the request that was answered.
 func (c *conn) endRequest() {
 	l := c.limiter
@@ -133,13 +169,19 @@
 // server, which closes the connection.
 func (c *conn) refuse() error {
 	reason := c.refusal
-	c.limiter.count(reason, c.address)
-	c.limiter.mu.Lock()
-	answering := len(c.heads) > 0
-	c.limiter.mu.Unlock()
-	if !answering {
+	if !c.counted {
+		c.counted = true
+		c.limiter.count(reason, c.address)
+	}
+	switch inWork := c.headsInWork(); {
+	case inWork == 0:
 		c.respond(reason)
 		c.linger()
+	case c.inBody && inWork == 1: // the request in work cannot be read to its end
+	default:
+		if err := c.awaitAnswer(); err != nil {
+			return err
+		}
 	}
 	// The server answers other errors than those of the network with a response of its own.
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &LimitError{Reason: reason}}
@@ -153,6 +195,21 @@
 	}
 }
 
+// awaitAnswer drops what the caller sends behind a request in work, whose body is complete. The server reads then only to
+// notice that the caller has left: it takes any other error for that and gives the request up, and ends the read by a
+// deadline once it has answered. A caller that sends more than lingerBytes loses the request in work.
+func (c *conn) awaitAnswer() error {
+	var dropped [512]byte
+	for left := lingerBytes; left > 0; {
+		n, err := c.Conn.Read(dropped[:])
+		if err != nil {
+			return err
+		}
+		left -= n
+	}
+	return nil
+}
+
 // linger drops what the caller still sends, within bounds.
 func (c *conn) linger() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -15,7 +15,7 @@
 // request, is finished.
 func (s *streamRelay) handleEnd(marked bool) bool {
 	if s.ids.behind() {
-		return s.handleFailure(&ShortRunError{Last: s.ids.last, Got: s.ids.again})
+		return s.handleFailure(&ShortRunError{Last: s.ids.last, Got: s.ids.lastRepeated})
 	}
 	if s.failover.RecordEnd(marked) {
 		s.finish()
@@ -44,7 +44,7 @@
 func (s *streamRelay) endLost() {
 	target := s.current.assignment.Target.Target
 	s.current.assignment.Pause = s.meanPause()
-	s.gateway.options.Controller.Release(s.current.assignment, placement.Unreachable)
+	s.gateway.options.Controller.Release(s.current.assignment, s.lostOutcome())
 	s.current = nil
 	s.countResumption(resumptionFailed)
 	if !s.headerSent {
@@ -134,9 +134,9 @@
 }
 
 // meanPause returns the mean pause between the events so far, or zero if there are fewer than two, or if the stream
-// went on at another engine.
+// went on at another engine: the pause would be that of several engines, and of the time between them.
 func (s *streamRelay) meanPause() time.Duration {
-	if s.events < 2 || s.switches > 0 {
+	if s.events < 2 || s.switches > 0 || s.resumptions > 0 {
 		return 0
 	}
 	return (s.lastEventAt - s.firstEventAt) / time.Duration(s.events-1)
--- a/internal/gateway/stream_resumption.go
+++ b/internal/gateway/stream_resumption.go
@@ -43,7 +43,7 @@
 // recordSteps records the steps between the ids of the stream's events for streams that are resumed later.
 func (s *streamRelay) recordSteps() {
 	if s.route.Resumable {
-		s.gateway.steps.record(s.pool, s.ids.seen)
+		s.gateway.steps.record(s.pool, s.ids.ownStep)
 	}
 }
 
@@ -92,16 +92,27 @@
 	return s.resumed != notResumed && s.ids.known && !event.hasID && !event.isComment
 }
 
-// checkCallersID forbids to send the request again after a failure that the caller's id may have caused. It would
-// cause the same at another engine, at the expense of the retry budget.
+// checkCallersID forbids to send the request again after a failure that the caller's id may have caused: a gap, a run
+// that ends too early, or events without ids. It would cause the same at another engine, at the expense of the retry
+// budget. It shows nothing about the engine.
 func (s *streamRelay) checkCallersID(cause error) {
 	var gap *EventGapError
 	var short *ShortRunError
-	if s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short)) {
+	var unnumbered *UnnumberedEventError
+	s.callersID = s.lastEvent != nil && s.events == 0 && (errors.As(cause, &gap) || errors.As(cause, &short) || errors.As(cause, &unnumbered))
+	if s.callersID {
 		s.reruns.Forbid()
 	}
 }
 
+// lostOutcome returns the outcome of an attempt whose generation is lost.
+func (s *streamRelay) lostOutcome() placement.Outcome {
+	if s.callersID {
+		return placement.Inconclusive
+	}
+	return placement.Unreachable
+}
+
 // handleFailureResponse handles the complete response of an engine that may have run the request and sent no stream.
 // It reports whether the request is finished.
 func (s *streamRelay) handleFailureResponse(response *bufferedResponse, assignment edgecontrol.Assignment) bool {
@@ -138,6 +149,13 @@
 	return s.rerun(assignment.Target.Target, "stream failed")
 }
 
+// recordTried records that the request must not be sent to an engine again.
+func (s *streamRelay) recordTried(target core.TargetID) {
+	if !slices.Contains(s.tried, target) {
+		s.tried = append(s.tried, target)
+	}
+}
+
 // rerun sends the request to another engine, which goes on after the last event that the caller has. The former
 // engine has been stopped. It reports whether the request is finished.
 func (s *streamRelay) rerun(from core.TargetID, cause string) bool {
@@ -146,9 +164,9 @@
 		s.endEarly()
 		return true
 	}
-	if !slices.Contains(s.tried, from) {
-		s.tried = append(s.tried, from)
-	}
+	s.recordTried(from)
+	s.reportPace()
+	s.pace.endRun()
 	entry := s.log.WithField("from", from).WithField("cause", cause).WithField("runs", s.possibleRuns).WithField("left_ms", s.timeLeft().Milliseconds())
 	if s.ids.known {
 		entry = entry.WithField("after_event", s.ids.last)
