Apply the header and idle timeouts of the configuration in force

The daemon used 3 s and 15 s whatever the configuration named, since net/http reads the timeouts of its server without synchronization, and they cannot be changed while it runs.

The server gets two marker values. The limiter's connection replaces a deadline of that distance by the timeout in force, so a changed value applies to the heads and idle connections that begin afterwards. A sequence count of the server's calls of SetReadDeadline was ruled out: it depends on the order of calls inside net/http. No system call, timer or lock is added to a request.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -18,6 +18,11 @@
 	// closed while its caller sends is reset, and the caller may not get the refusal.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 64 << 10
+	// headerTimeoutMarker and idleTimeoutMarker are the timeouts of the server. net/http reads them without
+	// synchronization, so they cannot be changed while it runs. A connection replaces a deadline in half of the time of a
+	// marker, or more, by that of the timeout in force. All other deadlines are far below.
+	headerTimeoutMarker = 24 * time.Hour
+	idleTimeoutMarker   = 100 * headerTimeoutMarker
 	// defaultHeaderBytes bounds heads until a configuration is known.
 	defaultHeaderBytes = 64 << 10
 )
@@ -178,6 +183,21 @@
 	return nil
 }
 
+// SetReadDeadline implements net.Conn. The server calls it when a head or an idle time begins.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	now := time.Now()
+	switch left := deadline.Sub(now); {
+	case left >= idleTimeoutMarker/2:
+		deadline = now.Add(c.limiter.options.Timeouts().Idle)
+	case left >= headerTimeoutMarker/2:
+		deadline = now.Add(c.limiter.options.Timeouts().Header)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/callerlimit/conn_test.go
+++ b/internal/callerlimit/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 const (
 	testHeaderBytes = 2000
 	stepTimeout     = 20 * time.Second // limits each wait; not a check of speed
+	// callerShortTimeout is a timeout that ends within a test. An answer must arrive before it on a kept connection.
+	callerShortTimeout = 200 * time.Millisecond
 )
 
 // testMetrics counts refusals by reason.
@@ -48,15 +51,20 @@
 	metrics *testMetrics
 	log     *memory.Handler
 	address string
+	// timeouts are those in force; zero for the defaults.
+	timeouts atomic.Pointer[callerbudget.Timeouts]
 }
 
 func newTestServer(t *testing.T, limits callerbudget.Limits, handler http.HandlerFunc) *testServer {
 	t.Helper()
 	s := &testServer{t: t, metrics: &testMetrics{counts: map[string]int{}}, log: memory.New()}
+	timeouts, _ := callerbudget.TimeoutsOf(0, 0)
+	s.timeouts.Store(&timeouts)
 	s.limiter = New(Options{
 		Limits: limits, HeaderBytes: func() int64 { return testHeaderBytes }, Metrics: s.metrics,
-		Log:   &log.Logger{Handler: s.log, Level: log.InfoLevel},
-		Clock: func() time.Duration { return 0 },
+		Log:      &log.Logger{Handler: s.log, Level: log.InfoLevel},
+		Clock:    func() time.Duration { return 0 },
+		Timeouts: func() callerbudget.Timeouts { return *s.timeouts.Load() },
 		EncodeRefusal: func(header http.Header, retryAfter float64) {
 			if retryAfter > 0 {
 				header.Set("Retry-After", fmt.Sprint(retryAfter))
@@ -66,7 +74,8 @@
 	source, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = source.Addr().String()
-	server := &http.Server{Handler: handler, ConnState: s.limiter.ConnState, ConnContext: s.limiter.ConnContext}
+	server := &http.Server{Handler: handler}
+	s.limiter.Configure(server)
 	go func() { _ = server.Serve(s.limiter.Listen(source)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
--- a/internal/callerlimit/listener.go
+++ b/internal/callerlimit/listener.go
@@ -12,8 +12,7 @@
 	limiter *Limiter
 }
 
-// Listen returns a listener whose connections are limited. The server must have ConnState and ConnContext of the
-// limiter.
+// Listen returns a listener whose connections are limited. Configure must be called for the server.
 func (l *Limiter) Listen(source net.Listener) net.Listener {
 	return &listener{Listener: source, limiter: l}
 }
@@ -34,8 +33,14 @@
 	}
 }
 
-// ConnState is the hook of the server: it returns the memory of a request's head once it has been answered.
-func (l *Limiter) ConnState(served net.Conn, state http.ConnState) {
+// Configure sets what the limiter needs of a server that serves its connections.
+func (l *Limiter) Configure(server *http.Server) {
+	server.ConnState, server.ConnContext = l.connState, l.connContext
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeoutMarker, idleTimeoutMarker
+}
+
+// connState is the hook of the server: it returns the memory of a request's head once it has been answered.
+func (l *Limiter) connState(served net.Conn, state http.ConnState) {
 	if c, ok := served.(*conn); ok && state == http.StateIdle {
 		c.endRequest()
 	}
@@ -44,8 +49,8 @@
 // connKey is the key of the connection in the context of a request.
 var connKey = new(int)
 
-// ConnContext is the hook of the server that lets Address and MarkAdmitted find the connection.
-func (l *Limiter) ConnContext(ctx context.Context, served net.Conn) context.Context {
+// connContext is the hook of the server that lets Address and MarkAdmitted find the connection.
+func (l *Limiter) connContext(ctx context.Context, served net.Conn) context.Context {
 	if c, ok := served.(*conn); ok {
 		return context.WithValue(ctx, connKey, c)
 	}
--- a/internal/callerlimit/options.go
+++ b/internal/callerlimit/options.go
@@ -14,6 +14,9 @@
 	Limits callerbudget.Limits
 	// HeaderBytes returns the size that the configuration allows for a head.
 	HeaderBytes func() int64
+	// Timeouts returns the timeouts for the heads and the idle connections that begin now. It is called twice for each
+	// request.
+	Timeouts func() callerbudget.Timeouts
 	// EncodeRefusal adds to the header of a refusal when the caller may come back; zero seconds for never.
 	EncodeRefusal func(header http.Header, retryAfter float64)
 	Metrics       Metrics
--- a/internal/edgecontrol/update_event.go
+++ b/internal/edgecontrol/update_event.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/routetable"
 	"siskintide.example/siskintide/internal/message"
 )
@@ -18,6 +19,7 @@
 	if e.Config != nil && (s.view.Table == nil || e.Config.Revision > s.view.Table.Config.Revision) {
 		s.log.WithField("revision", e.Config.Revision).WithField("read_age_ms", (s.now() - e.SentAt).Milliseconds()).
 			Info("configuration in force")
+		s.checkTimeouts(e.Config)
 		s.view.Table, s.sharedConfig = routetable.New(e.Config), message.NewShared(e.Config)
 		s.changed = true
 	}
@@ -51,6 +53,17 @@
 	}
 }
 
+// checkTimeouts logs once for each configuration that its timeouts are out of bounds. They are clamped where they are used.
+func (s *state) checkTimeouts(config *core.RoutingConfig) {
+	limits := config.Limits
+	if timeouts, clamped := callerbudget.TimeoutsOf(limits.HeaderTimeout, limits.IdleTimeout); clamped {
+		s.log.WithField("revision", config.Revision).
+			WithField("header_timeout_ms", limits.HeaderTimeout.Milliseconds()).WithField("idle_timeout_ms", limits.IdleTimeout.Milliseconds()).
+			WithField("used_header_timeout_ms", timeouts.Header.Milliseconds()).WithField("used_idle_timeout_ms", timeouts.Idle.Milliseconds()).
+			Warn("timeouts of the configuration are out of bounds")
+	}
+}
+
 func (s *state) setEvacuated(evacuated map[core.DataCentreID]bool) {
 	if s.view.Evacuated != nil && maps.Equal(evacuated, s.view.Evacuated) {
 		return
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -15,6 +15,8 @@
 
 	"siskintide.example/siskintide/internal/boottime"
 	"siskintide.example/siskintide/internal/callerlimit"
+	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/eventlog"
@@ -23,10 +25,10 @@
 )
 
 const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is the time after which idle connections are closed.
-	idleTimeout = 15 * time.Second
+	// internalHeaderTimeout and internalIdleTimeout bound the time to read the head of a request of another host or of
+	// the platform's checks, and the time between two of them.
+	internalHeaderTimeout = 3 * time.Second
+	internalIdleTimeout   = 15 * time.Second
 	// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
 	// with the id of the request in the log.
 	headerSlack = 4 << 10
@@ -109,6 +111,7 @@
 	h.limiter = callerlimit.New(callerlimit.Options{
 		Limits:        options.CallerLimits,
 		HeaderBytes:   h.headerBytes,
+		Timeouts:      h.callerTimeouts,
 		EncodeRefusal: options.Codec.EncodeRefusal,
 		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
 		Log:           entry,
@@ -127,13 +130,8 @@
 		Memory:       h.limiter,
 		Stopping:     h.stopping,
 	})
-	h.callers = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         h.limiter.ConnState,
-		ConnContext:       h.limiter.ConnContext,
-	}
+	h.callers = &http.Server{Handler: handler}
+	h.limiter.Configure(h.callers)
 	return h
 }
 
@@ -147,6 +145,16 @@
 	return table.Config.Limits.HeaderBytes + headerSlack
 }
 
+// callerTimeouts returns the timeouts of the configuration in force, or the defaults if none is known.
+func (h *Host) callerTimeouts() callerbudget.Timeouts {
+	var limits core.CallerLimits
+	if table := h.loop.View().Table; table != nil {
+		limits = table.Config.Limits
+	}
+	timeouts, _ := callerbudget.TimeoutsOf(limits.HeaderTimeout, limits.IdleTimeout)
+	return timeouts
+}
+
 // rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
 func (h *Host) rollout() *edgecontrol.RolloutOptions {
 	options := h.options.Rollout
@@ -197,7 +205,7 @@
 }
 
 func (h *Host) listenInternal(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	h.internalServers = append(h.internalServers, server)
 	return h.listen(address, server, func(listener net.Listener) net.Listener { return listener })
 }
