Bound the listeners for hosts, readiness and metrics

They had no bound on connections and none on what a head takes when parsed.

Each listener gets a limiter with its own budget, derived from the memory and the descriptors in the settings; refusals are counted by listener and logged at a limited rate. A connection that leaves HTTP is not scanned, returns its memory and stays counted. The time to read a request and to write a response is bounded as well; a hijacked connection loses both deadlines.

One common budget was ruled out: a crowd on one listener would close the others.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -34,15 +34,18 @@
 	address string
 	scanner headscan.Scanner // used by Read only, which the server does not call concurrently
 	refusal string           // reason to refuse the next Read; empty for none
+	// upgraded is set once the connection has left HTTP. Its bytes are not scanned from then on.
+	upgraded bool
 	// admitted is set once a request of the connection was admitted.
 	admitted atomic.Bool
 
 	// Guarded by the mutex of the limiter.
-	silent  *list.Element // in Limiter.silent; nil while it must not be closed
-	dropped bool          // what it has taken was returned
-	taken   int64         // memory for heads
-	open    int64         // part of taken for the head that is not complete
-	heads   []int64       // parts of taken for complete heads that were not answered yet, in order
+	silent   *list.Element // in Limiter.silent; nil while it must not be closed
+	dropped  bool          // what it has taken was returned
+	detached bool          // it takes no memory, as it has left HTTP
+	taken    int64         // memory for heads
+	open     int64         // part of taken for the head that is not complete
+	heads    []int64       // parts of taken for complete heads that were not answered yet, in order
 }
 
 func newConn(accepted net.Conn, limiter *Limiter) *conn {
@@ -56,6 +59,9 @@
 // Read implements io.Reader. It returns no byte that completes a head which must be refused, and takes the
 // memory for heads before they are parsed.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.upgraded {
+		return c.Conn.Read(p)
+	}
 	if c.refusal != "" {
 		return 0, c.refuse()
 	}
@@ -134,6 +140,21 @@
 	}
 }
 
+// upgrade records that the connection has left HTTP, and returns its memory. The server does not read at that time.
+func (c *conn) upgrade() {
+	c.upgraded = true
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.dropped {
+		return
+	}
+	l.heard(c)
+	l.giveHeads(c)
+	l.budget.DetachConnection(c.address)
+	c.detached = true
+}
+
 // refuse answers with a refusal, unless an earlier request is still being answered, and returns the error for the
 // server, which closes the connection.
 func (c *conn) refuse() error {
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -88,11 +88,20 @@
 	}
 	c.dropped = true
 	l.heard(c)
+	l.giveHeads(c)
+	if c.detached {
+		l.budget.GiveDetached(c.address)
+		return
+	}
+	l.budget.GiveConnection(c.address)
+}
+
+// giveHeads returns the memory for the heads of a connection. The mutex is held.
+func (l *Limiter) giveHeads(c *conn) {
 	if c.taken > 0 {
 		l.budget.Give(c.address, c.taken)
-		c.taken = 0
 	}
-	l.budget.GiveConnection(c.address)
+	c.taken, c.open, c.heads = 0, 0, nil
 }
 
 // heard records that a connection has completed a head, or is gone. The mutex is held.
@@ -115,7 +124,7 @@
 	used, connections := l.budget.Used(), l.budget.Connections()
 	l.mu.Unlock()
 	if due {
-		l.options.Log.WithField("reason", reason).WithField("count", count).WithField("address", address).
+		l.options.Log.WithField("listener", l.options.Listener).WithField("reason", reason).WithField("count", count).WithField("address", address).
 			WithField("connections", connections).WithField("used_bytes", used).Warn("callers refused")
 	}
 }
--- a/internal/callerlimit/listener.go
+++ b/internal/callerlimit/listener.go
@@ -39,10 +39,18 @@
 	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeoutMarker, idleTimeoutMarker
 }
 
-// connState is the hook of the server: it returns the memory of a request's head once it has been answered.
+// connState is the hook of the server: it returns the memory of a request's head once it has been answered, and
+// that of a connection once it has left HTTP.
 func (l *Limiter) connState(served net.Conn, state http.ConnState) {
-	if c, ok := served.(*conn); ok && state == http.StateIdle {
+	c, ok := served.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		c.endRequest()
+	case http.StateHijacked:
+		c.upgrade()
 	}
 }
 
--- a/internal/callerlimit/options.go
+++ b/internal/callerlimit/options.go
@@ -11,7 +11,8 @@
 
 // Options configures a Limiter. All fields are required.
 type Options struct {
-	Limits callerbudget.Limits
+	Listener callerbudget.Listener // for the log
+	Limits   callerbudget.Limits
 	// HeaderBytes returns the size that the configuration allows for a head.
 	HeaderBytes func() int64
 	// Timeouts returns the timeouts for the heads and the idle connections that begin now. It is called twice for each
--- a/internal/decide/callerbudget/budget.go
+++ b/internal/decide/callerbudget/budget.go
@@ -48,6 +48,16 @@
 	b.Give(address, ConnectionBytes)
 }
 
+// DetachConnection returns the memory of a connection whose bytes the HTTP server handles no longer. The connection still counts.
+func (b *Budget) DetachConnection(address string) { b.Give(address, ConnectionBytes) }
+
+// GiveDetached returns a connection that was detached.
+func (b *Budget) GiveDetached(address string) {
+	b.connections--
+	b.holdings[address].connections--
+	b.Give(address, 0)
+}
+
 // Take takes memory for a class. An empty address has no share, as that of buffered answers. It returns a reason, and
 // takes nothing, if it must not.
 func (b *Budget) Take(class Class, address string, n int64) Reason {
--- a/internal/decide/callerbudget/class.go
+++ b/internal/decide/callerbudget/class.go
@@ -32,9 +32,6 @@
 	UsualBodyBytes = 4 << 10
 )
 
-// connectionCeiling is the part of the whole memory that connections may have.
-const connectionCeiling = 0.5
-
 // ceilings are the parts of the whole memory up to which each class may fill it.
 var ceilings = [classCount]float64{
 	Connection: 0.72, LargeHead: 0.56, LargeBody: 0.66, Head: 0.72, Body: 0.78, LargeAnswer: 0.86, Answer: 1,
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,7 +14,6 @@
 
 	"siskintide.example/siskintide/internal/boottime"
 	"siskintide.example/siskintide/internal/callerlimit"
-	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
@@ -25,15 +23,6 @@
 )
 
 const (
-	// internalHeaderTimeout and internalIdleTimeout bound the time to read the head of a request of another host or of
-	// the platform's checks, and the time between two of them.
-	internalHeaderTimeout = 3 * time.Second
-	internalIdleTimeout   = 15 * time.Second
-	// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
-	// with the id of the request in the log.
-	headerSlack = 4 << 10
-	// maxInternalHeaderBytes bounds the head of requests of other hosts and of the platform's checks.
-	maxInternalHeaderBytes = 16 << 10
 	// drainDelay is the time for which a leaving host still accepts connections. The load
 	// balancer checks once a second and removes a host after two failed checks.
 	drainDelay = 2500 * time.Millisecond
@@ -108,15 +97,7 @@
 		Rollout:      h.rollout(),
 		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
-	h.limiter = callerlimit.New(callerlimit.Options{
-		Limits:        options.CallerLimits,
-		HeaderBytes:   h.headerBytes,
-		Timeouts:      h.callerTimeouts,
-		EncodeRefusal: options.Codec.EncodeRefusal,
-		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
-		Log:           entry,
-		Clock:         boottime.Now,
-	})
+	h.limiter = h.newLimiter(callerbudget.Callers, h.headerBytes, h.callerTimeouts)
 	handler := gateway.New(gateway.Options{
 		Controller:   h.loop,
 		Codec:        options.Codec,
@@ -131,30 +112,9 @@
 		Stopping:     h.stopping,
 	})
 	h.callers = &http.Server{Handler: handler}
-	h.limiter.Configure(h.callers)
 	return h
 }
 
-// headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
-// the configuration allows; zero if no configuration is known.
-func (h *Host) headerBytes() int64 {
-	table := h.loop.View().Table
-	if table == nil || table.Config.Limits.HeaderBytes <= 0 {
-		return 0
-	}
-	return table.Config.Limits.HeaderBytes + headerSlack
-}
-
-// callerTimeouts returns the timeouts of the configuration in force, or the defaults if none is known.
-func (h *Host) callerTimeouts() callerbudget.Timeouts {
-	var limits core.CallerLimits
-	if table := h.loop.View().Table; table != nil {
-		limits = table.Config.Limits
-	}
-	timeouts, _ := callerbudget.TimeoutsOf(limits.HeaderTimeout, limits.IdleTimeout)
-	return timeouts
-}
-
 // rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
 func (h *Host) rollout() *edgecontrol.RolloutOptions {
 	options := h.options.Rollout
@@ -175,15 +135,15 @@
 	h.running.Go(func() { h.loop.Run(ctx) })
 	h.running.Go(func() { h.options.FollowStore(ctx, h.loop, h.log) })
 	h.running.Go(func() { h.runLinks(ctx) })
-	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter.Listen); err != nil {
+	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter); err != nil {
 		return err
 	}
-	if err := h.listenInternal(h.options.Self.PeerAddress, h.linker); err != nil {
+	if err := h.listenInternal(callerbudget.Peers, h.options.Self.PeerAddress, h.linker); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+h.options.ReadyPath, h.ready)
-	if err := h.listenInternal(h.options.ReadyAddress, ready); err != nil {
+	if err := h.listenInternal(callerbudget.Readiness, h.options.ReadyAddress, ready); err != nil {
 		return err
 	}
 	if h.options.MetricsAddress == "" {
@@ -191,7 +151,7 @@
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", h.metrics.Handler())
-	return h.listenInternal(h.options.MetricsAddress, metrics)
+	return h.listenInternal(callerbudget.Metrics, h.options.MetricsAddress, metrics)
 }
 
 // runLinks joins the deployment and then keeps links with other hosts.
@@ -204,20 +164,15 @@
 	h.linker.run(ctx, key, h.loop)
 }
 
-func (h *Host) listenInternal(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	h.internalServers = append(h.internalServers, server)
-	return h.listen(address, server, func(listener net.Listener) net.Listener { return listener })
-}
-
-// listen serves on an address. The listener is wrapped first.
-func (h *Host) listen(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
+// listen serves on an address within the limits of a limiter.
+func (h *Host) listen(address string, server *http.Server, limiter *callerlimit.Limiter) error {
 	listener, err := h.options.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	limiter.Configure(server)
 	h.running.Go(func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.log.WithError(err).WithField("address", address).Error("listener failed")
 		}
 	})
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -38,8 +38,8 @@
 	RetryBudget  retrybudget.Limits
 	MaxConfigAge time.Duration // see gateway.Options.MaxConfigAge
 	BodyMemory   int64         // see gateway.Options.BodyMemory
-	// CallerLimits bounds the connections and the memory of callers.
-	CallerLimits  callerbudget.Limits
+	// Resources bound the connections and the memory for the clients of all listeners.
+	Resources     callerbudget.Resources
 	Rollout       *RolloutOptions // nil if versions of targets do not matter
 	ShutdownGrace time.Duration   // from the signal to stop until the process is killed
 	Output        io.Writer       // destination of the log
