Give up bodies that make no progress while memory is short

A body was given up two seconds after it had begun, the oldest first, with 503. That gives up ordinary large uploads, and the oldest body may hold nothing.

Of bodies that are too slow the largest goes first. The refusal is 408, not run; so is that of a body that is not complete after 30 s, which was 400. The memory of a refused body is returned before its rest is read and dropped, which takes up to a second. Time in which the host holds a body back for its reservation does not count.

A mean rate since the beginning, a deadline for each read and a timer for each body were ruled out; see docs/design/caller-limits.md. A read of a body costs a reading of the clock and two atomic writes more; no lock is added.

Test of the reading list: its constant has moved to callerbudget, same value.

--- a/internal/callerlimit/reading_test.go
+++ b/internal/callerlimit/reading_test.go
@@ -29,7 +29,7 @@
 	require.False(t, complete.End())
 	share := l.Share(callerbudget.Body, "a")
 	require.NoError(t, share.Grow(730))
-	now = slowBodyTime
+	now = callerbudget.BodyPause
 	third := read("third")
 	require.NoError(t, share.Grow(50))
 	require.Empty(t, aborted)
--- a/internal/core/refusal_kind.go
+++ b/internal/core/refusal_kind.go
@@ -10,6 +10,7 @@
 	RefusedUnknownService      RefusalKind = "unknown_service"
 	RefusedUnknownRoute        RefusalKind = "unknown_route"
 	RefusedTooLarge            RefusalKind = "too_large"
+	RefusedSlowBody            RefusalKind = "slow_body" // the body has not arrived in time
 	RefusedHeaderTooLarge      RefusalKind = "header_too_large"
 	RefusedQueueFull           RefusalKind = "queue_full"
 	RefusedQueueTimeout        RefusalKind = "queue_timeout"
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -46,6 +46,8 @@
 		return http.StatusUnauthorized
 	case core.RefusedUnknownRoute:
 		return http.StatusNotFound
+	case core.RefusedSlowBody:
+		return http.StatusRequestTimeout
 	case core.RefusedTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case core.RefusedHeaderTooLarge:
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"siskintide.example/siskintide/internal/callerlimit"
@@ -50,19 +52,20 @@
 			return h.bodyTooLarge(limit)
 		}
 		if len(h.body) == cap(h.body) {
-			if refusal := h.growBody(largest); refusal != nil {
+			if refusal := h.growBody(reading, largest); refusal != nil {
 				return refusal
 			}
 		}
 		var n int
 		n, err = h.r.Body.Read(h.body[len(h.body):cap(h.body)])
 		h.body = h.body[:len(h.body)+n]
+		reading.Receive(n)
 	}
 	if reading.End() {
-		return notRunRefusal(core.RefusedNoCapacity, "the body arrived too slowly while memory was short", retryAtCapacity)
+		return notRunRefusal(core.RefusedSlowBody, "the body arrived too slowly while memory was short", retryAtCapacity)
 	}
 	if err != io.EOF {
-		return h.bodyUnreadable()
+		return h.bodyUnreadable(err)
 	}
 	return nil
 }
@@ -74,12 +77,12 @@
 
 // growBody makes room for more of the body, which has at most largest bytes. What its caller has not sent yet takes
 // little memory, so that callers that announce a body and do not send it do not use the memory up.
-func (h *requestHandler) growBody(largest int64) *core.Refusal {
+func (h *requestHandler) growBody(reading *callerlimit.Reading, largest int64) *core.Refusal {
 	size := min(max(firstBodyBytes, int64(bodyGrowth*cap(h.body))), largest)
 	if size > smallBodyBytes+1 && h.reserved == 0 {
 		if int64(cap(h.body)) <= smallBodyBytes {
 			size = min(smallBodyBytes+1, largest)
-		} else if !h.reserveBody(largest - 1) {
+		} else if !h.reserveBody(reading, largest-1) {
 			return notRunRefusal(core.RefusedNoCapacity, "the bodies of other requests use up the memory", retryAtCapacity)
 		}
 	}
@@ -95,7 +98,7 @@
 }
 
 // reserveBody reserves the memory for a large body: what it has announced, or else the most it may have.
-func (h *requestHandler) reserveBody(size int64) bool {
+func (h *requestHandler) reserveBody(reading *callerlimit.Reading, size int64) bool {
 	wait := bodyWait
 	if h.request.Timeout > 0 {
 		wait = min(wait, time.Duration(bodyWaitFraction*float64(h.request.Timeout)))
@@ -109,6 +112,8 @@
 		return true
 	}
 	h.gateway.options.Memory.Relieve()
+	reading.Hold()
+	defer reading.Resume()
 	if err := h.gateway.bodies.Acquire(ctx, size); err != nil {
 		h.log.WithError(err).WithField("bytes", size).Info("no memory for the body of a request")
 		return false
@@ -125,14 +130,16 @@
 	h.releaseBody()
 }
 
-// releaseBody returns the memory for the body.
+// releaseBody drops the body and returns its memory.
 func (h *requestHandler) releaseBody() {
+	h.body = nil
 	if h.memory != nil {
 		h.memory.Release()
 		h.largeMemory.Release()
 	}
 	if h.reserved > 0 {
 		h.gateway.bodies.Release(h.reserved)
+		h.reserved = 0
 	}
 }
 
@@ -141,16 +148,21 @@
 }
 
 // bodyUnreadable returns the refusal of a request whose body has ended early, or not before this host stops.
-func (h *requestHandler) bodyUnreadable() *core.Refusal {
+func (h *requestHandler) bodyUnreadable(err error) *core.Refusal {
 	if h.gateway.options.Stopping.Err() != nil {
 		return leavingRefusal()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return notRunRefusal(core.RefusedSlowBody, "the body did not arrive in time", 0)
+	}
 	return notRunRefusal(core.RefusedBadRequest, "the body could not be read", 0)
 }
 
 // refuseBody refuses a request whose body has not been read completely. The response is sent at once. What the
-// caller still sends is dropped, up to the size that a body may have; the rest of a larger one is not read.
+// caller still sends is dropped, up to the size that a body may have; the rest of a larger one is not read. The memory of the
+// body is returned before.
 func (h *requestHandler) refuseBody(control *http.ResponseController, refusal *core.Refusal) {
+	h.releaseBody()
 	if err := control.EnableFullDuplex(); err != nil {
 		h.log.WithError(err).Debug("response cannot be sent before the body has been read")
 	}
