Follow a reloaded memory limit with the budgets at once

A changed memory-mb (SIGHUP) changed the soft limit of the runtime at once, and the budgets of memory and connections at the next start only.

The reloader passes the new limits to the host, which sets the budgets of all listeners and the memory for large bodies, up and down. Nothing is closed. If more is in use than the new budget has, nothing new is admitted until enough is returned; answers of requests in work keep a reserve, bounded by the former budget. No silent connection is evicted then, as that would not make room.

The semaphore of the large bodies cannot change its size, so bodyBudget withholds a part of a large one; a reduction waits in its queue, which holds later bodies back. Own accounting was ruled out in favour of the library.

--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -30,6 +30,13 @@
 	return &Share{limiter: l, class: class, address: address}
 }
 
+// SetLimits changes the bounds of the budget at once. Nothing that is open or in work is closed.
+func (l *Limiter) SetLimits(limits callerbudget.Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.SetLimits(limits)
+}
+
 // take takes memory. It returns the reason if it must not.
 func (l *Limiter) take(class callerbudget.Class, address string, n int64) callerbudget.Reason {
 	l.mu.Lock()
@@ -50,7 +57,7 @@
 	l.mu.Lock()
 	reason := l.budget.TakeConnection(c.address)
 	var evicted *conn
-	if reason != "" {
+	if reason != "" && !l.budget.Overdrawn() { // an eviction would not be enough otherwise
 		evicted = l.evict(c.address, reason)
 		if evicted != nil {
 			reason = l.budget.TakeConnection(c.address)
--- a/internal/callerlimit/options.go
+++ b/internal/callerlimit/options.go
@@ -12,7 +12,7 @@
 // Options configures a Limiter. All fields are required.
 type Options struct {
 	Listener callerbudget.Listener // for the log
-	Limits   callerbudget.Limits
+	Limits   callerbudget.Limits   // until SetLimits
 	// HeaderBytes returns the size that the configuration allows for a head.
 	HeaderBytes func() int64
 	// Timeouts returns the timeouts for the heads and the idle connections that begin now. It is called twice for each
--- a/internal/decide/callerbudget/budget.go
+++ b/internal/decide/callerbudget/budget.go
@@ -10,6 +10,7 @@
 // Budget counts what callers have taken. It is not safe for concurrent use.
 type Budget struct {
 	limits      Limits
+	inWork      int64 // bytes up to which answers may fill a budget that was reduced below what is in use; zero otherwise
 	used        int64
 	connections int
 	holdings    map[string]*holding // by address; only those that hold anything
@@ -18,6 +19,27 @@
 // New returns a budget of which nothing is taken.
 func New(limits Limits) *Budget { return &Budget{limits: limits, holdings: map[string]*holding{}} }
 
+// SetLimits changes the bounds. If more is in use, nothing new is admitted until enough was returned. Answers of
+// requests in work then get as much beyond what is in use as bodies leave them of the new bounds, and no more than before.
+func (b *Budget) SetLimits(limits Limits) {
+	before := max(b.limits.Bytes, b.inWork)
+	b.limits, b.inWork = limits, 0
+	reserve := limits.Bytes - int64(ceilings[Body]*float64(limits.Bytes))
+	if !b.roomForAnswers() {
+		b.inWork = min(before, b.used+reserve)
+	}
+}
+
+// roomForAnswers reports whether as much as usual is left for answers.
+func (b *Budget) roomForAnswers() bool {
+	return float64(b.used) <= ceilings[Body]*float64(b.limits.Bytes)
+}
+
+// Overdrawn reports whether more is in use than the bounds allow, as they were reduced.
+func (b *Budget) Overdrawn() bool {
+	return b.used > b.limits.Bytes || b.connections > b.limits.Connections
+}
+
 // Used returns the bytes that are taken.
 func (b *Budget) Used() int64 { return b.used }
 
@@ -63,7 +85,11 @@
 func (b *Budget) Take(class Class, address string, n int64) Reason {
 	total := float64(b.limits.Bytes)
 	after := float64(b.used + n)
-	if after > ceilings[class]*total {
+	ceiling := ceilings[class] * total
+	if class >= LargeAnswer {
+		ceiling = max(ceiling, float64(b.inWork))
+	}
+	if after > ceiling {
 		return NoMemory
 	}
 	if address != "" && after > shortRatio*total && b.others(address) && float64(b.held(address).bytes+n) > addressRatio*total {
@@ -83,6 +109,9 @@
 // Give returns memory that was taken for the address.
 func (b *Budget) Give(address string, n int64) {
 	b.used -= n
+	if b.inWork > 0 && b.roomForAnswers() {
+		b.inWork = 0
+	}
 	if address == "" {
 		return
 	}
--- a/internal/decide/callerbudget/class.go
+++ b/internal/decide/callerbudget/class.go
@@ -16,7 +16,7 @@
 	Head
 	// Body is the body of a request.
 	Body
-	// LargeAnswer is what a buffered response or event has beyond the usual size.
+	// LargeAnswer, and the classes after it, are for requests in work. It is what a buffered response or event has beyond the usual size.
 	LargeAnswer
 	// Answer is a response, or an event of one, that is being buffered.
 	Answer
--- a/internal/decide/callerbudget/resources.go
+++ b/internal/decide/callerbudget/resources.go
@@ -9,6 +9,10 @@
 	// defaultMemory and defaultDescriptors apply to a process without limits in its settings.
 	defaultMemory      = 1 << 30
 	defaultDescriptors = 20000
+	// bodyMemoryRatio is the part of the memory limit for large request bodies, and defaultBodyMemory their bytes if
+	// there is no limit.
+	bodyMemoryRatio   = 0.25
+	defaultBodyMemory = 64 << 20
 )
 
 // Resources are what a process may use; zero for no limit.
@@ -33,3 +37,11 @@
 	}
 	return Limits{Bytes: bytes, Connections: max(s.least, connections)}
 }
+
+// BodyMemory returns the bytes of large request bodies that may be held at a time.
+func (r Resources) BodyMemory() int64 {
+	if r.Memory <= 0 {
+		return defaultBodyMemory
+	}
+	return int64(bodyMemoryRatio * float64(r.Memory))
+}
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -41,7 +41,8 @@
 	sink            *eventlog.Sink
 	metrics         *telemetry.Registry
 	loop            *edgecontrol.Loop
-	limiter         *callerlimit.Limiter
+	limiters        map[callerbudget.Listener]*callerlimit.Limiter // not changed once the host has started
+	gateway         *gateway.Gateway
 	linker          *linker
 	callers         *http.Server
 	internalServers []*http.Server
@@ -97,8 +98,8 @@
 		Rollout:      h.rollout(),
 		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
-	h.limiter = h.newLimiter(callerbudget.Callers, h.headerBytes, h.callerTimeouts)
-	handler := gateway.New(gateway.Options{
+	h.limiters = h.newLimiters()
+	h.gateway = gateway.New(gateway.Options{
 		Controller:   h.loop,
 		Codec:        options.Codec,
 		Mover:        options.Mover,
@@ -107,11 +108,11 @@
 		Log:          entry,
 		Clock:        boottime.Now,
 		MaxConfigAge: options.MaxConfigAge,
-		BodyMemory:   options.BodyMemory,
-		Memory:       h.limiter,
+		BodyMemory:   options.Resources.BodyMemory(),
+		Memory:       h.limiters[callerbudget.Callers],
 		Stopping:     h.stopping,
 	})
-	h.callers = &http.Server{Handler: handler}
+	h.callers = &http.Server{Handler: h.gateway}
 	return h
 }
 
@@ -135,7 +136,8 @@
 	h.running.Go(func() { h.loop.Run(ctx) })
 	h.running.Go(func() { h.options.FollowStore(ctx, h.loop, h.log) })
 	h.running.Go(func() { h.runLinks(ctx) })
-	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter); err != nil {
+	h.running.Go(func() { h.followResources(ctx) })
+	if err := h.listen(callerbudget.Callers, h.options.CallersAddress, h.callers); err != nil {
 		return err
 	}
 	if err := h.listenInternal(callerbudget.Peers, h.options.Self.PeerAddress, h.linker); err != nil {
@@ -164,8 +166,9 @@
 	h.linker.run(ctx, key, h.loop)
 }
 
-// listen serves on an address within the limits of a limiter.
-func (h *Host) listen(address string, server *http.Server, limiter *callerlimit.Limiter) error {
+// listen serves on an address within the limits of the listener.
+func (h *Host) listen(of callerbudget.Listener, address string, server *http.Server) error {
+	limiter := h.limiters[of]
 	listener, err := h.options.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
--- a/internal/edgehost/listener_limits.go
+++ b/internal/edgehost/listener_limits.go
@@ -1,6 +1,7 @@
 package edgehost
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -26,7 +27,20 @@
 	internalIdleTimeout = 15 * time.Second
 )
 
-// newLimiter returns the limiter of a listener. It is called once for each listener.
+// newLimiters returns the limiters of all listeners.
+func (h *Host) newLimiters() map[callerbudget.Listener]*callerlimit.Limiter {
+	limiters := map[callerbudget.Listener]*callerlimit.Limiter{
+		callerbudget.Callers: h.newLimiter(callerbudget.Callers, h.headerBytes, h.callerTimeouts),
+	}
+	for _, listener := range []callerbudget.Listener{callerbudget.Peers, callerbudget.Readiness, callerbudget.Metrics} {
+		limiters[listener] = h.newLimiter(listener, func() int64 { return maxInternalHeaderBytes }, func() callerbudget.Timeouts {
+			return callerbudget.Timeouts{Header: internalReadTimeout, Idle: internalIdleTimeout}
+		})
+	}
+	return limiters
+}
+
+// newLimiter returns the limiter of a listener.
 func (h *Host) newLimiter(listener callerbudget.Listener, headerBytes func() int64, timeouts func() callerbudget.Timeouts) *callerlimit.Limiter {
 	return callerlimit.New(callerlimit.Options{
 		Listener:      listener,
@@ -40,14 +54,32 @@
 	})
 }
 
+// followResources applies new limits of the process until the context ends.
+func (h *Host) followResources(ctx context.Context) {
+	for {
+		select {
+		case resources := <-h.options.NewResources:
+			h.setResources(resources)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setResources applies new limits of the process. Nothing that is open or in work is closed.
+func (h *Host) setResources(resources callerbudget.Resources) {
+	for listener, limiter := range h.limiters {
+		limiter.SetLimits(resources.Limits(listener))
+	}
+	h.gateway.SetBodyMemory(resources.BodyMemory())
+	h.log.WithField("memory_bytes", resources.Memory).WithField("descriptors", resources.Descriptors).Info("limits of the process in force")
+}
+
 // listenInternal serves other hosts or the platform's checks.
 func (h *Host) listenInternal(listener callerbudget.Listener, address string, handler http.Handler) error {
-	limiter := h.newLimiter(listener, func() int64 { return maxInternalHeaderBytes }, func() callerbudget.Timeouts {
-		return callerbudget.Timeouts{Header: internalReadTimeout, Idle: internalIdleTimeout}
-	})
 	server := &http.Server{Handler: handler, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout}
 	h.internalServers = append(h.internalServers, server)
-	return h.listen(address, server, limiter)
+	return h.listen(listener, address, server)
 }
 
 // headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
--- a/internal/edgehost/options.go
+++ b/internal/edgehost/options.go
@@ -15,7 +15,7 @@
 	"siskintide.example/siskintide/internal/gateway"
 )
 
-// Options configures a Host. All fields but MetricsAddress and Rollout are required.
+// Options configures a Host. All fields but MetricsAddress, Rollout and NewResources are required.
 type Options struct {
 	Self           core.Host
 	CallersAddress string // address of the callers' listener
@@ -37,10 +37,10 @@
 	FollowStore  func(ctx context.Context, loop *edgecontrol.Loop, log log.Interface)
 	RetryBudget  retrybudget.Limits
 	MaxConfigAge time.Duration // see gateway.Options.MaxConfigAge
-	BodyMemory   int64         // see gateway.Options.BodyMemory
 	// Resources bound the connections and the memory for the clients of all listeners.
 	Resources     callerbudget.Resources
-	Rollout       *RolloutOptions // nil if versions of targets do not matter
-	ShutdownGrace time.Duration   // from the signal to stop until the process is killed
-	Output        io.Writer       // destination of the log
+	NewResources  <-chan callerbudget.Resources // later ones, which apply at once; nil for none
+	Rollout       *RolloutOptions               // nil if versions of targets do not matter
+	ShutdownGrace time.Duration                 // from the signal to stop until the process is killed
+	Output        io.Writer                     // destination of the log
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/routetable"
@@ -32,15 +30,18 @@
 type Gateway struct {
 	options Options
 	buffers bufferBudget
-	bodies  *semaphore.Weighted // bytes of large request bodies
+	bodies  *bodyBudget
 	steps   eventSteps
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, buffers: bufferBudget{memory: options.Memory}, bodies: semaphore.NewWeighted(options.BodyMemory)}
+	return &Gateway{options: options, buffers: bufferBudget{memory: options.Memory}, bodies: newBodyBudget(options.BodyMemory)}
 }
 
+// SetBodyMemory changes Options.BodyMemory. Bodies that are held are kept; later ones wait until there is room for them.
+func (g *Gateway) SetBodyMemory(size int64) { g.bodies.resize(size) }
+
 // ServeHTTP implements http.Handler. Routes match the path as it was sent, so the gateway
 // must not be mounted behind a mux that cleans paths.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
