--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -12,12 +11,11 @@
 )
 
 const (
-	// rejectTimeout bounds the write of a refusal; it fits into the buffer of the socket.
-	rejectTimeout = 50 * time.Millisecond
-	// lingerTime and lingerBytes bound what is still read, and dropped, after a refusal. A connection that is
-	// closed while its caller sends is reset, and the caller may not get the refusal.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 64 << 10
+	// headerTimeoutMarker and idleTimeoutMarker are the timeouts of the server. net/http reads them without
+	// synchronization, so they cannot be changed while it runs. A connection replaces a deadline in half of the time of a
+	// marker, or more, by that of the timeout in force. All other deadlines are far below.
+	headerTimeoutMarker = 24 * time.Hour
+	idleTimeoutMarker   = 100 * headerTimeoutMarker
 	// defaultHeaderBytes bounds heads until a configuration is known.
 	defaultHeaderBytes = 64 << 10
 )
@@ -31,15 +29,18 @@
 	refusal string           // reason to refuse the next Read; empty for none
 	inBody  bool             // the refusal is for the body of the last request with a complete head
 	counted bool             // the refusal has been counted
+	// upgraded is set once the connection has left HTTP. Its bytes are not scanned from then on.
+	upgraded bool
 	// admitted is set once a request of the connection was admitted.
 	admitted atomic.Bool
 
 	// Guarded by the mutex of the limiter.
-	silent  *list.Element // in Limiter.silent; nil while it must not be closed
-	dropped bool          // what it has taken was returned
-	taken   int64         // memory for heads and trailers
-	open    int64         // part of taken for the head, or the trailers, that are not complete
-	heads   []int64       // parts of taken for complete heads, and their trailers, that were not answered yet, in order
+	silent   *list.Element // in Limiter.silent; nil while it must not be closed
+	dropped  bool          // what it has taken was returned
+	detached bool          // it takes no memory, as it has left HTTP
+	taken    int64         // memory for heads and trailers
+	open     int64         // part of taken for the head, or the trailers, that are not complete
+	heads    []int64       // parts of taken for complete heads, and their trailers, that were not answered yet, in order
 }
 
 func newConn(accepted net.Conn, limiter *Limiter) *conn {
@@ -53,6 +54,9 @@
 // Read implements io.Reader. It returns no byte that completes a head which must be refused, and takes the
 // memory for heads before they are parsed.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.upgraded {
+		return c.Conn.Read(p)
+	}
 	if c.refusal != "" {
 		return 0, c.refuse()
 	}
@@ -165,63 +169,19 @@
 	}
 }
 
-// refuse answers with a refusal, unless an earlier request is still being answered, and returns the error for the
-// server, which closes the connection.
-func (c *conn) refuse() error {
-	reason := c.refusal
-	if !c.counted {
-		c.counted = true
-		c.limiter.count(reason, c.address)
-	}
-	switch inWork := c.headsInWork(); {
-	case inWork == 0:
-		c.respond(reason)
-		c.linger()
-	case c.inBody && inWork == 1: // the request in work cannot be read to its end
-	default:
-		if err := c.awaitAnswer(); err != nil {
-			return err
-		}
-	}
-	// The server answers other errors than those of the network with a response of its own.
-	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &LimitError{Reason: reason}}
-}
-
-// respond writes a refusal and ends the sending side.
-func (c *conn) respond(reason string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout))
-	if _, err := io.WriteString(c.Conn, c.limiter.refusalText(reason)); err == nil {
-		_ = c.CloseWrite()
-	}
-}
-
-// awaitAnswer drops what the caller sends behind a request in work, whose body is complete. The server reads then only to
-// notice that the caller has left: it takes any other error for that and gives the request up, and ends the read by a
-// deadline once it has answered. A caller that sends more than lingerBytes loses the request in work.
-func (c *conn) awaitAnswer() error {
-	var dropped [512]byte
-	for left := lingerBytes; left > 0; {
-		n, err := c.Conn.Read(dropped[:])
-		if err != nil {
-			return err
-		}
-		left -= n
+// upgrade records that the connection has left HTTP, and returns its memory. The server does not read at that time.
+func (c *conn) upgrade() {
+	c.upgraded = true
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.dropped {
+		return
 	}
-	return nil
-}
-
-// linger drops what the caller still sends, within bounds.
-func (c *conn) linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
-}
-
-// reject refuses a connection that was not admitted, and closes it.
-func (c *conn) reject(reason string) {
-	c.limiter.count(reason, c.address)
-	c.limiter.Relieve()
-	c.respond(reason)
-	_ = c.Conn.Close()
+	l.heard(c)
+	l.giveHeads(c)
+	l.budget.DetachConnection(c.address)
+	c.detached = true
 }
 
 // closeEvicted closes a connection whose memory was returned already.
@@ -235,6 +195,21 @@
 	return nil
 }
 
+// SetReadDeadline implements net.Conn. The server calls it when a head or an idle time begins.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	now := time.Now()
+	switch left := deadline.Sub(now); {
+	case left >= idleTimeoutMarker/2:
+		deadline = now.Add(c.limiter.options.Timeouts().Idle)
+	case left >= headerTimeoutMarker/2:
+		deadline = now.Add(c.limiter.options.Timeouts().Header)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -30,6 +30,13 @@
 	return &Share{limiter: l, class: class, address: address}
 }
 
+// SetLimits changes the bounds of the budget at once. Nothing that is open or in work is closed.
+func (l *Limiter) SetLimits(limits callerbudget.Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.SetLimits(limits)
+}
+
 // take takes memory. It returns the reason if it must not.
 func (l *Limiter) take(class callerbudget.Class, address string, n int64) callerbudget.Reason {
 	l.mu.Lock()
@@ -50,7 +57,7 @@
 	l.mu.Lock()
 	reason := l.budget.TakeConnection(c.address)
 	var evicted *conn
-	if reason != "" {
+	if reason != "" && !l.budget.Overdrawn() { // an eviction would not be enough otherwise
 		evicted = l.evict(c.address, reason)
 		if evicted != nil {
 			reason = l.budget.TakeConnection(c.address)
@@ -88,11 +95,20 @@
 	}
 	c.dropped = true
 	l.heard(c)
+	l.giveHeads(c)
+	if c.detached {
+		l.budget.GiveDetached(c.address)
+		return
+	}
+	l.budget.GiveConnection(c.address)
+}
+
+// giveHeads returns the memory for the heads of a connection. The mutex is held.
+func (l *Limiter) giveHeads(c *conn) {
 	if c.taken > 0 {
 		l.budget.Give(c.address, c.taken)
-		c.taken = 0
 	}
-	l.budget.GiveConnection(c.address)
+	c.taken, c.open, c.heads = 0, 0, nil
 }
 
 // heard records that a connection has completed a head, or is gone. The mutex is held.
@@ -115,7 +131,7 @@
 	used, connections := l.budget.Used(), l.budget.Connections()
 	l.mu.Unlock()
 	if due {
-		l.options.Log.WithField("reason", reason).WithField("count", count).WithField("address", address).
+		l.options.Log.WithField("listener", l.options.Listener).WithField("reason", reason).WithField("count", count).WithField("address", address).
 			WithField("connections", connections).WithField("used_bytes", used).Warn("callers refused")
 	}
 }
--- a/internal/callerlimit/listener.go
+++ b/internal/callerlimit/listener.go
@@ -12,8 +12,7 @@
 	limiter *Limiter
 }
 
-// Listen returns a listener whose connections are limited. The server must have ConnState and ConnContext of the
-// limiter.
+// Listen returns a listener whose connections are limited. Configure must be called for the server.
 func (l *Limiter) Listen(source net.Listener) net.Listener {
 	return &listener{Listener: source, limiter: l}
 }
@@ -34,18 +33,32 @@
 	}
 }
 
-// ConnState is the hook of the server: it returns the memory of a request's head once it has been answered.
-func (l *Limiter) ConnState(served net.Conn, state http.ConnState) {
-	if c, ok := served.(*conn); ok && state == http.StateIdle {
+// Configure sets what the limiter needs of a server that serves its connections.
+func (l *Limiter) Configure(server *http.Server) {
+	server.ConnState, server.ConnContext = l.connState, l.connContext
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeoutMarker, idleTimeoutMarker
+}
+
+// connState is the hook of the server: it returns the memory of a request's head once it has been answered, and
+// that of a connection once it has left HTTP.
+func (l *Limiter) connState(served net.Conn, state http.ConnState) {
+	c, ok := served.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		c.endRequest()
+	case http.StateHijacked:
+		c.upgrade()
 	}
 }
 
 // connKey is the key of the connection in the context of a request.
 var connKey = new(int)
 
-// ConnContext is the hook of the server that lets Address and MarkAdmitted find the connection.
-func (l *Limiter) ConnContext(ctx context.Context, served net.Conn) context.Context {
+// connContext is the hook of the server that lets Address and MarkAdmitted find the connection.
+func (l *Limiter) connContext(ctx context.Context, served net.Conn) context.Context {
 	if c, ok := served.(*conn); ok {
 		return context.WithValue(ctx, connKey, c)
 	}
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 
 	"siskintide.example/siskintide/internal/boottime"
 	"siskintide.example/siskintide/internal/callerlimit"
+	"siskintide.example/siskintide/internal/decide/callerbudget"
 	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/eventlog"
@@ -23,15 +23,6 @@
 )
 
 const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is the time after which idle connections are closed.
-	idleTimeout = 15 * time.Second
-	// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
-	// with the id of the request in the log.
-	headerSlack = 4 << 10
-	// maxInternalHeaderBytes bounds the head of requests of other hosts and of the platform's checks.
-	maxInternalHeaderBytes = 16 << 10
 	// drainDelay is the time for which a leaving host still accepts connections. The load
 	// balancer checks once a second and removes a host after two failed checks.
 	drainDelay = 2500 * time.Millisecond
@@ -50,7 +41,8 @@
 	sink            *eventlog.Sink
 	metrics         *telemetry.Registry
 	loop            *edgecontrol.Loop
-	limiter         *callerlimit.Limiter
+	limiters        map[callerbudget.Listener]*callerlimit.Limiter // not changed once the host has started
+	gateway         *gateway.Gateway
 	linker          *linker
 	callers         *http.Server
 	internalServers []*http.Server
@@ -106,15 +98,8 @@
 		Rollout:      h.rollout(),
 		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
-	h.limiter = callerlimit.New(callerlimit.Options{
-		Limits:        options.CallerLimits,
-		HeaderBytes:   h.headerBytes,
-		EncodeRefusal: options.Codec.EncodeRefusal,
-		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
-		Log:           entry,
-		Clock:         boottime.Now,
-	})
-	handler := gateway.New(gateway.Options{
+	h.limiters = h.newLimiters()
+	h.gateway = gateway.New(gateway.Options{
 		Controller:   h.loop,
 		Codec:        options.Codec,
 		Mover:        options.Mover,
@@ -123,30 +108,14 @@
 		Log:          entry,
 		Clock:        boottime.Now,
 		MaxConfigAge: options.MaxConfigAge,
-		BodyMemory:   options.BodyMemory,
-		Memory:       h.limiter,
+		BodyMemory:   options.Resources.BodyMemory(),
+		Memory:       h.limiters[callerbudget.Callers],
 		Stopping:     h.stopping,
 	})
-	h.callers = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         h.limiter.ConnState,
-		ConnContext:       h.limiter.ConnContext,
-	}
+	h.callers = &http.Server{Handler: h.gateway}
 	return h
 }
 
-// headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
-// the configuration allows; zero if no configuration is known.
-func (h *Host) headerBytes() int64 {
-	table := h.loop.View().Table
-	if table == nil || table.Config.Limits.HeaderBytes <= 0 {
-		return 0
-	}
-	return table.Config.Limits.HeaderBytes + headerSlack
-}
-
 // rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
 func (h *Host) rollout() *edgecontrol.RolloutOptions {
 	options := h.options.Rollout
@@ -167,15 +136,16 @@
 	h.running.Go(func() { h.loop.Run(ctx) })
 	h.running.Go(func() { h.options.FollowStore(ctx, h.loop, h.log) })
 	h.running.Go(func() { h.runLinks(ctx) })
-	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter.Listen); err != nil {
+	h.running.Go(func() { h.followResources(ctx) })
+	if err := h.listen(callerbudget.Callers, h.options.CallersAddress, h.callers); err != nil {
 		return err
 	}
-	if err := h.listenInternal(h.options.Self.PeerAddress, h.linker); err != nil {
+	if err := h.listenInternal(callerbudget.Peers, h.options.Self.PeerAddress, h.linker); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+h.options.ReadyPath, h.ready)
-	if err := h.listenInternal(h.options.ReadyAddress, ready); err != nil {
+	if err := h.listenInternal(callerbudget.Readiness, h.options.ReadyAddress, ready); err != nil {
 		return err
 	}
 	if h.options.MetricsAddress == "" {
@@ -183,7 +153,7 @@
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", h.metrics.Handler())
-	return h.listenInternal(h.options.MetricsAddress, metrics)
+	return h.listenInternal(callerbudget.Metrics, h.options.MetricsAddress, metrics)
 }
 
 // runLinks joins the deployment and then keeps links with other hosts.
@@ -196,20 +166,16 @@
 	h.linker.run(ctx, key, h.loop)
 }
 
-func (h *Host) listenInternal(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	h.internalServers = append(h.internalServers, server)
-	return h.listen(address, server, func(listener net.Listener) net.Listener { return listener })
-}
-
-// listen serves on an address. The listener is wrapped first.
-func (h *Host) listen(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
+// listen serves on an address within the limits of the listener.
+func (h *Host) listen(of callerbudget.Listener, address string, server *http.Server) error {
+	limiter := h.limiters[of]
 	listener, err := h.options.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	limiter.Configure(server)
 	h.running.Go(func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.log.WithError(err).WithField("address", address).Error("listener failed")
 		}
 	})
