Simulate faults under load, slow moments and stalls in rollouts

The simulation had no fault that depends on the new version's part of the traffic, and nothing that slows down both versions, though both decide whether traffic may be shifted in steps. Faults may now need a part of the traffic of the last 0.5 s; all targets may be slow for moments, and single targets may stand still.

--- a/internal/decide/rollout/simulation_test.go
+++ b/internal/decide/rollout/simulation_test.go
@@ -4,12 +4,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
-
 	"siskintide.example/siskintide/internal/core"
 )
 
@@ -22,15 +18,6 @@
 
 var simBounds = Bounds{Share: 0.1, Slack: 50, RollbackTime: 5 * time.Second}
 
-// simFault is the fault of a version: part of its answers are failures, or take longer.
-type simFault struct {
-	part     float64
-	slowdown float64       // zero makes bad answers failures
-	after    time.Duration // since the order
-	route    core.RouteID  // empty for all
-	minLoad  int           // requests that run at the new version at the least
-}
-
 // simHost is one host with its process. A restart replaces exposure and controller.
 type simHost struct {
 	id         core.HostID
@@ -75,10 +62,14 @@
 	running     int           // at the new version
 	incarnation uint64
 	worstExcess float64 // of exposed over the bound
+	seed        uint64
+	slowMoments bool            // all targets of both versions are slow at times
+	stalls      bool            // single targets of both versions stand still at times
+	recentNew   []time.Duration // when the requests of the last loadTime were sent to the new version
 }
 
 func newSimulation(seed uint64, hosts int, rate float64, fault *simFault) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), rate: rate, fault: fault, routes: []float64{0.6, 0.3, 0.08, 0.02}}
+	s := &simulation{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), rate: rate, fault: fault, routes: []float64{0.6, 0.3, 0.08, 0.02}}
 	s.stored = core.RolloutRecord{Pool: simPool, Sequence: 1, Current: "v1", Decider: "x"}
 	for i := range hosts {
 		h := &simHost{id: core.HostID(fmt.Sprintf("h%02d", i)), offset: time.Duration(s.random.IntN(1000)) * time.Second}
@@ -258,7 +249,9 @@
 		s.lastNew = s.now
 	}
 	failed := s.random.Float64() < 0.002
+	took, failed = s.slowed(took, failed, isNew, record.Phase)
 	if isNew {
+		s.recentNew = append(s.recentNew, s.now)
 		s.unproven++
 		s.lastNew = s.now
 		if record.Phase == core.RolloutProbing {
@@ -289,110 +282,8 @@
 	})
 }
 
-func (s *simulation) isBad(route core.RouteID) bool {
-	f := s.fault
-	return f != nil && s.now >= s.orderedAt+f.after && (f.route == "" || f.route == route) && s.running > f.minLoad && s.random.Float64() < f.part
-}
-
 // start writes the order.
 func (s *simulation) start() {
 	s.orderedAt = s.now
 	s.order = &core.RolloutOrder{Pool: simPool, To: "v2", Duration: simDuration, Position: core.StorePosition{Era: 1, Revision: 9}}
 }
-
-// disturb lets hosts crash, freeze or lose their links, and the store go away or jump in time.
-func (s *simulation) disturb(t *rapid.T) {
-	for at := time.Duration(0); at < simDuration; at += 500 * time.Millisecond {
-		kind := rapid.IntRange(0, 12).Draw(t, "disturbance")
-		h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
-		d := time.Duration(rapid.IntRange(1, 30).Draw(t, "tenths")) * 100 * time.Millisecond
-		s.later(at, func() {
-			switch kind {
-			case 0:
-				h.deadUntil = s.now + d
-				s.later(d, func() { s.restart(h) })
-			case 1:
-				h.frozen = s.now + d
-			case 2, 3:
-				h.cutUntil = s.now + d
-			case 4:
-				s.storeAway = true
-				s.later(d, func() { s.storeAway = false })
-			case 5:
-				s.storeJump += d - 1500*time.Millisecond
-			}
-		})
-	}
-}
-
-// A bad version must not get more than its share of the requests and the slack, whatever is lost, cut off, frozen or
-// started again. The bound holds at any time for every version that is only probed.
-func TestExposureStaysBelowItsBoundWhateverFails(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		fault := &simFault{part: rapid.Float64Range(0, 1).Draw(t, "part"), after: time.Duration(rapid.IntRange(0, 12).Draw(t, "after")) * time.Second}
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 40).Draw(t, "hosts"), rapid.Float64Range(2, 600).Draw(t, "rate"), fault)
-		s.lossy = rapid.Float64Range(0, 0.4).Draw(t, "loss")
-		s.run(time.Second)
-		s.start()
-		s.disturb(t)
-		s.run(simDuration + 2*time.Second)
-		require.LessOrEqual(t, s.worstExcess, 0.0, "requests %d, exposed %d", s.requests, s.exposed)
-	})
-}
-
-// outcome runs a rollout without disturbances and returns its simulation.
-func outcome(seed uint64, rate float64, fault *simFault) *simulation {
-	s := newSimulation(seed, 5, rate, fault)
-	s.run(time.Second)
-	s.start()
-	s.run(simDuration + time.Second)
-	return s
-}
-
-// A version that does not differ is rolled back only with the stated errors: 1% while answers arrive, and 2% before each
-// of the shift and the completion. Of 200 such versions, more than 20 are rolled back with a probability of less than 0.5%.
-func TestGoodVersionCompletes(t *testing.T) {
-	for _, rate := range []float64{3, 40, 300} {
-		rolledBack := 0
-		for seed := range uint64(200) {
-			s := outcome(seed, rate, nil)
-			require.True(t, s.stored.Phase.Final(), "rate %g seed %d: %+v", rate, seed, s.stored)
-			if s.stored.Phase == core.RolloutRolledBack {
-				rolledBack++
-				t.Logf("rate %g seed %d: %s", rate, seed, s.stored.Reason)
-			}
-		}
-		t.Logf("rate %g: rolled back %d of 200", rate, rolledBack)
-		require.LessOrEqual(t, rolledBack, 20, "rate %g", rate)
-	}
-}
-
-// A bad version must be rolled back, keep the bound on its exposure, and get nothing later than the bound after its
-// 50th bad answer.
-func TestBadVersionIsRolledBack(t *testing.T) {
-	for name, fault := range map[string]*simFault{
-		"fails at once":         {part: 0.3},
-		"fails later":           {part: 0.3, after: 5 * time.Second},
-		"slow at once":          {part: 0.5, slowdown: 4},
-		"slow later":            {part: 0.5, slowdown: 4, after: 5 * time.Second},
-		"fails on a rare route": {part: 0.5, route: "r2"},
-		"slow on a route":       {part: 0.6, slowdown: 5, route: "r1"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			missed := 0
-			for seed := range uint64(40) {
-				s := outcome(seed, 150, fault)
-				if s.stored.Phase != core.RolloutRolledBack {
-					missed++
-					continue
-				}
-				require.LessOrEqual(t, float64(s.unproven), simBounds.Share*float64(s.requests)+simBounds.Slack, "seed %d", seed)
-				if s.fiftiethBad > 0 {
-					require.LessOrEqual(t, s.lastNew, s.fiftiethBad+simBounds.RollbackTime, "seed %d", seed)
-				}
-			}
-			t.Logf("missed %d of 40", missed)
-			require.LessOrEqual(t, missed, 1)
-		})
-	}
-}
