Links: room for the handshakes of all hosts, refusals counted and logged at a limited rate

A hub refused the 65th connection that was not authenticated yet with 503, neither counted nor logged, though up to 300 hosts may link to it at once.

320 connections may be in the handshake. A connection now keeps its memory in the budget of the listener until it is authenticated.

TestSetLimits waits until the silent connection is accepted: it failed when the limits changed before.

--- a/internal/callerlimit/conn.go
+++ b/internal/callerlimit/conn.go
@@ -42,7 +42,7 @@
 	// Guarded by the mutex of the limiter.
 	silent   *list.Element // in Limiter.silent; nil while it must not be closed
 	dropped  bool          // what it has taken was returned
-	detached bool          // it takes no memory, as it has left HTTP
+	detached bool          // its memory was returned, though it is open
 	taken    int64         // memory for heads
 	open     int64         // part of taken for the head that is not complete
 	heads    []int64       // parts of taken for complete heads that were not answered yet, in order
@@ -140,7 +140,7 @@
 	}
 }
 
-// upgrade records that the connection has left HTTP, and returns its memory. The server does not read at that time.
+// upgrade records that the connection has left HTTP, and returns the memory of its heads. The server does not read at that time.
 func (c *conn) upgrade() {
 	c.upgraded = true
 	l := c.limiter
@@ -151,8 +151,17 @@
 	}
 	l.heard(c)
 	l.giveHeads(c)
-	l.budget.DetachConnection(c.address)
-	c.detached = true
+}
+
+// detach returns the memory of the connection.
+func (c *conn) detach() {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.dropped && !c.detached {
+		l.budget.DetachConnection(c.address)
+		c.detached = true
+	}
 }
 
 // refuse answers with a refusal, unless an earlier request is still being answered, and returns the error for the
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"net"
 	"sync"
 
 	"siskintide.example/siskintide/internal/decide/callerbudget"
@@ -119,6 +120,14 @@
 	}
 }
 
+// CountRefusal counts a connection from an address with a port that was refused elsewhere, and logs it at a limited rate.
+func (l *Limiter) CountRefusal(reason, address string) {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		address = host
+	}
+	l.count(reason, address)
+}
+
 // count counts a refusal and logs it at a limited rate.
 func (l *Limiter) count(reason, address string) {
 	l.options.Metrics.CallerLimited(reason)
--- a/internal/callerlimit/listener.go
+++ b/internal/callerlimit/listener.go
@@ -39,8 +39,8 @@
 	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeoutMarker, idleTimeoutMarker
 }
 
-// connState is the hook of the server: it returns the memory of a request's head once it has been answered, and
-// that of a connection once it has left HTTP.
+// connState is the hook of the server: it returns the memory of a request's head once it has been answered, or
+// has left HTTP.
 func (l *Limiter) connState(served net.Conn, state http.ConnState) {
 	c, ok := served.(*conn)
 	if !ok {
@@ -80,3 +80,11 @@
 		c.admitted.Store(true)
 	}
 }
+
+// Detach records that the connection of a request, which has left HTTP, is part of the state of the host from now on: its memory is
+// returned, and the connection counts until it is closed.
+func Detach(ctx context.Context) {
+	if c, ok := ctx.Value(connKey).(*conn); ok {
+		c.detach()
+	}
+}
--- a/internal/callerlimit/set_limits_test.go
+++ b/internal/callerlimit/set_limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,6 +36,10 @@
 	require.NoError(t, err)
 	<-entered
 	silent := s.dial()
+	require.Eventually(t, func() bool { // accepted before the limits change
+		_, connections := s.used()
+		return connections == kept+1
+	}, stepTimeout, time.Millisecond)
 	s.limiter.SetLimits(callerbudget.Limits{Bytes: callerbudget.ConnectionBytes, Connections: 1})
 	response, _ := readResponse(t, bufio.NewReader(s.dial()))
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -85,7 +85,8 @@
 	h.log = &log.Logger{Handler: jsonlog.New(h.sink), Level: log.InfoLevel}
 	entry := h.log.WithField("host", options.Self.ID)
 	h.stopping, h.endRequests = context.WithCancel(context.Background())
-	h.linker = &linker{self: options.Self, log: entry}
+	h.limiters = h.newLimiters()
+	h.linker = &linker{self: options.Self, log: entry, limiter: h.limiters[callerbudget.Peers]}
 	h.loop = edgecontrol.NewLoop(edgecontrol.Options{
 		Self:         options.Self,
 		RetryBudget:  options.RetryBudget,
@@ -98,7 +99,6 @@
 		Rollout:      h.rollout(),
 		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
 	})
-	h.limiters = h.newLimiters()
 	h.gateway = gateway.New(gateway.Options{
 		Controller:   h.loop,
 		Codec:        options.Codec,
--- a/internal/edgehost/linker.go
+++ b/internal/edgehost/linker.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
+	"siskintide.example/siskintide/internal/callerlimit"
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/message"
@@ -26,13 +27,17 @@
 	linkMaxRedialDelay = 2 * time.Second
 	// linkHandshakeTimeout bounds dialling and the authentication handshake.
 	linkHandshakeTimeout = time.Second
+	// reasonHandshake is the reason for which a connection is refused that is not of a host with the shared key.
+	reasonHandshake = "no_handshake"
 )
 
 // linker links this host with others once the shared key is known.
 type linker struct {
 	self core.Host
 	log  log.Interface
-	node atomic.Pointer[peer.Node]
+	// limiter bounds the connections of other hosts.
+	limiter *callerlimit.Limiter
+	node    atomic.Pointer[peer.Node]
 	// peers is the latest list of hosts; it is needed if it was set before node.
 	peers atomic.Pointer[[]core.Host]
 }
@@ -69,6 +74,8 @@
 		Key:               key,
 		Receive:           loop.HandleMessage,
 		LinkChanged:       loop.HandleLink,
+		HandshakeFailed:   func(address string, _ error) { l.limiter.CountRefusal(reasonHandshake, address) },
+		Authenticated:     func(r *http.Request) { callerlimit.Detach(r.Context()) },
 		Log:               l.log,
 		ReadTimeout:       linkReadTimeout,
 		WriteTimeout:      linkReadTimeout,
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -8,8 +8,8 @@
 	maxFrameBytes = 4 << 20
 	// maxHandshakeBytes limits a frame of a host that is not yet authenticated.
 	maxHandshakeBytes = 4 << 10
-	// maxHandshakes limits the incoming connections that are not yet authenticated.
-	maxHandshakes = 64
+	// maxHandshakes limits the incoming connections that are not yet authenticated. 300 hosts may link to one hub at once.
+	maxHandshakes = 320
 	// nonceBytes is the length of a handshake nonce. At this length a random nonce
 	// practically never repeats.
 	nonceBytes = 32
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -27,6 +27,7 @@
 	peersChanged chan struct{} // signals that wantedPeers was replaced
 	events       chan event    // unbuffered, so that an event that was sent has been received by Run
 	handshakes   chan struct{} // semaphore for incoming connections that are not yet authenticated
+	rejections   rejectionLog
 	stopped      chan struct{} // closed when Run returns
 	goroutines   sync.WaitGroup
 }
@@ -101,21 +102,30 @@
 	case n.handshakes <- struct{}{}:
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
+		n.reject(r, &HandshakesError{Limit: maxHandshakes})
 		return
 	}
 	l, err := n.acceptLink(w, r)
 	<-n.handshakes
 	if err != nil {
-		n.counters.failedHandshakes.Add(1)
-		n.options.Log.WithError(err).WithField("address", r.RemoteAddr).Warn("rejected a peer connection")
-		n.options.HandshakeFailed(r.RemoteAddr, err)
+		n.reject(r, err)
 		return
 	}
+	n.options.Authenticated(r)
 	if !n.post(r.Context(), linkUp{link: l}) {
 		_ = l.conn.CloseNow()
 	}
 }
 
+// reject counts an incoming connection that was not authenticated, and logs it at a limited rate.
+func (n *Node) reject(r *http.Request, cause error) {
+	n.counters.failedHandshakes.Add(1)
+	n.options.HandshakeFailed(r.RemoteAddr, cause)
+	if count, due := n.rejections.add(n.options.Clock.Now()); due {
+		n.options.Log.WithError(cause).WithField("address", r.RemoteAddr).WithField("count", count).Warn("rejected a peer connection")
+	}
+}
+
 func (n *Node) acceptLink(w http.ResponseWriter, r *http.Request) (*link, error) {
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -26,8 +27,10 @@
 	// HandshakeFailed is called when a connection to Handler fails before it is
 	// authenticated.
 	HandshakeFailed func(address string, cause error)
-	Log             log.Interface
-	Clock           clockwork.Clock // for redial delays and the grace period of redundant links; nil means the real clock
+	// Authenticated is called when a connection to Handler is, with its request.
+	Authenticated func(r *http.Request)
+	Log           log.Interface
+	Clock         clockwork.Clock // for redial delays and the grace period of redundant links; nil means the real clock
 
 	QueueMessages     int // capacity of the send queue of a link
 	WriteTimeout      time.Duration
@@ -56,6 +59,9 @@
 	if o.HandshakeFailed == nil {
 		o.HandshakeFailed = func(string, error) {}
 	}
+	if o.Authenticated == nil {
+		o.Authenticated = func(*http.Request) {}
+	}
 	if o.Log == nil {
 		o.Log = log.Log
 	}
