knownred: print which listed tests failed in this run

The report listed all entries of KNOWN-RED.txt alike, so a run in which a rare failure occurred could not be told from the others and its output was lost. Each entry now says whether its test failed in this run, and the output of the failed test is printed. The exit code is as before.

TestReportNamesKnownFailuresOfThisRun checks the report.

--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -1,5 +1,6 @@
 // Command knownred runs all tests with a fixed seed. It fails if a test fails that is not
-// listed in KNOWN-RED.txt, or if a listed test passes although it is not marked as flaky.
+// listed in KNOWN-RED.txt, or if a listed test passes although it is not marked as flaky. It
+// prints all listed tests, and says which of them failed in this run.
 package main
 
 import (
@@ -23,5 +24,5 @@
 		fmt.Fprintln(os.Stderr, "knownred:", err)
 		os.Exit(2)
 	}
-	os.Exit(printReport(summary, entries))
+	os.Exit(printReport(os.Stdout, summary, entries))
 }
--- a/tools/knownred/report_test.go
+++ b/tools/knownred/report_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -31,7 +33,33 @@
 			for _, key := range c.failed {
 				result.failed[key] = true
 			}
-			require.Equal(t, c.want, printReport(result, c.entries))
+			require.Equal(t, c.want, printReport(io.Discard, result, c.entries))
 		})
 	}
 }
+
+// TestReportNamesKnownFailuresOfThisRun guards against a report that lists all known failures alike, so that the run
+// in which a rare one occurred, and its output, are lost.
+func TestReportNamesKnownFailuresOfThisRun(t *testing.T) {
+	first := entry{pkg: "internal/a", test: "TestFirst", line: "internal/a | TestFirst | c | flaky: seen | 2"}
+	second := entry{pkg: "internal/a", test: "TestSecond", line: "internal/a | TestSecond | c | flaky: seen | 3"}
+	again := entry{pkg: "internal/a", test: "TestSecond", line: "internal/a | TestSecond | d | flaky: seen | 4"}
+	result := newSummary()
+	for _, event := range []testEvent{
+		{Action: "pass", Package: "m/internal/a", Test: "TestFirst"},
+		{Action: "output", Package: "m/internal/a", Test: "TestSecond", Output: "two calls lost\n"},
+		{Action: "fail", Package: "m/internal/a", Test: "TestSecond"},
+		{Action: "fail", Package: "m/internal/a"},
+	} {
+		result.add(event)
+	}
+	var report strings.Builder
+	require.Zero(t, printReport(&report, result, []entry{first, second, again}))
+	require.Equal(t, `FAIL (known red) m/internal/a TestSecond
+two calls lost
+known red, did not fail in this run: internal/a | TestFirst | c | flaky: seen | 2
+known red, failed in this run: internal/a | TestSecond | c | flaky: seen | 3
+known red, failed in this run: internal/a | TestSecond | d | flaky: seen | 4
+1 passed, 0 failed, 1 failed as known, 0 skipped
+`, report.String())
+}
