orders: raise the fence before a load into an engine with room for one version

The trace: the former owner (fence 4) orders a load, which is still in flight when its successor (fence 5) reads that the engine is empty and orders a load of another version. The engine has not seen fence 5 yet, so it accepts both loads in the order of their fences. The test's model is right that an order may arrive late at an engine that checks fences (an engine that was frozen carries out what waits in its sockets), so this was a fault of the decisions.

The owner now sends an engine that checks fences, has room for one version, and has not accepted an order of this ownership, an unload of the version that it does not hold, and reads the state again before it loads. The fence of the last accepted order was already part of the state that engines report. Engines that ignore fences, have room for two versions, or have accepted an order of this ownership get the same orders as before.

Ruled out: the load slot. Machines keep it over a lost lease in the simulation only, but the failure does not need that.

--- a/internal/control/execute_orders.go
+++ b/internal/control/execute_orders.go
@@ -20,6 +20,8 @@
 		o = &engineOrders{machine: orders.New(s.orderTiming), fence: fence}
 		s.orders[id] = o
 	}
+	kind := s.catalog.Kind(target.Kind)
+	o.machine.SetChecksFences(kind != nil && kind.ChecksFences)
 	s.executeOrders(id, o, o.machine.SetDesired(s.desiredVersion(target), s.fitsTwoVersions(target), now), now)
 }
 
--- a/internal/daemon/order_effects.go
+++ b/internal/daemon/order_effects.go
@@ -24,7 +24,7 @@
 }
 
 func stateResponse(id uint64, state engine.State, ok bool) orders.StateResponse {
-	response := orders.StateResponse{ID: id, OK: ok, Incarnation: state.Incarnation}
+	response := orders.StateResponse{ID: id, OK: ok, Incarnation: state.Incarnation, Fence: state.Fence}
 	for _, m := range state.Models {
 		version := orders.Version{Model: m.Model, Version: m.Version}
 		response.Versions = append(response.Versions, orders.LoadedVersion{Version: version, Ready: m.State == engineReady})
--- a/internal/decide/orders/doc.go
+++ b/internal/decide/orders/doc.go
@@ -9,7 +9,13 @@
 // a successor can own the target. A load needs the data centre's load slot, because the
 // weights store is rate limited; see package weights.
 //
-// One risk remains: an engine that ignores fences and carries out an order later than the
-// order's timeout may undo what a successor ordered. The successor reads the state again
-// every Timing.IdleReadInterval and repeats its orders.
+// An engine that checks fences learns of a new ownership only by its first order. Where it has room for
+// one version only, the owner therefore raises the fence before it loads into an engine that seems empty,
+// and reads the state again.
+//
+// Two risks remain. A former owner's unload that reaches an engine after its successor has read the state,
+// and before the successor's first order, is carried out even if the engine checks fences; the successor
+// finds the version gone at its next read and loads it again. And an engine that ignores fences and carries
+// out an order later than the order's timeout may undo what a successor ordered. The successor reads the
+// state again every Timing.IdleReadInterval and repeats its orders.
 package orders
--- a/internal/decide/orders/machine.go
+++ b/internal/decide/orders/machine.go
@@ -14,6 +14,7 @@
 	leaseExpiresAt  time.Time // of the ownership lease, on this host's monotonic clock; zero if not owned
 	desired         Version
 	holdsTwo        bool          // the engine can hold the desired version beside another one
+	checksFences    bool          // the engine refuses an order with an old fence, and reports the last one
 	state           StateResponse // latest state that the engine reported
 	stateCurrent    bool          // state was read after the last order and under this ownership
 	nextReadAt      time.Time
@@ -41,6 +42,10 @@
 	return m.advance(now)
 }
 
+// SetChecksFences sets whether the engine refuses an order with a fence lower than that of the
+// last order that it has accepted.
+func (m *Machine) SetChecksFences(checksFences bool) { m.checksFences = checksFences }
+
 // SetOwnership sets the fence of the ownership and the end of its lease. A renewal keeps
 // the fence; a new fence invalidates the known state of the engine.
 func (m *Machine) SetOwnership(fence core.Fence, leaseExpiresAt, now time.Time) []Effect {
--- a/internal/decide/orders/state_response.go
+++ b/internal/decide/orders/state_response.go
@@ -7,5 +7,6 @@
 	ID          uint64
 	OK          bool
 	Incarnation core.Incarnation
+	Fence       core.Fence // of the last order that the engine has accepted
 	Versions    []LoadedVersion
 }
--- a/internal/decide/orders/steps.go
+++ b/internal/decide/orders/steps.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// load orders the desired version once the data centre's load slot is held.
+// load orders the desired version once the data centre's load slot is held. An engine that has room
+// for one version, and may still carry out a former owner's load, is first ordered to unload the
+// desired version, which it does not hold: with the fence of that order it refuses older ones.
 func (m *Machine) load(now time.Time) []Effect {
 	if !m.hasSlot {
 		return m.requestSlot(now)
@@ -13,10 +15,22 @@
 	if !m.maySendOrder(now) {
 		return nil
 	}
+	if !m.holdsTwo && m.mayObeyFormerOwner() {
+		if m.oldStreams > 0 {
+			return nil // a late load may be of the desired version; none of its streams is cut off
+		}
+		return m.sendOrder(Unload, m.desired, now)
+	}
 	m.loadOrderedAt = now
 	return m.sendOrder(Load, m.desired, now)
 }
 
+// mayObeyFormerOwner reports whether the engine may still carry out an order of a former owner. An
+// engine that checks fences refuses such orders only once it has accepted an order with the fence of
+// this ownership; its state is no proof, because an order that is still in flight may change it. For
+// engines that ignore fences, the orders of former owners are over before this ownership begins.
+func (m *Machine) mayObeyFormerOwner() bool { return m.checksFences && m.state.Fence < m.fence }
+
 func (m *Machine) requestSlot(now time.Time) []Effect {
 	if m.slotRequested || now.Before(m.nextSlotRequest) {
 		return nil
