platformtest: one place for the names of headers that stand-ins and the soak use

tools/soak spelled out header names of the platform's wire, although only platform/ is to know them. They stay apart from the host's codec, so that a wrong name there still fails a test.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -89,7 +89,7 @@
 func (s *soak) checkResumable(request *sentRequest, runs []platformtest.Run) (beyond bool) {
 	runners := map[string]bool{}
 	for _, run := range runs {
-		if _, moved := run.Headers["Kv-From"]; !moved && len(runners) >= platformtest.ResumableAttempts {
+		if _, moved := run.Headers[platformtest.HeaderKVFrom]; !moved && len(runners) >= platformtest.ResumableAttempts {
 			s.recordViolation("request %s was run again after it had run at %d engines", request.id, len(runners))
 		}
 		runners[run.Runner] = true
--- a/tools/soak/deadly_parts.go
+++ b/tools/soak/deadly_parts.go
@@ -58,7 +58,7 @@
 		s.recordViolation("request could not be built: %v", err)
 		return
 	}
-	request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,%s:100,%s:100", sharedPart, part.name, id))
+	request.Header.Set(platformtest.HeaderPromptPrefix, fmt.Sprintf("%s,%s:100,%s:100", sharedPart, part.name, id))
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return // a crash breaks the connection
@@ -72,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range s.deadly {
-		if strings.Contains(request.Header.Get("Prompt-Prefix"), part.name+":") {
+		if strings.Contains(request.Header.Get(platformtest.HeaderPromptPrefix), part.name+":") {
 			return part
 		}
 	}
@@ -86,10 +86,10 @@
 		return false
 	}
 	<-time.After(eventInterval)
-	id := request.Header.Get("Attempt-Id")
+	id := request.Header.Get(platformtest.HeaderAttemptID)
 	if part.form.head {
-		w.Header().Set("Attempt-Id", id)
-		w.Header().Set("Response-Signature", platformtest.Signature(id))
+		w.Header().Set(platformtest.HeaderAttemptID, id)
+		w.Header().Set(platformtest.HeaderSignature, platformtest.Signature(id))
 		w.Header().Set("Content-Type", "text/event-stream")
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/tools/soak/resuming_caller.go
+++ b/tools/soak/resuming_caller.go
@@ -68,9 +68,9 @@
 		c.soak.recordViolation("request could not be built: %v", err)
 		return outcomeFailed
 	}
-	request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,%s:100", sharedPart, c.id))
+	request.Header.Set(platformtest.HeaderPromptPrefix, fmt.Sprintf("%s,%s:100", sharedPart, c.id))
 	if n := strings.Count(c.kept, "\n\n"); n > 0 {
-		request.Header.Set("Last-Event-Id", fmt.Sprint(n-1))
+		request.Header.Set(platformtest.HeaderLastEventID, fmt.Sprint(n-1))
 		c.resumed = true
 	}
 	linkBytes := len(platformtest.Stream(c.id, int64(c.events))) + 1
@@ -112,7 +112,7 @@
 	answered = err == io.EOF && !broken
 	switch {
 	case response.StatusCode == http.StatusOK:
-		return c.keep(body, response.Header, request.Header.Get("Attempt-Id"), answered), answered, broken
+		return c.keep(body, response.Header, request.Header.Get(platformtest.HeaderAttemptID), answered), answered, broken
 	case refusalStatuses[response.StatusCode]:
 		return outcomeRefused, answered, broken
 	}
