--- a/internal/edgehost/host.go
+++ b/internal/edgehost/host.go
@@ -2,46 +2,20 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	jsonlog "github.com/apex/log/handlers/json"
-	"github.com/jonboulle/clockwork"
 
-	"siskintide.example/siskintide/internal/boottime"
 	"siskintide.example/siskintide/internal/callerlimit"
-	"siskintide.example/siskintide/internal/decide/shutdown"
 	"siskintide.example/siskintide/internal/edgecontrol"
 	"siskintide.example/siskintide/internal/eventlog"
-	"siskintide.example/siskintide/internal/gateway"
 	"siskintide.example/siskintide/internal/telemetry"
 )
 
-const (
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is the time after which idle connections are closed.
-	idleTimeout = 15 * time.Second
-	// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
-	// with the id of the request in the log.
-	headerSlack = 4 << 10
-	// maxInternalHeaderBytes bounds the head of requests of other hosts and of the platform's checks.
-	maxInternalHeaderBytes = 16 << 10
-	// drainDelay is the time for which a leaving host still accepts connections. The load
-	// balancer checks once a second and removes a host after two failed checks.
-	drainDelay = 2500 * time.Millisecond
-	// exitMargin is the time before the end of the grace period at which all connections are closed.
-	exitMargin = 400 * time.Millisecond
-	// closeDelay is the time for the last responses to reach their callers before that.
-	closeDelay = 100 * time.Millisecond
-	// logFlushTimeout bounds the time to flush the log at exit.
-	logFlushTimeout = 200 * time.Millisecond
-)
+// logFlushTimeout bounds the time to flush the log at exit.
+const logFlushTimeout = 200 * time.Millisecond
 
 // Host is one running host process.
 type Host struct {
@@ -87,180 +61,3 @@
 	}
 	return err
 }
-
-func newHost(options Options) *Host {
-	h := &Host{options: options, sink: eventlog.NewSink(clockwork.NewRealClock()), metrics: telemetry.NewRegistry()}
-	h.log = &log.Logger{Handler: jsonlog.New(h.sink), Level: log.InfoLevel}
-	entry := h.log.WithField("host", options.Self.ID)
-	h.stopping, h.endRequests = context.WithCancel(context.Background())
-	h.linker = &linker{self: options.Self, log: entry}
-	h.loop = edgecontrol.NewLoop(edgecontrol.Options{
-		Self:         options.Self,
-		RetryBudget:  options.RetryBudget,
-		Clock:        boottime.Now,
-		Log:          entry,
-		Metrics:      telemetry.NewPlacementMetrics(h.metrics.Scope),
-		Send:         h.linker.Send,
-		SetPeers:     h.linker.SetPeers,
-		MaxConfigAge: options.MaxConfigAge,
-		Rollout:      h.rollout(),
-		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
-	})
-	h.limiter = callerlimit.New(callerlimit.Options{
-		Limits:        options.CallerLimits,
-		HeaderBytes:   h.headerBytes,
-		EncodeRefusal: options.Codec.EncodeRefusal,
-		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
-		Log:           entry,
-		Clock:         boottime.Now,
-	})
-	handler := gateway.New(gateway.Options{
-		Controller:   h.loop,
-		Codec:        options.Codec,
-		Mover:        options.Mover,
-		Reporter:     options.Reporter,
-		Metrics:      telemetry.NewRequestMetrics(h.metrics.Scope),
-		Log:          entry,
-		Clock:        boottime.Now,
-		MaxConfigAge: options.MaxConfigAge,
-		BodyMemory:   options.BodyMemory,
-		Memory:       h.limiter,
-		Stopping:     h.stopping,
-	})
-	h.callers = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         h.limiter.ConnState,
-		ConnContext:       h.limiter.ConnContext,
-	}
-	return h
-}
-
-// headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
-// the configuration allows; zero if no configuration is known.
-func (h *Host) headerBytes() int64 {
-	table := h.loop.View().Table
-	if table == nil || table.Config.Limits.HeaderBytes <= 0 {
-		return 0
-	}
-	return table.Config.Limits.HeaderBytes + headerSlack
-}
-
-// rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
-func (h *Host) rollout() *edgecontrol.RolloutOptions {
-	options := h.options.Rollout
-	if options == nil {
-		return nil
-	}
-	return &edgecontrol.RolloutOptions{
-		Bounds:  options.Bounds,
-		Metrics: telemetry.NewRolloutMetrics(h.metrics.Scope),
-		Write: func(write edgecontrol.RolloutWrite) {
-			h.running.Go(func() { h.loop.HandleRolloutWritten(write, options.Write(h.stopping, write)) })
-		},
-	}
-}
-
-// start opens the listeners and starts all goroutines.
-func (h *Host) start(ctx context.Context) error {
-	h.running.Go(func() { h.loop.Run(ctx) })
-	h.running.Go(func() { h.options.FollowStore(ctx, h.loop, h.log) })
-	h.running.Go(func() { h.runLinks(ctx) })
-	if err := h.listen(h.options.CallersAddress, h.callers, h.limiter.Listen); err != nil {
-		return err
-	}
-	if err := h.listenInternal(h.options.Self.PeerAddress, h.linker); err != nil {
-		return err
-	}
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+h.options.ReadyPath, h.ready)
-	if err := h.listenInternal(h.options.ReadyAddress, ready); err != nil {
-		return err
-	}
-	if h.options.MetricsAddress == "" {
-		return nil
-	}
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", h.metrics.Handler())
-	return h.listenInternal(h.options.MetricsAddress, metrics)
-}
-
-// runLinks joins the deployment and then keeps links with other hosts.
-func (h *Host) runLinks(ctx context.Context) {
-	key, err := h.options.Join(ctx, h.log)
-	if err != nil {
-		h.log.WithError(err).Info("host stopped before it joined the deployment")
-		return
-	}
-	h.linker.run(ctx, key, h.loop)
-}
-
-func (h *Host) listenInternal(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
-	h.internalServers = append(h.internalServers, server)
-	return h.listen(address, server, func(listener net.Listener) net.Listener { return listener })
-}
-
-// listen serves on an address. The listener is wrapped first.
-func (h *Host) listen(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
-	listener, err := h.options.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	h.running.Go(func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
-			h.log.WithError(err).WithField("address", address).Error("listener failed")
-		}
-	})
-	return nil
-}
-
-// ready responds 200 while the host takes new callers: the registry has been read, the
-// configuration is fresh, and the host is not leaving.
-func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	view := h.loop.View()
-	switch {
-	case view.Leaving():
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case view.VersionsUnknown || !view.RegistryLoaded || !view.ConfigFresh(boottime.Now(), h.options.MaxConfigAge):
-		http.Error(w, "configuration or registry is not known to be recent", http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
-	}
-}
-
-// shutDown fails the readiness check, waits until the load balancer has removed the host,
-// and then waits for running requests until shortly before the end of the grace period.
-func (h *Host) shutDown() {
-	h.log.WithField("grace_ms", h.options.ShutdownGrace.Milliseconds()).Info("host leaves")
-	now := boottime.Now()
-	schedule := shutdownSchedule(now, h.options.ShutdownGrace)
-	h.loop.Leave(schedule)
-	responses := time.AfterFunc(schedule.ResponsesUntil-now, h.endRequests)
-	defer responses.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), schedule.ResponsesUntil-now+closeDelay)
-	defer cancel()
-	<-time.After(schedule.ConnectionsUntil - now)
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.log.WithError(err).Warn("requests were still running at the end of the grace period")
-	}
-}
-
-// shutdownSchedule returns the schedule of a host that is told to stop and is killed after the grace period.
-func shutdownSchedule(now, grace time.Duration) *shutdown.Schedule {
-	return &shutdown.Schedule{
-		ConnectionsUntil: now + min(drainDelay, grace/2),
-		ResponsesUntil:   now + max(grace-exitMargin-closeDelay, grace/2),
-	}
-}
-
-// closeAll closes all listeners and connections.
-func (h *Host) closeAll() {
-	h.endRequests()
-	for _, server := range append([]*http.Server{h.callers}, h.internalServers...) {
-		if err := server.Close(); err != nil {
-			h.log.WithError(err).Warn("listener could not be closed")
-		}
-	}
-}
--- /dev/null
+++ b/internal/edgehost/new_host.go
@@ -0,0 +1,95 @@
+package edgehost
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+	"github.com/jonboulle/clockwork"
+
+	"siskintide.example/siskintide/internal/boottime"
+	"siskintide.example/siskintide/internal/callerlimit"
+	"siskintide.example/siskintide/internal/edgecontrol"
+	"siskintide.example/siskintide/internal/eventlog"
+	"siskintide.example/siskintide/internal/gateway"
+	"siskintide.example/siskintide/internal/telemetry"
+)
+
+// headerSlack is the size beyond the configuration's limit up to which the gateway refuses a head by itself,
+// with the id of the request in the log.
+const headerSlack = 4 << 10
+
+func newHost(options Options) *Host {
+	h := &Host{options: options, sink: eventlog.NewSink(clockwork.NewRealClock()), metrics: telemetry.NewRegistry()}
+	h.log = &log.Logger{Handler: jsonlog.New(h.sink), Level: log.InfoLevel}
+	entry := h.log.WithField("host", options.Self.ID)
+	h.stopping, h.endRequests = context.WithCancel(context.Background())
+	h.linker = &linker{self: options.Self, log: entry}
+	h.loop = edgecontrol.NewLoop(edgecontrol.Options{
+		Self:         options.Self,
+		RetryBudget:  options.RetryBudget,
+		Clock:        boottime.Now,
+		Log:          entry,
+		Metrics:      telemetry.NewPlacementMetrics(h.metrics.Scope),
+		Send:         h.linker.Send,
+		SetPeers:     h.linker.SetPeers,
+		MaxConfigAge: options.MaxConfigAge,
+		Rollout:      h.rollout(),
+		PaceMetrics:  telemetry.NewPaceMetrics(h.metrics.Scope),
+	})
+	h.limiter = callerlimit.New(callerlimit.Options{
+		Limits:        options.CallerLimits,
+		HeaderBytes:   h.headerBytes,
+		EncodeRefusal: options.Codec.EncodeRefusal,
+		Metrics:       telemetry.NewLimitMetrics(h.metrics.Scope),
+		Log:           entry,
+		Clock:         boottime.Now,
+	})
+	handler := gateway.New(gateway.Options{
+		Controller:   h.loop,
+		Codec:        options.Codec,
+		Mover:        options.Mover,
+		Reporter:     options.Reporter,
+		Metrics:      telemetry.NewRequestMetrics(h.metrics.Scope),
+		Log:          entry,
+		Clock:        boottime.Now,
+		MaxConfigAge: options.MaxConfigAge,
+		BodyMemory:   options.BodyMemory,
+		Memory:       h.limiter,
+		Stopping:     h.stopping,
+	})
+	h.callers = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnState:         h.limiter.ConnState,
+		ConnContext:       h.limiter.ConnContext,
+	}
+	return h
+}
+
+// headerBytes returns the size of a head that the gateway still refuses by itself, which is a little more than
+// the configuration allows; zero if no configuration is known.
+func (h *Host) headerBytes() int64 {
+	table := h.loop.View().Table
+	if table == nil || table.Config.Limits.HeaderBytes <= 0 {
+		return 0
+	}
+	return table.Config.Limits.HeaderBytes + headerSlack
+}
+
+// rollout returns the options of rollouts for the control goroutine, or nil if they are not in force.
+func (h *Host) rollout() *edgecontrol.RolloutOptions {
+	options := h.options.Rollout
+	if options == nil {
+		return nil
+	}
+	return &edgecontrol.RolloutOptions{
+		Bounds:  options.Bounds,
+		Metrics: telemetry.NewRolloutMetrics(h.metrics.Scope),
+		Write: func(write edgecontrol.RolloutWrite) {
+			h.running.Go(func() { h.loop.HandleRolloutWritten(write, options.Write(h.stopping, write)) })
+		},
+	}
+}
