Ignore the success of a call to the store that was sent before a failed one

TestFewCallsWhileStoreUnavailable had 45 or 46 calls in 5 s, where fewer than 45 are allowed. A trace of every call showed the cause: each reading host has a long poll of the operator's table under way when the store becomes unavailable. The read of the registry fails first; up to 0.3 s later the held call responds with success, the host takes the store for regained ("lost", "regained" and "lost" in its log within 60 ms), and the waiting followers try again at once. That is one more call to the registry's table per host. Held reads of the list of hosts can do the same up to 8 s after the failure.

The suspected cause is ruled out: a follower keeps its delay over a change of hubs.

The success of a call now counts only if it was sent after the last failed call. Real recoveries are noted by the next call that is sent after the failure.

The bound of the test is unchanged.

--- a/internal/edgecontrol/loop.go
+++ b/internal/edgecontrol/loop.go
@@ -129,8 +129,10 @@
 	l.post(context.Background(), rolloutWrittenEvent{pool: write.Record.Pool, sequence: write.Record.Sequence, err: err})
 }
 
-// HandleStoreStatus records whether the store is available.
-func (l *Loop) HandleStoreStatus(up bool) { l.post(context.Background(), storeEvent{up: up}) }
+// HandleStoreStatus records whether a call to the store that was sent at the given time has succeeded.
+func (l *Loop) HandleStoreStatus(up bool, sentAt time.Duration) {
+	l.post(context.Background(), storeEvent{up: up, sentAt: sentAt})
+}
 
 // HandleLink records that the link to another host came up or was lost.
 func (l *Loop) HandleLink(host core.HostID, up bool) {
--- a/internal/edgecontrol/loop_test.go
+++ b/internal/edgecontrol/loop_test.go
@@ -376,7 +376,7 @@
 	startReader(t, net.loops["h"], clock)
 	subscriber := net.loops["host"]
 	eventually(t, "state received", func() bool { return len(subscriber.View().Targets) == 4 && !subscriber.View().ReadsStore })
-	subscriber.HandleStoreStatus(false)
+	subscriber.HandleStoreStatus(false, 0)
 	applyRemoval(net.loops["h"], clock, "e0")
 	eventually(t, "target gone", func() bool { return !subscriber.View().Usable("e0") })
 }
@@ -388,7 +388,7 @@
 	stop := startReader(t, net.loops["h"], clock)
 	eventually(t, "state received", func() bool { return len(net.loops["host"].View().Targets) == 4 && !net.loops["host"].View().ReadsStore })
 	stop()
-	net.loops["h"].HandleStoreStatus(false)
+	net.loops["h"].HandleStoreStatus(false, 0)
 	end := clock.now() + 4*time.Second
 	eventually(t, "state stays fresh", func() bool {
 		if net.loops["host"].View().ReadsStore {
--- a/internal/edgecontrol/state.go
+++ b/internal/edgecontrol/state.go
@@ -54,6 +54,7 @@
 	hostsChanged         bool
 	hostsSentAt          time.Duration
 	storeUnavailable     bool
+	storeFailedAt        time.Duration   // when the latest of the calls to the store that have failed was sent
 	ownStoreReads        freshness.Proof // last read of the store by this host itself
 
 	responsesDue bool // delayed responses are sent once the subscribers have what was read
--- a/internal/edgecontrol/store_event.go
+++ b/internal/edgecontrol/store_event.go
@@ -2,12 +2,21 @@
 
 import "time"
 
-// storeEvent records whether the store is available.
+// storeEvent records whether a call to the store has succeeded.
 type storeEvent struct {
-	up bool
+	up     bool
+	sentAt time.Duration // of the call
 }
 
+// apply ignores the success of a call that was sent before one that has failed. A call that the store holds until there
+// is a change may respond seconds after the store became unavailable to others.
 func (e storeEvent) apply(s *state) {
+	if e.up && e.sentAt < s.storeFailedAt {
+		return
+	}
+	if !e.up {
+		s.storeFailedAt = max(s.storeFailedAt, e.sentAt)
+	}
 	if e.up == !s.storeUnavailable {
 		return
 	}
