--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -134,6 +134,7 @@
 			summary.Engines++
 			summary.Slowest, summary.Fastest = max(summary.Slowest, e.factor), min(summary.Fastest, e.factor)
 			summary.LowestLimit = min(summary.LowestLimit, e.limit.share)
+			summary.MostHarm = max(summary.MostHarm, e.usualHarm)
 		}
 	}
 	return summary, true
--- a/internal/telemetry/pace_metrics.go
+++ b/internal/telemetry/pace_metrics.go
@@ -18,7 +18,8 @@
 func NewPaceMetrics(scope tally.Scope) *PaceMetrics { return &PaceMetrics{scope: scope} }
 
 // EnginePace records what is known of the engines of a pool: the time between events of an idle engine of average
-// pace, the slowest and the fastest, and the lowest limit of the memory.
+// pace, the slowest and the fastest, the lowest limit of the memory, and the highest part of running streams that a prompt
+// makes late.
 func (m *PaceMetrics) EnginePace(pool core.PoolID, summary pace.Summary) {
 	scope := m.scope.Tagged(map[string]string{"pool": string(pool)})
 	for engine, factor := range map[string]float64{"average": 1, "slowest": summary.Slowest, "fastest": summary.Fastest} {
@@ -26,6 +27,7 @@
 		scope.Tagged(map[string]string{"engine": engine}).Gauge("engine_event_time_seconds").Update(idle.Seconds())
 	}
 	scope.Gauge("engine_memory_limit_ratio").Update(summary.LowestLimit)
+	scope.Gauge("engine_streams_late_per_prompt_ratio").Update(summary.MostHarm)
 	scope.Gauge("engines_with_pace").Update(float64(summary.Engines))
 }
 
--- a/internal/telemetry/pace_metrics_test.go
+++ b/internal/telemetry/pace_metrics_test.go
@@ -12,7 +12,7 @@
 func TestPaceIsServedByPool(t *testing.T) {
 	registry := NewRegistry()
 	metrics := NewPaceMetrics(registry.Scope)
-	metrics.EnginePace("llm", pace.Summary{Engines: 4, Mean: pace.Curve{Base: 30}, Slowest: 2, Fastest: 0.5, LowestLimit: 0.8})
+	metrics.EnginePace("llm", pace.Summary{Engines: 4, Mean: pace.Curve{Base: 30}, Slowest: 2, Fastest: 0.5, LowestLimit: 0.8, MostHarm: 0.05})
 	metrics.PlacementAvoided("llm")
 	metrics.PlacementAvoided("llm")
 	require.NoError(t, registry.Close())
@@ -22,6 +22,7 @@
 		`siskintide_engine_event_time_seconds{engine="slowest",pool="llm"} 0.06`,
 		`siskintide_engine_event_time_seconds{engine="fastest",pool="llm"} 0.015`,
 		`siskintide_engine_memory_limit_ratio{pool="llm"} 0.8`,
+		`siskintide_engine_streams_late_per_prompt_ratio{pool="llm"} 0.05`,
 		`siskintide_engines_with_pace{pool="llm"} 4`,
 		`siskintide_placements_avoiding_engine_total{pool="llm"} 2`,
 	} {
