Deliver responses of a host that was frozen past the deadline of its requests

What callers saw: a request that was answered 200 by its target and ended without any response. Cause: the write deadline of the caller's connection is set once, to the request's deadline and 250 ms. A process that stands still until after that writes nothing any more, whatever it has: the answer that the target has sent, or a refusal. A response written after the deadline, or in the last 250 ms before it, now has a second. Responses in time cost nothing more. Ruled out: more time for all writes, since callers that do not read would hold memory for longer.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -208,6 +208,7 @@
 	if h.gateway.options.Controller.View().Leaving() {
 		header.Set("Connection", "close")
 	}
+	h.allowLateWrite()
 	h.w.WriteHeader(response.status)
 	_, err := h.w.Write(response.body)
 	fields := log.Fields{"status": response.status, "target": assignment.Target.Target}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,9 @@
 	// writeMargin is how long after the request's deadline a write to its caller is given up. A
 	// caller that does not read blocks the write.
 	writeMargin = 250 * time.Millisecond
+	// lateWriteTime is the time for a response that is written after its request's deadline, or right before it, as
+	// by a host that was frozen.
+	lateWriteTime = time.Second
 	// defaultMaxBodyBytes bounds a request body until a configuration is known.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -105,6 +108,14 @@
 	}
 }
 
+// allowLateWrite gives a response time to be written if its request's deadline has passed or is near. The response is
+// still delivered: the caller may be waiting for it.
+func (h *requestHandler) allowLateWrite() {
+	if h.deadline > 0 && h.timeLeft() < writeMargin {
+		h.setDeadline(http.NewResponseController(h.w).SetWriteDeadline, lateWriteTime)
+	}
+}
+
 // prepare decodes the request, reads its body and finds its route and team.
 func (h *requestHandler) prepare() *core.Refusal {
 	var err error
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -83,6 +83,7 @@
 	if h.gateway.options.Controller.View().Leaving() {
 		header.Set("Connection", "close")
 	}
+	h.allowLateWrite()
 	h.w.WriteHeader(httpStatus(refusal))
 	_, writeErr := h.w.Write(body)
 	h.logRefusal(refusal, writeErr)
