Pace: engines without reports do not count in the mean of the pool

Since prompts are recorded when they are placed, an engine is known before its first report. It counted with a factor of 1 in the mean to which the factors are scaled, and in the metric of engines with reports. The new test fails without the change.

--- a/internal/decide/pace/engine.go
+++ b/internal/decide/pace/engine.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// reported reports whether events of the engine were seen. Until then only prompts were placed there.
+func (e *engine) reported() bool { return e.seen.w > 0 }
+
 // decay ages what was seen.
 func (e *engine) decay(now time.Duration) {
 	if now > e.seen.at {
@@ -72,7 +75,7 @@
 // refresh computes the factors, the share of late pauses, and what prompts do here.
 func (e *engine) refresh(p *poolCurve, now time.Duration) {
 	e.factor, e.current, e.trouble = 1, 1, 0
-	if p.curve.Known() && e.seen.w > 0 {
+	if p.curve.Known() && e.reported() {
 		e.factor = e.seen.factor(p.curve, 1)
 		e.current = e.recent.factor(p.curve, e.factor)
 		e.trouble = min(e.late/(e.seen.w+priorEvents), 1)
--- a/internal/decide/pace/prompt_harm_test.go
+++ b/internal/decide/pace/prompt_harm_test.go
@@ -156,3 +156,22 @@
 	_, known := tracker.Forecast(testPool, "b", Load{}, testStream())
 	require.False(t, known)
 }
+
+// Guards against engines of which nothing was seen that count as average ones in the pool's mean and in the metrics.
+func TestEnginesWithoutReportsDoNotCount(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 20 {
+		now := time.Duration(i) * harmReport
+		tracker.Record(testPool, "slow", Sums{Events: 30, Time: 30 * 90 * time.Millisecond, Goal: testGoal}, Load{Requests: 1}, now)
+		tracker.Record(testPool, "fast", Sums{Events: 30, Time: 30 * 30 * time.Millisecond, Goal: testGoal}, Load{Requests: 1}, now)
+		tracker.Refresh(now)
+	}
+	alone, _ := tracker.Summary(testPool)
+	now := 20 * harmReport
+	tracker.RecordPrompt(testPool, "new", Load{}, promptScale, now)
+	tracker.Refresh(now)
+	summary, known := tracker.Summary(testPool)
+	require.True(t, known)
+	require.Equal(t, 2, summary.Engines)
+	require.InDelta(t, alone.Mean.Base, summary.Mean.Base, 0.05*alone.Mean.Base)
+}
--- a/internal/decide/pace/tracker.go
+++ b/internal/decide/pace/tracker.go
@@ -108,8 +108,10 @@
 	for _, e := range t.engines {
 		p := t.pools[e.pool]
 		e.decay(now)
-		e.refresh(t.pools[e.pool], now)
-		p.factors, p.engines = p.factors+e.factor, p.engines+1
+		e.refresh(p, now)
+		if e.reported() {
+			p.factors, p.engines = p.factors+e.factor, p.engines+1
+		}
 	}
 	// Factors and curve are only known up to a constant. It is chosen such that the mean factor is 1.
 	for _, p := range t.pools {
@@ -130,7 +132,7 @@
 	}
 	summary := Summary{Mean: p.curve, Slowest: 1, Fastest: 1, LowestLimit: p.limit.share}
 	for _, e := range t.engines {
-		if e.pool == pool {
+		if e.pool == pool && e.reported() {
 			summary.Engines++
 			summary.Slowest, summary.Fastest = max(summary.Slowest, e.factor), min(summary.Fastest, e.factor)
 			summary.LowestLimit = min(summary.LowestLimit, e.limit.share)
