Soak: names of the platform only from platform/platformtest

Cause: the calls beyond the limits were written by hand with two header names, and two comments named a setting and a header, though only platform/ is to know them. Ruled out: the names in other files of the soak (searched for those in platformtest/headers.go; none left). Change: constants of platformtest, and the comments in the project's words. No bytes on the wire differ.

--- a/tools/soak/oversized_call.go
+++ b/tools/soak/oversized_call.go
@@ -25,7 +25,7 @@
 // newOversizedCalls returns one call of each kind.
 func newOversizedCalls(key, id string) []oversizedCall {
 	line := fmt.Sprintf("POST %s1 HTTP/1.1\r\nHost: %s\r\n", platformtest.AtMostOncePrefix, platformtest.RouteHostname)
-	head := line + fmt.Sprintf("Attempt-Id: %s\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer %s\r\n", id, key)
+	head := line + fmt.Sprintf("%s: %s\r\n%s: 15000\r\nAuthorization: Bearer %s\r\n", platformtest.HeaderAttemptID, id, platformtest.HeaderDeadline, key)
 	filler := strings.Repeat("x", oversizedChunk)
 	return []oversizedCall{
 		{name: "head in short lines", begin: head, rest: strings.Repeat("a:b\r\n", oversizedChunk/5)},
--- a/tools/soak/resuming_caller.go
+++ b/tools/soak/resuming_caller.go
@@ -17,7 +17,7 @@
 	resumingCallerCount = 3
 	// resumptionAttempts bounds the attempts at one stream.
 	resumptionAttempts = 8
-	// longestGap is the pause in a stream after which a caller leaves: eight times the route's gap-aim-ms.
+	// longestGap is the pause in a stream after which a caller leaves: eight times the longest pause that its route allows.
 	longestGap = 3200 * time.Millisecond
 	// attemptsPerLostLink is the mean number of attempts until the caller's own link breaks, within the stream.
 	attemptsPerLostLink = 4
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -12,7 +12,7 @@
 	framingCount   = 3 // of streams
 	cutAfterEvents = 7 // events of a stream that is cut within the next one
 	cutBytes       = 9 // bytes of the event within which it is cut
-	// resumptionCount is the number of ways to treat the header Last-Event-Id: to honour it, and to send all events again.
+	// resumptionCount is the number of ways to treat the id of the last event that a request names: to honour it, and to send all events again.
 	resumptionCount = 2
 )
 
