--- /dev/null
+++ b/review/harness2/work.go
@@ -0,0 +1,32 @@
+package main
+
+import "fmt"
+
+// work is what the runners have done on one request, by runner.
+type work map[string]*span
+
+// span is the time in Unix milliseconds from the beginning of a run to the last work on it.
+type span struct{ began, last int64 }
+
+// ran takes a line that a runner has printed.
+func (s *session) ran(runner, line string) {
+	var id, path string
+	var event int
+	var at int64
+	begins := false
+	if n, _ := fmt.Sscanf(line, "work %s %d %d", &id, &event, &at); n != 3 {
+		if n, _ := fmt.Sscanf(line, "run %s %s %d", &id, &path, &at); n != 3 {
+			return
+		}
+		begins = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.work[id] == nil {
+		s.work[id] = work{}
+	}
+	if begins || s.work[id][runner] == nil {
+		s.work[id][runner] = &span{began: at}
+	}
+	s.work[id][runner].last = at
+}
