--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,6 +18,8 @@
 	"call-cut":   playCallCut,
 	"stream-cut": playStreamCut,
 	"two-runs":   playTwoRuns,
+	"deadly":     playDeadly,
+	"hold":       playHold,
 }
 
 func main() {
@@ -39,7 +41,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannotRun)
 	}
+	s.stopEarly()
 	err = play(s)
-	code := s.end(err)
-	os.Exit(code)
+	os.Exit(s.end(err))
 }
