--- a/review/harness2/case_hold.go
+++ b/review/harness2/case_hold.go
@@ -15,7 +15,7 @@
 		events  = 60
 		wave    = 24
 		apart   = 25 * time.Millisecond // between two requests of the wave
-		eachOf  = 3                     // requests of the wave, one has the deadly part
+		eachOf  = 2                     // requests of the wave, one has the deadly part
 		deadly  = "dead5eed"
 		oldPart = "5c1e07a2"
 		newPart = "77aa01c3"
