Review 2, case 8: a generation goes on at its copy while its engine still runs it

Cause: a broken connection counts as the end of an engine's run, and the request goes on at the copy at once.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of the deploy file and review/build-2.sh first" >&2
 	exit 2
 fi
-exec review/bin/harness2 -case two-runs -daemon target/siskintided -record review/8/record.txt
+exec review/bin/harness2 -case lost-answer -daemon target/siskintided -record review/8/record.txt
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -15,11 +15,11 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(*session) error{
-	"call-cut":   playCallCut,
-	"stream-cut": playStreamCut,
-	"two-runs":   playTwoRuns,
-	"deadly":     playDeadly,
-	"hold":       playHold,
+	"call-cut":    playCallCut,
+	"stream-cut":  playStreamCut,
+	"lost-answer": playLostAnswer,
+	"deadly":      playDeadly,
+	"hold":        playHold,
 }
 
 func main() {
--- a/review/harness2/runner.go
+++ b/review/harness2/runner.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,12 +26,9 @@
 	slots      int
 	keepCopies bool   // hold copies of other runners' generations, and resume from them
 	deadlyPart string // part of a prompt under which the runner crashes as it begins to answer; empty for none
-	slowFile   string // while it exists, work takes slowFactor times as long; empty for never
+	loses      int    // per cent of the runs whose answers are lost
 }
 
-// slowFactor is how many times as long the work of a slow runner takes: the default dose of the users' kind "slow".
-const slowFactor = 8
-
 // runner serves requests as PROTOCOL says. It prints a line for each run that begins.
 type runner struct {
 	runnerOptions
@@ -54,7 +52,7 @@
 	flags.DurationVar(&o.work, "work", 30*time.Millisecond, "work time")
 	flags.IntVar(&o.slots, "slots", 6, "requests at once")
 	flags.BoolVar(&o.keepCopies, "copies", false, "hold copies of generations")
-	flags.StringVar(&o.slowFile, "slow-file", "", "the runner is slow while this file exists")
+	flags.IntVar(&o.loses, "loses", 0, "per cent of the runs whose answers are lost")
 	flags.StringVar(&o.deadlyPart, "deadly-part", "", "part of a prompt under which the runner crashes")
 	_ = flags.Parse(arguments)
 	listener, err := net.Listen("tcp", o.listen)
@@ -86,6 +84,8 @@
 	switch {
 	case request.URL.Path == "/health":
 		r.refuse(conn, id, "200 OK", "")
+	case request.URL.Path == "/siskintide/kv-move":
+		r.refuse(conn, id, "503 Service Unavailable", "") // the destination has no room
 	case request.URL.Path == "/siskintide/report":
 		body := `{"stage":"colocated","models":[],"busy":false,"seq":0,"waiting":0,"running":0,"kv-used":0,"kv-total":34463,"handles":0,"state":"ready"}`
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
@@ -185,16 +185,6 @@
 	return false
 }
 
-// workTime returns the time that a piece of work takes now.
-func (r *runner) workTime() time.Duration {
-	if r.slowFile != "" {
-		if _, err := os.Stat(r.slowFile); err == nil {
-			return slowFactor * r.work
-		}
-	}
-	return r.work
-}
-
 // call writes the answer of a call in pieces while it works.
 func (r *runner) call(conn net.Conn, request *http.Request, id string) {
 	if !r.begin(conn, request, id) {
@@ -234,23 +224,40 @@
 			first = last + 1
 		}
 	}
-	if _, err := io.WriteString(conn, r.head(id, "text/event-stream", -1)); err != nil {
+	answer := io.Writer(conn)
+	if r.losesAnswer() {
+		fmt.Printf("lost %s\n", id)
+		resetConnection(conn)
+		answer = io.Discard
+	}
+	if _, err := io.WriteString(answer, r.head(id, "text/event-stream", -1)); err != nil {
 		return
 	}
 	for event := first; event < eventCount(request.Header.Get("Token-Usage")); event++ {
-		time.Sleep(r.workTime())
+		time.Sleep(r.work)
 		fmt.Printf("work %s %d %d\n", id, event, time.Now().UnixMilli())
 		text := streamEvent(id, event)
 		if !r.unframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
-		if _, err := io.WriteString(conn, text); err != nil {
+		if _, err := io.WriteString(answer, text); err != nil {
 			return
 		}
 	}
 	if !r.unframed {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		_, _ = io.WriteString(answer, "0\r\n\r\n")
+	}
+}
+
+// losesAnswer reports whether the answer of a run is lost.
+func (r *runner) losesAnswer() bool { return rand.IntN(100) < r.loses }
+
+// resetConnection closes a connection with a reset.
+func resetConnection(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = conn.Close()
 }
 
 // eventCount returns the number of events of a stream: four tokens each.
--- a/review/harness2/target.go
+++ b/review/harness2/target.go
@@ -61,7 +61,7 @@
 	o := t.options
 	p, err := t.session.start(output, nil, self, "runner", "-listen", o.listen, "-id", o.id, fmt.Sprintf("-engine=%v", o.engine), fmt.Sprintf("-unframed=%v", o.unframed),
 		"-size", fmt.Sprint(o.size), "-pieces", fmt.Sprint(o.pieces), "-work", o.work.String(), "-slots", fmt.Sprint(o.slots),
-		fmt.Sprintf("-copies=%v", o.keepCopies), "-slow-file", o.slowFile, "-deadly-part", o.deadlyPart)
+		fmt.Sprintf("-copies=%v", o.keepCopies), "-deadly-part", o.deadlyPart, "-loses", fmt.Sprint(o.loses))
 	if err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 	reader := bufio.NewReader(file)
 	for {
 		line, err := reader.ReadString('\n')
-		if strings.HasPrefix(line, "run ") {
+		if strings.HasPrefix(line, "run ") || strings.HasPrefix(line, "lost ") {
 			t.session.record.add("%s %s", t.options.id, strings.TrimSpace(line))
 		}
 		t.session.ran(t.options.id, line)
--- a/review/harness2/work.go
+++ b/review/harness2/work.go
@@ -30,3 +30,22 @@
 	}
 	s.work[id][runner].last = at
 }
+
+// mayBoth is the time in milliseconds for which two runners may work on one request.
+const mayBoth = 400
+
+// judgeTwice looks for requests that went on at another runner while the one before still worked on them for longer than allowed.
+func (s *session) judgeTwice() {
+	s.mu.Lock()
+	all := s.work
+	s.mu.Unlock()
+	for id, byRunner := range all {
+		for former, a := range byRunner {
+			for later, b := range byRunner {
+				if both := a.last - b.began; former != later && a.began < b.began && both > mayBoth {
+					s.violate("TWICE: %s: %s still works on the request %d ms after it began at %s", id, former, both, later)
+				}
+			}
+		}
+	}
+}
