--- a/review/harness2/case_call_cut.go
+++ b/review/harness2/case_call_cut.go
@@ -52,19 +52,19 @@
 			}
 		})
 	}
-	time.Sleep(2 * time.Second)
+	<-time.After(2 * time.Second)
 	for n := range crashes {
 		t := targets[n%len(targets)]
 		if s.trouble {
 			t.crash()
 		}
-		time.Sleep(down)
+		<-time.After(down)
 		if s.trouble {
 			if err := t.start(); err != nil {
 				return err
 			}
 		}
-		time.Sleep(up)
+		<-time.After(up)
 	}
 	close(stop)
 	running.Wait()
@@ -86,6 +86,6 @@
 			return nil, err
 		}
 	}
-	time.Sleep(time.Second) // the hosts find each other
+	<-time.After(time.Second) // the hosts find each other
 	return hosts, nil
 }
--- a/review/harness2/case_lost_answer.go
+++ b/review/harness2/case_lost_answer.go
@@ -38,10 +38,10 @@
 			p := prompt{usage: fmt.Sprintf("%d,%d", prompts, events*4), prefix: fmt.Sprintf("5c1e07a2:350,%x:%d", sum(id), prompts-350)}
 			s.ask(hosts[n%len(hosts)].front(), "POST", draftPrefix+"2f", id, 39*time.Second, []byte("{}"), p)
 		})
-		time.Sleep(apart)
+		<-time.After(apart)
 	}
 	running.Wait()
-	time.Sleep(8 * time.Second) // runs whose answers were lost end
+	<-time.After(8 * time.Second) // runs whose answers were lost end
 	s.judgeTwice()
 	return nil
 }
--- a/review/harness2/case_stream_cut.go
+++ b/review/harness2/case_stream_cut.go
@@ -39,7 +39,7 @@
 	var running sync.WaitGroup
 	for n := range streams {
 		running.Go(func() {
-			time.Sleep(time.Duration(n) * 40 * time.Millisecond)
+			<-time.After(time.Duration(n) * 40 * time.Millisecond)
 			id := fmt.Sprintf("5%015x", n)
 			a := s.ask(hosts[n%len(hosts)].front(), "POST", draftPrefix+"2f", id, 39*time.Second, []byte("{}"), usualPrompt(id, events))
 			got := strings.Count(a.body, "\n\n")
@@ -52,18 +52,18 @@
 			}
 		})
 	}
-	time.Sleep(5 * time.Second)
+	<-time.After(5 * time.Second)
 	if s.trouble {
 		proxies[0].cut()
 		targets[0].setCut(true)
 		s.record.add("engine 1 is cut off")
-		time.Sleep(1500 * time.Millisecond)
+		<-time.After(1500 * time.Millisecond)
 		targets[0].crash()
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		if err := targets[0].start(); err != nil {
 			return err
 		}
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		if err := proxies[0].heal(); err != nil {
 			return err
 		}
--- a/review/harness2/proxy.go
+++ b/review/harness2/proxy.go
@@ -97,7 +97,7 @@
 		if listener, err = net.Listen("tcp", p.address); err == nil {
 			break
 		}
-		time.Sleep(20 * time.Millisecond)
+		<-time.After(20 * time.Millisecond)
 	}
 	if err != nil {
 		return err
--- a/review/harness2/target.go
+++ b/review/harness2/target.go
@@ -91,7 +91,7 @@
 		}
 		select {
 		case <-p.exited:
-			time.Sleep(3 * heartbeat)
+			<-time.After(3 * heartbeat)
 			t.mu.Lock()
 			if t.process == p {
 				t.session.store.Delete("servers", t.options.id)
@@ -124,7 +124,7 @@
 		if p.gone() {
 			return
 		}
-		time.Sleep(20 * time.Millisecond)
+		<-time.After(20 * time.Millisecond)
 	}
 }
 
--- a/review/harness2/work.go
+++ b/review/harness2/work.go
@@ -1,13 +1,14 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // work is what the runners have done on one request, by runner.
 type work map[string]*span
 
-// span is the time in Unix milliseconds from the beginning of a run to the last work on it.
-type span struct{ began, last int64 }
-
 // ran takes a line that a runner has printed.
 func (s *session) ran(runner, line string) {
 	var id, path string
@@ -49,3 +50,18 @@
 		}
 	}
 }
+
+// runsAfter counts the runs of requests whose ids have a prefix that began after a time.
+func (s *session) runsAfter(prefix string, after time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for id, byRunner := range s.work {
+		for _, run := range byRunner {
+			if strings.HasPrefix(id, prefix) && run.began > after.UnixMilli() {
+				count++
+			}
+		}
+	}
+	return count
+}
