Fail exchanges whose response has no valid status

What callers saw: a target responded with the status 000, and the caller got a 200 that was read from the body of that response; where the body was not a response, the caller waited until its deadline for a 504. With a status of 600 or more, the caller got that status.

Cause: the gateway takes every status below 200 for that of an informational response and goes on to the next head. http.ReadResponse accepts any three characters that strconv.Atoi turns into a number that is not negative, also "+20" and "-00". 101 was skipped as well, though no request asks for another protocol.

The bytes of a connection are now scanned before they are parsed. A status outside 100 to 599, 101, or a line that does not begin with HTTP/1.x and three digits fails the exchange as other bytes that are no response do: a call that may be repeated goes to another target, any other gets 502 with run unknown, a stream is run again or refused. A check of the parsed status would not do: the parsed number hides signs, and a scan sees each head before the next is read.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/callerlimit"
+	"siskintide.example/siskintide/internal/responsehead"
 )
 
 const (
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
-	head := newHeadLimiter(conn, memory)
+	head := newHeadLimiter(responsehead.NewReader(conn), memory)
 	x := &exchange{address: address, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 	x.detach = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if err := x.roundTrip(request); err != nil {
--- /dev/null
+++ b/internal/gateway/malformed_head_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// headTimeout limits an exchange whose failure must not wait for the end of the request. It is not a check of speed.
+const headTimeout = 20 * time.Second
+
+// openServer responds to each connection with the current response once it has read a header, and keeps the
+// connection open, as for a further request.
+func openServer(t *testing.T, current *string) string {
+	t.Helper()
+	return listen(t, func(conn net.Conn) {
+		buffer, read := make([]byte, 4096), ""
+		for !strings.Contains(read, "\r\n\r\n") {
+			n, err := conn.Read(buffer)
+			if err != nil {
+				return
+			}
+			read += string(buffer[:n])
+		}
+		_, _ = io.WriteString(conn, *current)
+		_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
+	})
+}
+
+// requireMalformed checks that an exchange fails as soon as the head of its response has arrived.
+func requireMalformed(t *testing.T, address, response string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
+	defer cancel()
+	x, err := open(ctx, address, requestTo(address), nil)
+	if err == nil {
+		status := x.response.StatusCode
+		x.close()
+		require.Failf(t, "accepted", "status %d of %q", status, response)
+	}
+	var broken *ExchangeError
+	require.ErrorAs(t, err, &broken, "%q", response)
+	require.Equal(t, phaseRequest, broken.Phase)
+	require.NotErrorIs(t, err, context.DeadlineExceeded, "%q", response)
+}
+
+// TestInvalidStatus guards against a response without a valid status that is skipped as an informational one, so that
+// the response is read from its body or waited for until the deadline, and against one that reaches the caller.
+func TestInvalidStatus(t *testing.T) {
+	var response string
+	address := openServer(t, &response)
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999"} {
+		for name, body := range map[string]string{"text": "ok", "response": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				response = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\n" + body
+				requireMalformed(t, address, response)
+			})
+		}
+	}
+}
+
+// TestValidStatus guards against a check that fails sound responses.
+func TestValidStatus(t *testing.T) {
+	var response string
+	address := openServer(t, &response)
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 500 \xe9", "HTTP/1.1 599 x y"} {
+		for _, end := range []string{"\r\n", "\n"} {
+			response = strings.ReplaceAll("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+line+"\r\nA:b\r\nContent-Length:2\r\nEmpty:\r\n\r\nok", "\r\n", end)
+			x, err := open(context.Background(), address, requestTo(address), nil)
+			require.NoError(t, err, "%q", response)
+			got, err := x.readResponse(ResponseInfo{}, &bufferBudget{})
+			x.close()
+			require.NoError(t, err, "%q", response)
+			require.Equal(t, "ok", string(got.body), "%q", response)
+			require.Equal(t, http.Header{"A": {"b"}, "Content-Length": {"2"}, "Empty": {""}}, got.header)
+		}
+	}
+}
