Fail exchanges whose response has an invalid field name

What callers saw: a 200 with the target's signature and another body than the target's: the chunked encoding of the body, or the rest of the head before it.

Cause: net/http accepts heads that RFC 9112 does not allow. A name with a blank in it, such as "Transfer Encoding", is kept as a field of its own. A line that begins with a blank is added to the value before it. A line feed alone ends a line, so that one before a name ends the head. In each case a field that says where the body ends is overlooked, and the body is read to the end of the connection. All other control bytes in a name failed the exchange before.

The scan of the head now checks each name against the tokens of RFC 9110, refuses continued lines, and refuses lines that end in another way than the status line. A gateway may refuse the latter two by RFC 9112 (2.2, 5.2). Heads whose lines all end with a line feed alone are still accepted. A check of the parsed names would not do: continued lines and the end of the head cannot be told from sound ones after parsing.

--- a/internal/decide/responsescan/phase.go
+++ b/internal/decide/responsescan/phase.go
@@ -5,6 +5,7 @@
 
 const (
 	phaseStatus phase = iota // status line
-	phaseFields              // field lines
+	phaseName                // name of a field, or the empty line at the end of a head
+	phaseValue               // value of a field
 	phaseBody                // after the head of the final response
 )
--- a/internal/decide/responsescan/reason.go
+++ b/internal/decide/responsescan/reason.go
@@ -8,4 +8,13 @@
 	InvalidStatusLine Reason = "invalid status line"
 	// InvalidStatus is used for a status outside 100 to 599, and for a change to a protocol that no request asks for.
 	InvalidStatus Reason = "invalid status"
+	// InvalidFieldName is used for a field whose name is not a token: one that is empty or holds a blank, a control
+	// byte or another byte outside the set of RFC 9110, and a line without a colon.
+	InvalidFieldName Reason = "invalid field name"
+	// ContinuedLine is used for a line that begins with a blank. RFC 9112 lets a gateway refuse such lines; net/http
+	// adds them to the value before, where a field that says how the body ends is overlooked.
+	ContinuedLine Reason = "continued line"
+	// MixedLineEnds is used for a line that ends in another way than the status line. A line feed before the name of
+	// a field would end the head there.
+	MixedLineEnds Reason = "mixed line ends"
 )
--- a/internal/decide/responsescan/scanner.go
+++ b/internal/decide/responsescan/scanner.go
@@ -17,9 +17,11 @@
 // Scanner scans the bytes of one response, and of the informational responses before it. The zero value is at the
 // beginning of the first head.
 type Scanner struct {
-	phase  phase
-	column int // offset in the current line, without carriage returns
-	status int
+	phase   phase
+	column  int // offset in the status line or the name of a field, without carriage returns
+	status  int
+	afterCR bool // the byte before was a carriage return
+	bareLF  bool // the status line ended without a carriage return
 }
 
 // Scan scans bytes that follow those of earlier calls. It returns how many of them are valid, and the reason if that
@@ -38,47 +40,86 @@
 
 // scanByte scans a byte of a head.
 func (s *Scanner) scanByte(b byte) Reason {
-	if s.phase == phaseStatus {
-		if reason := s.scanStatusLine(b); reason != "" {
-			return reason
-		}
+	var reason Reason
+	switch s.phase {
+	case phaseStatus:
+		reason = s.scanStatusLine(b)
+	case phaseName:
+		reason = s.scanName(b)
+	}
+	if reason == "" && b == '\n' {
+		reason = s.endLine()
 	}
+	s.afterCR = b == '\r'
+	return reason
+}
+
+// endLine ends a line. In the name of a field, only the empty line can end.
+func (s *Scanner) endLine() Reason {
 	switch {
-	case b != '\n':
-		if b != '\r' {
-			s.column++
-		}
-	case s.phase == phaseFields && s.column == 0:
+	case s.phase == phaseStatus:
+		s.bareLF = !s.afterCR
+	case s.bareLF == s.afterCR:
+		return MixedLineEnds
+	case s.phase == phaseName:
 		s.endHead()
-	default:
-		s.phase, s.column = phaseFields, 0
+		return ""
+	}
+	s.phase, s.column = phaseName, 0
+	return ""
+}
+
+// scanName checks the next byte of the name of a field, or of an empty line.
+func (s *Scanner) scanName(b byte) Reason {
+	switch {
+	case s.column == 0 && !s.afterCR && (b == ' ' || b == '\t'):
+		return ContinuedLine
+	case s.column == 0 && (b == '\n' || b == '\r' && !s.afterCR):
+		return ""
+	case s.column == 0 && s.afterCR:
+		return InvalidFieldName
+	case s.column > 0 && b == ':':
+		s.phase = phaseValue
+	case !isToken(b):
+		return InvalidFieldName
 	}
+	s.column++
 	return ""
 }
 
+// isToken reports whether a byte may be part of a token, as in the name of a field.
+func isToken(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+}
+
 // scanStatusLine checks the next byte of the status line.
 func (s *Scanner) scanStatusLine(b byte) Reason {
 	switch {
 	case s.column > len(statusForm): // the reason phrase
 		return ""
 	case s.column == len(statusForm):
-		if !strings.ContainsRune(" \r\n", rune(b)) {
+		if b != ' ' && b != '\r' && b != '\n' {
 			return InvalidStatusLine
 		}
-		return ""
 	case statusForm[s.column] != '0':
 		if b != statusForm[s.column] {
 			return InvalidStatusLine
 		}
-		return ""
 	case b < '0' || b > '9':
 		return InvalidStatusLine
-	}
-	if s.column >= statusAt {
+	case s.column >= statusAt:
 		s.status = 10*s.status + int(b-'0')
+		if s.column == len(statusForm)-1 && (s.status < minStatus || s.status > maxStatus || s.status == switchingProtocols) {
+			return InvalidStatus
+		}
 	}
-	if s.column == len(statusForm)-1 && (s.status < minStatus || s.status > maxStatus || s.status == switchingProtocols) {
-		return InvalidStatus
+	if b != '\r' {
+		s.column++
 	}
 	return ""
 }
--- a/internal/decide/responsescan/scanner_test.go
+++ b/internal/decide/responsescan/scanner_test.go
@@ -1,6 +1,9 @@
 package responsescan
 
 import (
+	"bufio"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -63,5 +66,78 @@
 	const final = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
 	const body = "HTTP/1.1 000 \n\n any bytes"
 	requireScan(t, informational+final+body, len(informational+final+body), "")
+	requireScan(t, strings.ReplaceAll(informational+final, "\r", "")+body, len(informational+final+body)-strings.Count(informational+final, "\r"), "")
 	requireScan(t, informational+"HTTP/1.1 000 ", len(informational)+len("HTTP/1.1 00"), InvalidStatus)
 }
+
+func TestFields(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nDate: now\r\n"
+	for _, c := range []struct {
+		fields string
+		valid  int // bytes of the fields
+		reason Reason
+	}{
+		{"A: b\r\nc-D_1:\r\nE:  \t\r\n\r\n", 23, ""},
+		{"Content Length: 2\r\n", 7, InvalidFieldName},
+		{"Content-Length : 2\r\n", 14, InvalidFieldName},
+		{"Content\x00Length: 2\r\n", 7, InvalidFieldName},
+		{"\x7fContent-Length: 2\r\n", 0, InvalidFieldName},
+		{"Caf\xe9: 2\r\n", 3, InvalidFieldName},
+		{"Content-\nLength: 2\r\n", 8, InvalidFieldName},
+		{"Content-\rLength: 2\r\n", 8, InvalidFieldName},
+		{"\rContent-Length: 2\r\n", 1, InvalidFieldName},
+		{"\r\r\n", 1, InvalidFieldName},
+		{": 2\r\n", 0, InvalidFieldName},
+		{"no colon\r\n", 2, InvalidFieldName},
+		{"colon\r\n", 5, InvalidFieldName},
+		{" Content-Length: 2\r\n", 0, ContinuedLine},
+		{"\tContent-Length: 2\r\n", 0, ContinuedLine},
+		{" \r\n", 0, ContinuedLine},
+		{"\nContent-Length: 2\r\n", 0, MixedLineEnds},
+		{"A: b\nContent-Length: 2\r\n", 4, MixedLineEnds},
+	} {
+		requireScan(t, start+c.fields, len(start)+c.valid, c.reason)
+	}
+	requireScan(t, "HTTP/1.1 200 OK\nA: b\r\n", len("HTTP/1.1 200 OK\nA: b\r"), MixedLineEnds)
+	requireScan(t, "HTTP/1.1 200 OK\n\r\n", len("HTTP/1.1 200 OK\n\r"), MixedLineEnds)
+}
+
+// FuzzScanner guards against a scanner that depends on how bytes arrive, that lets the parser see the end of a
+// malformed head, or that accepts a head of which the parser makes invalid fields or an invalid status.
+func FuzzScanner(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.0 200 OK\nA: b\n\nbody",
+		"HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n\nContent-Length: 2\r\n\r\n",
+	} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		valid, reason := scanParts(text, max(len(text), 1))
+		for _, size := range []int{1, 3} {
+			gotValid, gotReason := scanParts(text, size)
+			require.Equal(t, valid, gotValid)
+			require.Equal(t, reason, gotReason)
+		}
+		reader := bufio.NewReader(strings.NewReader(text[:valid]))
+		for {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return
+			}
+			require.GreaterOrEqual(t, response.StatusCode, minStatus)
+			require.LessOrEqual(t, response.StatusCode, maxStatus)
+			for name := range response.Header {
+				require.NotEmpty(t, name)
+				require.Empty(t, strings.Trim(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789!#$%&'*+-.^_`|~"))
+			}
+			if response.StatusCode >= minFinalStatus {
+				require.Empty(t, reason, "the parser has seen a complete head that was refused")
+				return
+			}
+		}
+	})
+}
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,3 +83,30 @@
 		}
 	}
 }
+
+// TestInvalidFieldName guards against a head whose field names hold a blank or a control byte. A field that says where
+// the body ends is overlooked then, and a line feed ends the head in its middle, so that the caller gets another body
+// than the target's.
+func TestInvalidFieldName(t *testing.T) {
+	var response string
+	address := openServer(t, &response)
+	names := []string{"Attempt-Id", "Content-Length", "Transfer-Encoding"}
+	values := []string{"7", "2", "chunked"}
+	invalid := []byte{' ', 0x7f}
+	for b := range byte(' ') {
+		invalid = append(invalid, b)
+	}
+	for i, name := range names {
+		for _, b := range invalid {
+			t.Run(fmt.Sprintf("%s %q", name, b), func(t *testing.T) {
+				for at := range len(name) + 1 {
+					inserted, replaced := name[:at]+string(b)+name[at:], name[:at]+string(b)+name[min(at+1, len(name)):]
+					for _, invalidName := range []string{inserted, replaced} {
+						response = "HTTP/1.1 200 OK\r\nDate: now\r\n" + invalidName + ": " + values[i] + "\r\nResponse-Signature: 1\r\n\r\nok"
+						requireMalformed(t, address, response)
+					}
+				}
+			})
+		}
+	}
+}
