Report malformed heads by their own error

What operators saw: the log named "malformed MIME header: missing colon" for a name with a blank in it, since the reader passed on the bytes before the blank and the parser took them for a line.

The reader now returns nothing of the part in which a head becomes malformed, so the error of the exchange is a *responsehead.MalformedError with its reason. TestInvalidStatus and TestInvalidFieldName require that error, which includes what they checked before: that the exchange does not wait for its deadline.

--- a/internal/decide/responsescan/scanner.go
+++ b/internal/decide/responsescan/scanner.go
@@ -24,18 +24,18 @@
 	bareLF  bool // the status line ended without a carriage return
 }
 
-// Scan scans bytes that follow those of earlier calls. It returns how many of them are valid, and the reason if that
-// is not all of them. The valid bytes complete no malformed head. After a reason the scanner must not be used again.
-func (s *Scanner) Scan(p []byte) (valid int, reason Reason) {
-	for i, b := range p {
+// Scan scans bytes that follow those of earlier calls. It returns a reason if they make a head malformed; the bytes of
+// earlier calls do not complete that head. After a reason the scanner must not be used again.
+func (s *Scanner) Scan(p []byte) Reason {
+	for _, b := range p {
 		if s.phase == phaseBody {
 			break
 		}
 		if reason := s.scanByte(b); reason != "" {
-			return i, reason
+			return reason
 		}
 	}
-	return len(p), ""
+	return ""
 }
 
 // scanByte scans a byte of a head.
--- a/internal/responsehead/reader.go
+++ b/internal/responsehead/reader.go
@@ -7,7 +7,7 @@
 )
 
 // Reader reads one response, and the informational responses before it, from a connection. It returns a
-// *MalformedError in place of the byte at which a head becomes malformed, and from then on.
+// *MalformedError in place of the bytes that make a head malformed, and from then on.
 type Reader struct {
 	source  io.Reader
 	scanner responsescan.Scanner
@@ -23,10 +23,9 @@
 		return 0, r.failure
 	}
 	n, err := r.source.Read(p)
-	valid, reason := r.scanner.Scan(p[:n])
-	if reason == "" {
-		return n, err
+	if reason := r.scanner.Scan(p[:n]); reason != "" {
+		r.failure = &MalformedError{Reason: reason}
+		return 0, r.failure
 	}
-	r.failure = &MalformedError{Reason: reason}
-	return valid, r.failure
+	return n, err
 }
