Fail calls to services whose response has a malformed head

What callers of the product's own daemon saw, where a plain service responded so: with the status 000, a connection that was closed without a response, and 409, in progress, at repetitions of the Idempotency-Key; with 999, that status; with a blank in or before the name of a field, or a line feed before it, a 200 with the chunked encoding of the body.

Cause: service.Client reads responses through net/http's Transport, which accepts the same heads as http.ReadResponse. WriteHeader panics on a status below 100.

responsehead.Transport wraps an http.Transport: it scans the bytes of each connection, as the gateway does, and begins a new head when a request gets the connection. The response before it has been read completely by then. A malformed head is an *AmbiguousError: the caller gets 502, run unknown, and a claimed key keeps that outcome. The transport for services moves from the daemon to the package service, as that for engines is in the package relay.

--- a/internal/callerapi/standin_test.go
+++ b/internal/callerapi/standin_test.go
@@ -162,7 +162,7 @@
 func newBookingServer(t *testing.T, table, booking string) *httptest.Server {
 	t.Helper()
 	rows := platform.NewClient(table, time.Second)
-	transport := &http.Transport{}
+	transport := service.NewTransport()
 	controller := &standInController{addresses: []string{booking}}
 	executor := claims.New(claims.Options{Table: rows, Controller: controller, Clock: clockwork.NewRealClock(), Backoff: time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,7 +90,7 @@
 
 func (d *Daemon) newEffects(session core.SessionID) *effects {
 	client := platform.NewClient(d.settings.PlatformAddress, time.Duration(d.settings.Timing.PlatformCall)).SetCaller(d.settings.Host)
-	engineHTTP, serviceHTTP := &http.Client{Transport: relay.NewTransport()}, newTargetClient()
+	engineHTTP, serviceHTTP := &http.Client{Transport: relay.NewTransport()}, &http.Client{Transport: service.NewTransport()}
 	e := &effects{
 		self:        d.settings.Host,
 		dataCentre:  d.settings.DataCentre,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -16,18 +15,9 @@
 	"siskintide.example/siskintide/internal/settings"
 )
 
-const (
-	// dialTimeout bounds the time to connect to a target, so that a dead one is detected
-	// early.
-	dialTimeout = time.Second
-	// maxIdlePerTarget is enough for the streams that a host usually has open at one target.
-	maxIdlePerTarget = 64
-	// idleConnectionTimeout is the time after which an idle connection is closed.
-	idleConnectionTimeout = 60 * time.Second
-	// readHeaderTimeout bounds the time to read a request header on the peer and admin
-	// listeners.
-	readHeaderTimeout = 5 * time.Second
-)
+// readHeaderTimeout bounds the time to read a request header on the peer and admin
+// listeners.
+const readHeaderTimeout = 5 * time.Second
 
 // newLogger writes JSON lines to standard error, each with the host's name.
 func newLogger(s *settings.Settings) log.Interface {
@@ -38,18 +28,6 @@
 	return logger.WithFields(log.Fields{"host": s.Host, "data_centre": s.DataCentre})
 }
 
-// newTargetClient returns an HTTP client for calls to targets. It has no overall timeout,
-// because streams last as long as their generations.
-func newTargetClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleConnectionTimeout,
-		DisableCompression:  true,
-	}}
-}
-
 // internalServer returns an HTTP server for peers or operators.
 func internalServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
