Fail calls to engines whose response has a malformed head

What callers could see: an engine that responded to a new stream with the status 000 counted as having refused it, and the caller was told that the request had not run, though it may have. A call with that status counted as done, since 000 is below 300. A response with a blank in the name of a field was accepted; by the adapter also as that to a move.

Cause: as for services, net/http's Transport accepts such heads.

The transports for engines now check the heads.

--- a/internal/relay/transport.go
+++ b/internal/relay/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"siskintide.example/siskintide/internal/responsehead"
 )
 
 const (
@@ -22,8 +24,8 @@
 
 // NewTransport returns the transport for streams from engines. It bounds connecting and
 // the wait for a response's header, but not the duration of a stream.
-func NewTransport() *http.Transport {
-	return &http.Transport{
+func NewTransport() *responsehead.Transport {
+	return responsehead.NewTransport(&http.Transport{
 		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		ResponseHeaderTimeout: headerTimeout,
 		MaxIdleConnsPerHost:   idleConnections,
@@ -31,5 +33,5 @@
 		ReadBufferSize:        bufferBytes,
 		WriteBufferSize:       bufferBytes,
 		DisableCompression:    true,
-	}
+	})
 }
