Fail calls to the platform whose response has a malformed head

What hosts made of such a response: a write of the host list with the status 000 counted as done; a transaction with it as not done, though it may have taken effect. A response of the store with a blank in the name Store-Era counted as one of a store that names no era. Callers have not been seen to notice.

Cause: as for services, net/http's Transport accepts such heads.

The adapter's client of the store did refuse the status 000 before, though not as malformed.

A write whose response is malformed may have taken effect.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/responsehead"
 )
 
 const (
@@ -44,7 +45,7 @@
 	return &Client{
 		base:    "http://" + address,
 		timeout: timeout,
-		http:    &http.Client{Transport: transport, CheckRedirect: useLastResponse},
+		http:    &http.Client{Transport: responsehead.NewTransport(transport), CheckRedirect: useLastResponse},
 	}
 }
 
