Fail exchanges whose HTTP/1.0 response names a transfer encoding

What callers saw: for a signed response that says HTTP/1.0 and is sent in chunks, a body with the sizes of the chunks in it.

Cause: http.ReadResponse deletes Transfer-Encoding from a response of HTTP/1.0 and takes the body as it is. RFC 9112 (6.1) has a client treat the framing of such a message as faulty.

Evidence: TestEncodingInOldVersion gets 200 on the former code. Found while looking for the cause of the invalid names: a field that says where the body ends is overlooked by the parser.

The scan of the head refuses the name in a response of HTTP/1.0, for the gateway and for all clients.

--- a/internal/decide/responsescan/scanner.go
+++ b/internal/decide/responsescan/scanner.go
@@ -5,8 +5,11 @@
 const (
 	// statusForm is the form of the beginning of a status line; a 0 stands for any digit.
 	statusForm = "HTTP/1.0 000"
-	// statusAt is the offset of the status in a status line.
+	// minorAt and statusAt are the offsets of the minor version and of the status in a status line.
+	minorAt  = len("HTTP/1.")
 	statusAt = len("HTTP/1.0 ")
+	// encodingName is a name in lower case.
+	encodingName = "transfer-encoding"
 
 	minStatus          = 100
 	minFinalStatus     = 200
@@ -17,11 +20,13 @@
 // Scanner scans the bytes of one response, and of the informational responses before it. The zero value is at the
 // beginning of the first head.
 type Scanner struct {
-	phase   phase
-	column  int // offset in the status line or the name of a field, without carriage returns
-	status  int
-	afterCR bool // the byte before was a carriage return
-	bareLF  bool // the status line ended without a carriage return
+	phase    phase
+	column   int // offset in the status line or the name of a field, without carriage returns
+	status   int
+	old      bool // HTTP/1.0
+	encoding bool // the bytes of the name so far begin encodingName
+	afterCR  bool // the byte before was a carriage return
+	bareLF   bool // the status line ended without a carriage return
 }
 
 // Scan scans bytes that follow those of earlier calls. It returns a reason if they make a head malformed; the bytes of
@@ -79,14 +84,26 @@
 	case s.column == 0 && s.afterCR:
 		return InvalidFieldName
 	case s.column > 0 && b == ':':
+		if s.old && s.encoding && s.column == len(encodingName) {
+			return UnknownEncoding
+		}
 		s.phase = phaseValue
 	case !isToken(b):
 		return InvalidFieldName
 	}
+	s.encoding = (s.column == 0 || s.encoding) && s.column < len(encodingName) && lower(b) == encodingName[s.column]
 	s.column++
 	return ""
 }
 
+// lower returns an upper-case letter in lower case, and any other byte unchanged.
+func lower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
 // isToken reports whether a byte may be part of a token, as in the name of a field.
 func isToken(b byte) bool {
 	switch {
@@ -112,6 +129,8 @@
 		}
 	case b < '0' || b > '9':
 		return InvalidStatusLine
+	case s.column == minorAt:
+		s.old = b == '0'
 	case s.column >= statusAt:
 		s.status = 10*s.status + int(b-'0')
 		if s.column == len(statusForm)-1 && (s.status < minStatus || s.status > maxStatus || s.status == switchingProtocols) {
--- a/internal/decide/responsescan/scanner_test.go
+++ b/internal/decide/responsescan/scanner_test.go
@@ -94,6 +94,12 @@
 	} {
 		requireScan(t, start+c.fields, len(start)+c.valid, c.reason)
 	}
+	for name, reason := range map[string]Reason{"Transfer-Encoding": UnknownEncoding, "transfer-ENCODING": UnknownEncoding, "Transfer-Encodin": "", "Transfer-Encodings": "", "X-Transfer-Encoding": ""} {
+		_, got := scanParts("HTTP/1.0 200 OK\r\n"+name+": chunked\r\n\r\n", 1)
+		require.Equal(t, reason, got, "%q", name)
+		_, got = scanParts("HTTP/1.1 200 OK\r\n"+name+": chunked\r\n\r\n", 1)
+		require.Empty(t, got, "%q", name)
+	}
 	requireScan(t, "HTTP/1.1 200 OK\nA: b\r\n", len("HTTP/1.1 200 OK\nA: b\r"), MixedLineEnds)
 	requireScan(t, "HTTP/1.1 200 OK\n\r\n", len("HTTP/1.1 200 OK\n\r"), MixedLineEnds)
 }
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -113,3 +113,14 @@
 		}
 	}
 }
+
+// TestEncodingInOldVersion guards against a body that holds the sizes of its chunks, where the parser overlooks the
+// Transfer-Encoding of a response that says HTTP/1.0.
+func TestEncodingInOldVersion(t *testing.T) {
+	var response string
+	address := openServer(t, &response)
+	for _, length := range []string{"", "Content-Length: 12\r\n"} {
+		response = "HTTP/1.0 200 OK\r\n" + length + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		requireMalformed(t, address, response)
+	}
+}
