--- a/internal/decide/responsescan/scanner.go
+++ b/internal/decide/responsescan/scanner.go
@@ -20,13 +20,13 @@
 // Scanner scans the bytes of one response, and of the informational responses before it. The zero value is at the
 // beginning of the first head.
 type Scanner struct {
-	phase    phase
-	column   int // offset in the status line or the name of a field, without carriage returns
-	status   int
-	old      bool // HTTP/1.0
-	encoding bool // the bytes of the name so far begin encodingName
-	afterCR  bool // the byte before was a carriage return
-	bareLF   bool // the status line ended without a carriage return
+	phase      phase
+	column     int // offset in the status line or the name of a field, without carriage returns
+	status     int
+	isHTTP10   bool
+	isEncoding bool // the bytes of the name so far begin encodingName
+	afterCR    bool // the byte before was a carriage return
+	bareLF     bool // the status line ended without a carriage return
 }
 
 // Scan scans bytes that follow those of earlier calls. It returns a reason if they make a head malformed; the bytes of
@@ -59,14 +59,15 @@
 	return reason
 }
 
-// endLine ends a line. In the name of a field, only the empty line can end.
+// endLine ends a line. Only an empty line can end where a name is due.
 func (s *Scanner) endLine() Reason {
-	switch {
-	case s.phase == phaseStatus:
+	if s.phase == phaseStatus {
 		s.bareLF = !s.afterCR
-	case s.bareLF == s.afterCR:
+	}
+	if s.bareLF == s.afterCR {
 		return MixedLineEnds
-	case s.phase == phaseName:
+	}
+	if s.phase == phaseName {
 		s.endHead()
 		return ""
 	}
@@ -76,26 +77,36 @@
 
 // scanName checks the next byte of the name of a field, or of an empty line.
 func (s *Scanner) scanName(b byte) Reason {
-	switch {
-	case s.column == 0 && !s.afterCR && (b == ' ' || b == '\t'):
-		return ContinuedLine
-	case s.column == 0 && (b == '\n' || b == '\r' && !s.afterCR):
-		return ""
-	case s.column == 0 && s.afterCR:
-		return InvalidFieldName
-	case s.column > 0 && b == ':':
-		if s.old && s.encoding && s.column == len(encodingName) {
-			return UnknownEncoding
+	if s.column == 0 {
+		switch {
+		case b == '\n', b == '\r' && !s.afterCR:
+			return "" // an empty line, if no other byte follows
+		case s.afterCR:
+			return InvalidFieldName
+		case b == ' ', b == '\t':
+			return ContinuedLine
 		}
-		s.phase = phaseValue
+	}
+	switch {
+	case b == ':' && s.column > 0:
+		return s.endName()
 	case !isToken(b):
 		return InvalidFieldName
 	}
-	s.encoding = (s.column == 0 || s.encoding) && s.column < len(encodingName) && lower(b) == encodingName[s.column]
+	s.isEncoding = (s.column == 0 || s.isEncoding) && s.column < len(encodingName) && lower(b) == encodingName[s.column]
 	s.column++
 	return ""
 }
 
+// endName ends the name of a field.
+func (s *Scanner) endName() Reason {
+	if s.isHTTP10 && s.isEncoding && s.column == len(encodingName) {
+		return UnknownEncoding
+	}
+	s.phase = phaseValue
+	return ""
+}
+
 // lower returns an upper-case letter in lower case, and any other byte unchanged.
 func lower(b byte) byte {
 	if b >= 'A' && b <= 'Z' {
@@ -130,7 +141,7 @@
 	case b < '0' || b > '9':
 		return InvalidStatusLine
 	case s.column == minorAt:
-		s.old = b == '0'
+		s.isHTTP10 = b == '0'
 	case s.column >= statusAt:
 		s.status = 10*s.status + int(b-'0')
 		if s.column == len(statusForm)-1 && (s.status < minStatus || s.status > maxStatus || s.status == switchingProtocols) {
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,57 +11,49 @@
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/responsehead"
+	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
 // headTimeout limits an exchange whose failure must not wait for the end of the request. It is not a check of speed.
 const headTimeout = 20 * time.Second
 
-// openServer responds to each connection with the current response once it has read a header, and keeps the
-// connection open, as for a further request.
-func openServer(t *testing.T, current *string) string {
+// respond starts a stand-in that sends the given responses in order and keeps their connections open.
+func respond(t *testing.T, responses ...string) string {
 	t.Helper()
-	return listen(t, func(conn net.Conn) {
-		buffer, read := make([]byte, 4096), ""
-		for !strings.Contains(read, "\r\n\r\n") {
-			n, err := conn.Read(buffer)
-			if err != nil {
-				return
-			}
-			read += string(buffer[:n])
-		}
-		_, _ = io.WriteString(conn, *current)
-		_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
-	})
+	server, err := rawhttp.Start(responses...)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
-// requireMalformed checks that an exchange fails as soon as the head of its response has arrived.
-func requireMalformed(t *testing.T, address, response string) {
+// requireMalformed checks that exchanges fail as soon as the heads of their responses have arrived.
+func requireMalformed(t *testing.T, responses ...string) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
-	defer cancel()
-	x, err := open(ctx, address, requestTo(address), nil)
-	if err == nil {
-		status := x.response.StatusCode
-		x.close()
-		require.Failf(t, "accepted", "status %d of %q", status, response)
+	address := respond(t, responses...)
+	for _, response := range responses {
+		ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
+		x, err := open(ctx, address, requestTo(address), nil)
+		cancel()
+		if err == nil {
+			status := x.response.StatusCode
+			x.close()
+			require.Failf(t, "accepted", "status %d of %q", status, response)
+		}
+		var broken *ExchangeError
+		require.ErrorAs(t, err, &broken, "%q", response)
+		require.Equal(t, phaseRequest, broken.Phase)
+		var malformed *responsehead.MalformedError
+		require.ErrorAs(t, err, &malformed, "%q", response)
 	}
-	var broken *ExchangeError
-	require.ErrorAs(t, err, &broken, "%q", response)
-	require.Equal(t, phaseRequest, broken.Phase)
-	var malformed *responsehead.MalformedError
-	require.ErrorAs(t, err, &malformed, "%q", response)
 }
 
 // TestInvalidStatus guards against a response without a valid status that is skipped as an informational one, so that
 // the response is read from its body or waited for until the deadline, and against one that reaches the caller.
 func TestInvalidStatus(t *testing.T) {
-	var response string
-	address := openServer(t, &response)
 	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999"} {
 		for name, body := range map[string]string{"text": "ok", "response": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"} {
 			t.Run(status+" "+name, func(t *testing.T) {
-				response = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\n" + body
-				requireMalformed(t, address, response)
+				requireMalformed(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n"+body)
 			})
 		}
 	}
@@ -71,11 +61,10 @@
 
 // TestValidStatus guards against a check that fails sound responses.
 func TestValidStatus(t *testing.T) {
-	var response string
-	address := openServer(t, &response)
 	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 500 \xe9", "HTTP/1.1 599 x y"} {
 		for _, end := range []string{"\r\n", "\n"} {
-			response = strings.ReplaceAll("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+line+"\r\nA:b\r\nContent-Length:2\r\nEmpty:\r\n\r\nok", "\r\n", end)
+			response := strings.ReplaceAll("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+line+"\r\nA:b\r\nContent-Length:2\r\nEmpty:\r\n\r\nok", "\r\n", end)
+			address := respond(t, response)
 			x, err := open(context.Background(), address, requestTo(address), nil)
 			require.NoError(t, err, "%q", response)
 			got, err := x.readResponse(ResponseInfo{}, &bufferBudget{})
@@ -91,8 +80,6 @@
 // the body ends is overlooked then, and a line feed ends the head in its middle, so that the caller gets another body
 // than the target's.
 func TestInvalidFieldName(t *testing.T) {
-	var response string
-	address := openServer(t, &response)
 	names := []string{"Attempt-Id", "Content-Length", "Transfer-Encoding"}
 	values := []string{"7", "2", "chunked"}
 	invalid := []byte{' ', 0x7f}
@@ -102,13 +89,14 @@
 	for i, name := range names {
 		for _, b := range invalid {
 			t.Run(fmt.Sprintf("%s %q", name, b), func(t *testing.T) {
+				var responses []string
 				for at := range len(name) + 1 {
 					inserted, replaced := name[:at]+string(b)+name[at:], name[:at]+string(b)+name[min(at+1, len(name)):]
 					for _, invalidName := range []string{inserted, replaced} {
-						response = "HTTP/1.1 200 OK\r\nDate: now\r\n" + invalidName + ": " + values[i] + "\r\nResponse-Signature: 1\r\n\r\nok"
-						requireMalformed(t, address, response)
+						responses = append(responses, "HTTP/1.1 200 OK\r\nDate: now\r\n"+invalidName+": "+values[i]+"\r\nResponse-Signature: 1\r\n\r\nok")
 					}
 				}
+				requireMalformed(t, responses...)
 			})
 		}
 	}
@@ -117,10 +105,7 @@
 // TestEncodingInOldVersion guards against a body that holds the sizes of its chunks, where the parser overlooks the
 // Transfer-Encoding of a response that says HTTP/1.0.
 func TestEncodingInOldVersion(t *testing.T) {
-	var response string
-	address := openServer(t, &response)
 	for _, length := range []string{"", "Content-Length: 12\r\n"} {
-		response = "HTTP/1.0 200 OK\r\n" + length + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
-		requireMalformed(t, address, response)
+		requireMalformed(t, "HTTP/1.0 200 OK\r\n"+length+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
 	}
 }
--- a/internal/platform/malformed_response_test.go
+++ b/internal/platform/malformed_response_test.go
@@ -12,10 +12,7 @@
 // TestMalformedResponse guards against a write that counts as done, or as not done, after a response with a malformed
 // head: neither is known.
 func TestMalformedResponse(t *testing.T) {
-	for name, response := range map[string]string{
-		"status 000":    "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
-		"blank in name": "HTTP/1.1 200 OK\r\nX Trace: 1\r\nContent-Length: 2\r\n\r\n{}",
-	} {
+	for name, response := range rawhttp.MalformedResponses() {
 		t.Run(name, func(t *testing.T) {
 			server, err := rawhttp.Start(response)
 			require.NoError(t, err)
--- a/internal/relay/malformed_response_test.go
+++ b/internal/relay/malformed_response_test.go
@@ -14,10 +14,7 @@
 // TestMalformedEngineResponse guards against an engine's response with a malformed head that is taken for a refusal,
 // so that the request is said not to have run, or for the success of a call.
 func TestMalformedEngineResponse(t *testing.T) {
-	for name, response := range map[string]string{
-		"status 000":    "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
-		"blank in name": "HTTP/1.1 200 OK\r\nX Trace: 1\r\nContent-Length: 2\r\n\r\n{}",
-	} {
+	for name, response := range rawhttp.MalformedResponses() {
 		t.Run(name, func(t *testing.T) {
 			server, err := rawhttp.Start(response)
 			require.NoError(t, err)
