Streams: a lost connection is not the end of a run

Cause: failover.Stream took the end of the connection for the end of the run, in three places: a switch to the copy, a request that is sent again to another engine (resumable streams), and the return to the former engine after a switch whose answer was lost. A target may run what it was sent after it has lost the connection, and a process that lives can say so.

Ruled out: a second send of the request by the caller or another host (one send in the record); the engine's missing report (its runs are some hundred ms old, and the case's engine does not name them); a late close by the host (the engine resets first).

Fix: a run is open from the failure of its exchange until it is known to have ended. Before the generation goes on anywhere, the engine is asked to stop it (the move with "last", whose destination is the engine with the copy). It goes on if the engine does not run it (404), has stopped it (200, 503 with a handle), refuses connections, or leaves three requests unanswered: a process that got one of them stops the run, and one that has ended runs nothing. It is given up after five requests if the engine answers that it does not stop the run; then the caller gets 502 or a broken connection. If the memory has moved, the stream goes on from it, unless what was sent was not sound. A run whose response was complete, or whose engine refuses connections, is not asked about. Pools whose engines cannot move memory cannot be asked; for them nothing changes.

Cost: one exchange with the engine before a switch after a failure; none for a sound stream.

--- /dev/null
+++ b/internal/decide/failover/open_runs.go
@@ -0,0 +1,61 @@
+package failover
+
+import "time"
+
+const (
+	// maxRunStops bounds the requests to stop one run. The generation is given up if the engine refuses all.
+	maxRunStops = 5
+	// maxUnansweredStops is the number of such requests without an answer after which the run counts as stopped:
+	// a process that has got one of them stops the run, and a process that has ended runs nothing.
+	maxUnansweredStops = 3
+	// stopRetryDelay is the wait after a request to stop a run that had no effect, or that was not answered.
+	stopRetryDelay = 100 * time.Millisecond
+)
+
+// openRuns are the runs of a generation that may go on at engines whose connections have ended.
+type openRuns struct {
+	current    bool // at the engine that the generation has last run at
+	failedNext bool // at the engine of the last switch, which failed
+	requests   int  // to stop the run that is stopped first
+	unanswered int  // of them
+	retryAt    time.Duration
+}
+
+// any reports whether there is such a run.
+func (r *openRuns) any() bool { return r.current || r.failedNext }
+
+// next returns the step that stops the first run.
+func (r *openRuns) next(now time.Duration) Step {
+	switch {
+	case r.requests >= maxRunStops:
+		return Step{Kind: GiveUp}
+	case now < r.retryAt:
+		return Step{Kind: Wait, At: r.retryAt}
+	case r.failedNext:
+		return Step{Kind: StopFailedSwitch}
+	default:
+		return Step{Kind: StopLostRun}
+	}
+}
+
+// record records the result of a request to stop the first run.
+func (r *openRuns) record(result Result, now time.Duration) {
+	r.requests++
+	if result == InProgress {
+		result = NotDone
+		if r.unanswered > 0 { // the step is a stop that was not answered
+			result = Unknown
+		}
+	}
+	if result == Unknown {
+		r.unanswered++
+	}
+	switch {
+	case result == NotDone, result == Unknown && r.unanswered < maxUnansweredStops:
+		r.retryAt = now + stopRetryDelay
+	case r.failedNext:
+		*r = openRuns{current: r.current}
+	default:
+		*r = openRuns{}
+	}
+}
--- /dev/null
+++ b/internal/decide/failover/open_runs_test.go
@@ -0,0 +1,179 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// loseConnection records the end of the connection to an engine that may still run the generation.
+func loseConnection(s *Stream) {
+	s.RecordDisconnect()
+	s.RecordOpenRun()
+}
+
+// TestLostRunIsStoppedFirst guards against a generation that goes on at another engine, while its former engine,
+// whose connection has ended, still runs it.
+func TestLostRunIsStoppedFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		canMove, copied, resumable bool
+		results                    []Result // of the requests to stop the run
+		want                       StepKind
+	}{
+		"moved to the copy":            {true, true, false, []Result{Done}, SwitchToCopy},
+		"not running":                  {true, true, false, []Result{StoppedOnly}, SwitchToCopy},
+		"not running, resumable":       {true, false, true, []Result{StoppedOnly}, Rerun},
+		"moved, resumable":             {true, false, true, []Result{Done}, SwitchToMoved},
+		"nowhere to go on":             {true, false, false, nil, GiveUp},
+		"no answer, then stopped":      {true, true, false, []Result{Unknown, Unknown, StoppedOnly}, SwitchToCopy},
+		"no answer":                    {true, true, false, []Result{Unknown, Unknown, Unknown}, SwitchToCopy},
+		"no answer, then in progress":  {true, true, false, []Result{Unknown, InProgress, InProgress}, SwitchToCopy},
+		"refused":                      {true, true, false, []Result{NotDone, NotDone, NotDone, NotDone, NotDone}, GiveUp},
+		"refused, resumable":           {true, false, true, []Result{NotDone, NotDone, NotDone, NotDone, NotDone}, GiveUp},
+		"refused, then stopped":        {true, true, false, []Result{NotDone, NotDone, StoppedOnly}, SwitchToCopy},
+		"another move is in progress":  {true, true, false, []Result{InProgress, InProgress, InProgress, InProgress, InProgress}, GiveUp},
+		"engine cannot be asked":       {false, true, false, nil, SwitchToCopy},
+		"stops and refusals by turns":  {true, true, false, []Result{Unknown, NotDone, Unknown, NotDone, NotDone}, GiveUp},
+		"refused, then no answer left": {true, true, false, []Result{NotDone, NotDone, NotDone, Unknown, Unknown}, GiveUp},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream := New(timing, c.canMove, c.copied, 0)
+			if c.resumable {
+				stream.UseReruns(NewReruns(2))
+			}
+			loseConnection(stream)
+			var now time.Duration
+			for _, result := range c.results {
+				require.Equal(t, Step{Kind: StopLostRun}, stream.Next(now))
+				require.Equal(t, Step{Kind: Wait}, stream.Next(now), "while the request is pending")
+				stream.RecordRunStop(result, now)
+				if step := stream.Next(now); step.Kind == Wait {
+					require.Equal(t, now+stopRetryDelay, step.At)
+					now = step.At
+				} else {
+					require.Equal(t, c.want, step.Kind)
+					return
+				}
+			}
+			require.Equal(t, c.want, stream.Next(now).Kind)
+		})
+	}
+}
+
+// TestFailedSwitchIsStoppedFirst guards against a generation that returns to its former engine, while the engine that
+// took over and did not answer still runs it.
+func TestFailedSwitchIsStoppedFirst(t *testing.T) {
+	stream := New(timing, true, true, 0)
+	stream.RecordEvent(0)
+	require.Equal(t, SwitchToCopy, stream.Next(timing.SilenceTimeout).Kind)
+	stream.RecordSwitch(Unknown, false, 0)
+	stream.RecordOpenSwitch()
+	require.Equal(t, StopFailedSwitch, stream.Next(0).Kind)
+	loseConnection(stream) // the former engine fails too
+	stream.RecordRunStop(Done, 0)
+	require.Equal(t, GiveUp, stream.Next(0).Kind, "the memory of the failed switch is not used")
+
+	stream = New(timing, true, true, 0)
+	stream.RecordEvent(0)
+	stream.Next(timing.SilenceTimeout)
+	stream.RecordSwitch(Unknown, false, 0)
+	stream.RecordOpenSwitch()
+	for range maxRunStops {
+		require.Equal(t, StopFailedSwitch, stream.Next(time.Hour).Kind)
+		stream.RecordRunStop(NotDone, 0)
+	}
+	require.Equal(t, GiveUp, stream.Next(time.Hour).Kind, "two engines would run it")
+}
+
+// TestStopByMoveIsEnough guards against a second request to stop a generation that a move has stopped: the engine
+// closes its connection before the move ends.
+func TestStopByMoveIsEnough(t *testing.T) {
+	for result, want := range map[Result]StepKind{Done: SwitchToMoved, StoppedOnly: Rerun, Unknown: StopLostRun, NotDone: StopLostRun} {
+		stream := New(timing, true, false, 0)
+		stream.UseReruns(NewReruns(2))
+		stream.RecordEvent(0)
+		stream.RecordLeaving(0)
+		now := stepUntil(t, stream, StopAndCopyMemory, 0)
+		loseConnection(stream)
+		require.Equal(t, Wait, stream.Next(now).Kind)
+		stream.RecordMove(result, 0, now)
+		require.Equal(t, want, stream.Next(now).Kind, "result %d", result)
+	}
+}
+
+// For any sequence of events, a generation goes on at another engine only if no engine whose connection has ended may
+// still run it, and a stop is requested a limited number of times.
+func TestGenerationGoesOnAfterOpenRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := New(timing, true, rapid.Bool().Draw(t, "copied"), 0)
+		stream.UseReruns(NewReruns(rapid.IntRange(0, 3).Draw(t, "runs")))
+		var now time.Duration
+		current, failedNext := false, false // may run at these engines
+		unanswered, requests := 0, 0
+		stopped := false // the current engine has stopped the generation
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				stream.RecordEvent(now)
+			case 1:
+				stream.RecordLeaving(now)
+			case 2:
+				loseConnection(stream)
+				current = !stopped
+			}
+			step := stream.Next(now)
+			result := Result(rapid.IntRange(int(Done), int(InProgress)).Draw(t, "result"))
+			switch step.Kind {
+			case GiveUp, Finish:
+				return
+			case Wait:
+				continue
+			case StopLostRun, StopFailedSwitch:
+				require.True(t, step.Kind == StopLostRun && current || step.Kind == StopFailedSwitch && failedNext)
+				requests++
+				require.LessOrEqual(t, requests, maxRunStops)
+				if result == Unknown || result == InProgress && unanswered > 0 {
+					unanswered++
+				}
+				if result == Done || result == StoppedOnly || unanswered == maxUnansweredStops {
+					requests, unanswered = 0, 0
+					if step.Kind == StopLostRun {
+						current, stopped = false, stopped || result == Done && !stream.HasCopy()
+					} else {
+						failedNext = false
+					}
+				}
+				stream.RecordRunStop(result, now)
+			case PrecopyMemory, StopAndCopyMemory:
+				if result == InProgress {
+					result = NotDone
+				}
+				stream.RecordMove(result, 0, now)
+				if step.Kind == StopAndCopyMemory && (result == Done || result == StoppedOnly) {
+					current, stopped = false, true
+				}
+			default:
+				require.False(t, current || failedNext, "goes on while another engine may run it")
+				if step.Kind == Rerun {
+					return
+				}
+				if result == InProgress {
+					result = NotDone
+				}
+				stream.RecordSwitch(result, rapid.Bool().Draw(t, "next copy"), now)
+				switch result {
+				case Done:
+					stopped = false
+				case Unknown:
+					stream.RecordOpenSwitch()
+					failedNext, stopped = true, false
+				default:
+					stopped = false
+				}
+			}
+		}
+	})
+}
--- a/internal/decide/failover/result.go
+++ b/internal/decide/failover/result.go
@@ -10,6 +10,8 @@
 	NotDone
 	// Unknown means that no answer arrived, so the step may or may not have had its effect.
 	Unknown
-	// StoppedOnly means that StopAndCopyMemory has stopped the generation, but not moved its memory.
+	// StoppedOnly means that the engine does not run the generation any more, and that its memory has not been moved.
 	StoppedOnly
+	// InProgress means that the engine still carries out an earlier step.
+	InProgress
 )
--- a/internal/decide/failover/step_kind.go
+++ b/internal/decide/failover/step_kind.go
@@ -14,6 +14,10 @@
 	StopAndCopyMemory
 	// SwitchToMoved continues the generation on the engine that its memory was moved to.
 	SwitchToMoved
+	// StopLostRun asks the engine whose connection has ended to stop the generation.
+	StopLostRun
+	// StopFailedSwitch asks the engine that failed to go on with the generation to stop it.
+	StopFailedSwitch
 	// Rerun sends the request to another engine, which goes on after the last event that was passed on.
 	Rerun
 	// GiveUp means that the generation is lost.
--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -32,6 +32,7 @@
 	ended        bool          // the engine's response has ended in order while its stop was pending
 	endMarked    bool          // a length or a last chunk marked that end
 	finished     bool          // the generation has ended by itself
+	open         openRuns      // engines whose connections have ended, and which may still run the generation
 	pending      StepKind      // step whose result has not been recorded; zero if none
 	leavingSince time.Duration // notice that the engine is leaving
 	lastEvent    time.Duration
@@ -119,6 +120,8 @@
 		return Step{Kind: Wait}
 	case s.finished:
 		return Step{Kind: Finish}
+	case s.open.any() && s.goesOn():
+		return s.open.next(now)
 	case s.memoryMoved && s.destinationGone(now):
 		return s.lost()
 	case s.memoryMoved:
@@ -140,6 +143,11 @@
 	}
 }
 
+// goesOn reports whether the generation runs at its engine, or would go on at another one.
+func (s *Stream) goesOn() bool {
+	return !s.disconnected || s.copied || s.memoryMoved || s.reruns.Allowed()
+}
+
 // lost returns the step after the generation is lost. No engine works on it any more.
 func (s *Stream) lost() Step {
 	if s.reruns.Allowed() {
@@ -180,6 +188,7 @@
 		return
 	}
 	s.switches++
+	s.open = openRuns{}
 	s.copied, s.started, s.disconnected, s.leaving, s.precopied, s.linksFree = copied, false, false, false, false, false
 	s.stop, s.ended = notStopped, false
 	s.moves, s.retryMoveAt, s.lastEvent = 0, 0, now
--- a/internal/decide/failover/stream_move.go
+++ b/internal/decide/failover/stream_move.go
@@ -33,7 +33,7 @@
 		s.linksFree = s.precopied && took <= s.timing.FastPrecopy
 		s.precopied = true
 	case step == StopAndCopyMemory && result == Done:
-		s.memoryMoved = true
+		s.memoryMoved, s.open.current = true, false
 	default:
 		s.precopied, s.linksFree = false, false // the next attempt chooses another engine
 		s.moves++
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -1,5 +1,33 @@
 package failover
 
+import "time"
+
+// RecordOpenRun records that the engine whose connection has ended may still run the generation. Engines that cannot
+// move memory cannot be asked to stop a generation either; for them, the end of the connection counts as that of the run.
+func (s *Stream) RecordOpenRun() {
+	s.open.current = s.canMove && !s.memoryMoved && s.stop != stopped
+}
+
+// RecordOpenSwitch records that the engine of the failed switch may have gone on with the generation, and may still
+// run it.
+func (s *Stream) RecordOpenSwitch() { s.open.failedNext = s.canMove }
+
+// RecordRunStop records the result of StopLostRun or StopFailedSwitch: Done if the generation has been stopped and its
+// memory moved, StoppedOnly if the engine does not run it any more, Unknown if the engine did not answer.
+func (s *Stream) RecordRunStop(result Result, now time.Duration) {
+	step := s.pending
+	s.pending = 0
+	s.open.record(result, now)
+	if step == StopLostRun && result == Done {
+		s.memoryMoved = !s.copied
+	}
+}
+
+// MayRunOn reports whether the engine that the generation has last run at may still run it.
+func (s *Stream) MayRunOn() bool {
+	return !s.memoryMoved && s.stop != stopped && (!s.disconnected || s.open.current)
+}
+
 // StopRequested reports whether the engine has been asked to stop the generation.
 func (s *Stream) StopRequested() bool {
 	return s.pending == StopAndCopyMemory || s.memoryMoved || s.stop != notStopped
@@ -23,13 +51,16 @@
 func (s *Stream) settleEnd(marked bool) {
 	s.finished = s.stop == notStopped || s.stop == maybeStopped && marked
 	s.disconnected = s.disconnected || !s.finished
+	if s.disconnected {
+		s.RecordOpenRun()
+	}
 }
 
 // recordFailedStop records that the generation's memory has not been moved after StopAndCopyMemory.
 func (s *Stream) recordFailedStop(result Result) {
 	switch result {
 	case StoppedOnly:
-		s.stop = stopped
+		s.stop, s.open.current = stopped, false
 	case Unknown:
 		s.stop = max(s.stop, maybeStopped)
 	}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -173,6 +173,10 @@
 	s.checkCallersID(cause)
 	s.current.stop()
 	s.failover.RecordDisconnect()
+	if mayRunOn(cause) {
+		s.failover.RecordOpenRun()
+	}
+	s.current.unsound = failed == nil
 	return false
 }
 
@@ -204,7 +208,11 @@
 	default:
 		s.recordCrash(s.next.assignment.Target.Target, message.err)
 		var unsent *UnsentError
+		s.failedSwitch = s.next.assignment.Target
 		s.revertSwitch(errors.As(message.err, &unsent), placement.Unreachable, message.err.Error())
+		if mayRunOn(message.err) {
+			s.failover.RecordOpenSwitch()
+		}
 	}
 	return false
 }
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// takeCopyHandle returns the handle of the memory that the engine with the copy has: that of a stopped generation if it
+// has been moved there, otherwise that of the copy.
+func (s *streamRelay) takeCopyHandle(holder placement.Candidate) KVHandle {
+	if s.handle.ID == "" {
+		return KVHandle{Address: holder.Address, ID: s.request.ID}
+	}
+	moved := s.handle
+	s.handle = KVHandle{} // a handle can be used only once
+	return moved
+}
+
 // releaseMove releases the capacity reserved for a move and frees the KV cache that was
 // moved there.
 func (s *streamRelay) releaseMove() {
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -31,6 +31,8 @@
 	reports            failover.ReportSchedule
 	reportResults      chan reportResult
 	moveResults        chan moveResult
+	runStopResults     chan runStopResult
+	failedSwitch       placement.Candidate     // engine that last failed to go on with the generation
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
 	handle             KVHandle                // of the moved KV cache
@@ -59,6 +61,7 @@
 		ctx:                ctx,
 		responseController: http.NewResponseController(h.w),
 		moveResults:        make(chan moveResult, 1),
+		runStopResults:     make(chan runStopResult, 1),
 		reportResults:      make(chan reportResult, 1),
 		pace:               streamPace{goal: h.gapGoal()},
 	}
@@ -114,10 +117,12 @@
 	if s.moveAssignment != nil && !view.Usable(s.moveAssignment.Target.Target) {
 		s.failover.RecordDestinationLeaving(s.now())
 	}
-	switch s.failover.Next(s.now()).Kind {
+	switch step := s.failover.Next(s.now()); step.Kind {
+	case failover.StopLostRun, failover.StopFailedSwitch:
+		s.startRunStop(step.Kind)
 	case failover.SwitchToCopy:
-		assignment := s.current.assignment
-		s.switchTo(assignment.Copy, KVHandle{Address: assignment.Copy.Address, ID: s.request.ID}, nil)
+		copied := s.current.assignment.Copy
+		s.switchTo(copied, s.takeCopyHandle(copied), nil)
 	case failover.SwitchToMoved:
 		handle := s.handle
 		s.handle = KVHandle{} // a handle can be used only once
@@ -179,9 +184,10 @@
 // request, and handles it. It reports whether the request is finished.
 func (s *streamRelay) awaitEvent(view *edgecontrol.View) bool {
 	var current, next chan upstreamMessage
-	if s.next != nil {
+	switch {
+	case s.next != nil:
 		next = s.next.messages
-	} else {
+	case !s.current.stopped:
 		current = s.current.messages
 	}
 	registryAge, _ := view.RegistryProof.Age(s.now())
@@ -195,6 +201,8 @@
 		return s.handleNextMessage(message)
 	case moved := <-s.moveResults:
 		s.handleMove(moved)
+	case stop := <-s.runStopResults:
+		s.handleRunStop(stop)
 	case reported := <-s.reportResults:
 		s.handleReport(reported)
 	case <-view.Changed:
@@ -205,6 +213,7 @@
 		if s.next != nil && s.now() >= s.overlapDeadline {
 			s.current.stop()
 			s.failover.RecordDisconnect()
+			s.failover.RecordOpenRun()
 		}
 	case <-s.ctx.Done():
 		s.endEarly()
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -25,6 +25,8 @@
 	destinationGrace = 600 * time.Millisecond
 	// freeTimeout bounds the call that frees a moved KV cache.
 	freeTimeout = time.Second
+	// runStopTimeout bounds one request to stop a generation.
+	runStopTimeout = 300 * time.Millisecond
 	// maxMoveExclusions bounds the list of engines that are not moved to again because they
 	// had no capacity.
 	maxMoveExclusions = 6
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -21,6 +21,8 @@
 	header     http.Header // of the response; set before upstreamOpened is sent
 	sentAt     time.Duration
 	counted    bool          // the attempt has been counted as sent, and as a run if it may be one
+	stopped    bool          // the relay has closed the exchange, and receives no message any more
+	unsound    bool          // the stream was not sound, so the generation's memory may not be either
 	done       chan struct{} // closed after the connection
 }
 
@@ -147,11 +149,14 @@
 }
 
 // stop closes the exchange. The target then cancels the generation.
-func (u *upstream) stop() { u.cancel() }
+func (u *upstream) stop() {
+	u.stopped = true
+	u.cancel()
+}
 
 // stopAndWait closes the exchange, and returns once its connection is closed. The end of the context ends all that
 // the exchange waits for.
 func (u *upstream) stopAndWait() {
-	u.cancel()
+	u.stop()
 	<-u.done
 }
