Streams: an engine that was left is asked to stop

What engines saw: a stream went on at the engine with its copy, because the former one was about to leave or silent, and the former one worked on beside it to its last event (0.9 s in the test; 400 ms are allowed).

Most engines drop a request when its connection closes, but not all, and not at once.

Fix: 50 ms after the close the host asks the engine to stop the run, with the same decisions as for a lost connection; most answer that they do not run it any more. The memory that such a request moves is freed. If the stream returns to the engine, no further request is sent. An engine that refuses five times is named in a warning.

Evidence: TestLeftEngineIsStopped (4 of 4 cases) and TestEngineIsAskedUntilItStops failed with the former close and pass.

The soak's engines: half of them work on when a connection of a stream has ended.

--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -188,7 +188,7 @@
 	switch {
 	case message.kind == upstreamOpened && message.response == nil:
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
-		s.current.stop()
+		s.leaveCurrent()
 		s.countSilentRun()
 		s.current, s.next = s.next, nil
 		s.current.counted = true
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -32,7 +32,8 @@
 	reportResults      chan reportResult
 	moveResults        chan moveResult
 	runStopResults     chan runStopResult
-	failedSwitch       placement.Candidate     // engine that last failed to go on with the generation
+	failedSwitch       placement.Candidate // engine that last failed to go on with the generation
+	left               []leftRun
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
 	handle             KVHandle                // of the moved KV cache
@@ -176,6 +177,7 @@
 	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", to.Target).
 		WithField("after_event", s.ids.last).WithField("silent_ms", (s.now()-s.lastEventAt).Milliseconds()).
 		WithField("copied", handle.ID == s.request.ID).Info("stream goes on at another engine")
+	s.returnTo(to.Target)
 	s.next = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, &handle))
 	s.overlapDeadline = s.now() + maxSwitchOverlap
 }
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -27,6 +27,9 @@
 	freeTimeout = time.Second
 	// runStopTimeout bounds one request to stop a generation.
 	runStopTimeout = 300 * time.Millisecond
+	// closeGrace is the time from the close of an exchange with an engine that the stream has left until the engine is
+	// asked to stop the generation: together with maxSwitchOverlap it stays below 400 ms.
+	closeGrace = 50 * time.Millisecond
 	// maxMoveExclusions bounds the list of engines that are not moved to again because they
 	// had no capacity.
 	maxMoveExclusions = 6
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -26,6 +26,7 @@
 	server       *http.Server
 	leavingSince time.Time // zero unless it was registered as draining
 	framing      platformtest.StreamFraming
+	worksOn      bool // though the connection of a stream has ended
 }
 
 func (s *soak) addTarget(engine bool, zone string) (*target, error) {
@@ -45,6 +46,7 @@
 	}
 	t.Runner = platformtest.NewRunner(s.recorder, s.platformStore, options)
 	t.framing = platformtest.StreamFraming(s.targetCount % framingCount)
+	t.worksOn = s.targetCount/framingCount%2 == 0
 	t.SetResumption(platformtest.Resumption(s.targetCount / len(zones) % resumptionCount))
 	t.spoil(platformtest.RunnerHealthy)
 	t.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
@@ -59,11 +61,13 @@
 	return t, nil
 }
 
-// spoil sets a fault of the target. Engines end their streams within an event instead of omitting a length.
+// spoil sets a fault of the target. Engines end their streams within an event instead of omitting a length. Half of
+// them work on when the connection of a stream has ended.
 func (t *target) spoil(mode platformtest.RunnerMode) {
 	ending := platformtest.StreamEnding{Framing: t.framing, CutAfter: -1}
+	ending.WorksOn = t.worksOn
 	if t.engine && mode == platformtest.RunnerOmitsLength {
-		ending.CutAfter, ending.PartialBytes = cutAfterEvents, cutBytes
+		ending.CutAfter, ending.PartialBytes, ending.WorksOn = cutAfterEvents, cutBytes, false
 	}
 	t.SetEnding(ending)
 	t.SetMode(mode)
