Streams: free moved memory whose result comes as the request ends

A request that ends while its engine is being asked to stop a run left the memory that the answer names at its destination until the engine's own limit, as the result was never read. Found by reading; moves have the same step.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"siskintide.example/siskintide/internal/core"
+	"siskintide.example/siskintide/internal/decide/failover"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/decide/quarantine"
 )
@@ -149,6 +150,13 @@
 		s.storeHandle(moved.handle)
 	default:
 	}
+	select {
+	case stop := <-s.runStopResults:
+		if stop.result == failover.Done {
+			go s.freeHandle(stop.at, stop.handle.ID)
+		}
+	default:
+	}
 	s.releaseMove()
 	s.releaseSwitch()
 	for _, open := range []*upstream{s.current, s.next} {
