Soak: streams whose answers are lost, and a check that stays in force

Two engines at a time on one stream are a violation unless its host or one of its engines had a fault that may silence it; before, any fault with time bounds, also of the store, suspended the check.

The new draws are a sequence of their own, so that seeds keep their faults.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -75,10 +75,10 @@
 			s.recordViolation("request %s was sent to %s %s after it announced that it leaves", request.id, run.Runner, run.Started.Sub(leavingSince))
 		}
 	}
-	if !request.answered && !request.abandoned && len(runs) > 0 && !s.lossExcused(request, runs) {
+	if !request.answered && !request.abandoned && len(runs) > 0 && !excused(s.broken, request, runs) {
 		s.recordViolation("request %s was passed on by %s to %s and ended without an answer, %s after it was sent", request.id, request.host, runs[len(runs)-1].Runner, request.endedAt.Sub(request.sentAt))
 	}
-	if request.stream && s.timeBoundsApply(request.sentAt, request.endedAt) && len(s.recorder.Overlaps(request.id)) > 0 {
+	if request.stream && !excused(s.unreachable, request, runs) && len(s.recorder.Overlaps(request.id)) > 0 {
 		s.recordViolation("request %s ran at two targets at once", request.id)
 	}
 }
@@ -100,15 +100,15 @@
 	return len(runners) > platformtest.ResumableAttempts
 }
 
-// lossExcused reports whether the host or a target of a request had a fault other than a planned stop, a moment
-// before the request was sent or later.
-func (s *soak) lossExcused(request *sentRequest, runs []platformtest.Run) bool {
+// excused reports whether the host or a target of a request had one of the faults, a moment before the request was
+// sent or later.
+func excused(faults map[string][]interval, request *sentRequest, runs []platformtest.Run) bool {
 	names := []string{request.host}
 	for _, run := range runs {
 		names = append(names, run.Runner)
 	}
 	for _, name := range names {
-		for _, period := range s.broken[name] {
+		for _, period := range faults[name] {
 			if period.start.Before(request.endedAt) && period.end.Add(reconnectTime).After(request.sentAt) {
 				return true
 			}
--- a/tools/soak/draws.go
+++ b/tools/soak/draws.go
@@ -7,4 +7,5 @@
 	deadlyParts     = 200
 	deadlyCaller    = 201
 	oversizedCalls  = 202
+	lostAnswers     = 203
 )
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -49,7 +49,8 @@
 	evacuated           map[string]bool      // by zone, as the operator has written it last
 	leavingSince        map[string]time.Time // when each leaving target was registered as draining
 	timeBoundsSuspended []interval
-	broken              map[string][]interval // periods of faults, by the host or target that they break
+	broken              map[string][]interval // periods of faults but planned stops, by the host or target that they break
+	unreachable         map[string][]interval // those of them in which the host or target may be silent
 	sent                []*sentRequest
 	deadly              []*deadlyPart
 	resumedCount        int // streams that callers have resumed
@@ -72,7 +73,7 @@
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
 	s := &soak{options: options, dir: dir, recorder: platformtest.NewRecorder(), platformStore: platformtest.NewStore(), version: 1,
-		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, evacuated: map[string]bool{}, broken: map[string][]interval{}}
+		keys: []string{"key-0", "key-1"}, revokedAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, evacuated: map[string]bool{}, broken: map[string][]interval{}, unreachable: map[string][]interval{}}
 	s.storeServer = httptest.NewServer(s.platformStore)
 	s.platformStore.PutConfig(s.version, s.keys)
 	for i := range options.Engines + options.Services {
@@ -142,6 +143,7 @@
 	var injecting sync.WaitGroup
 	injecting.Go(func() { s.injectRestorations(faulty, rand.New(rand.NewPCG(s.options.Seed, 1))) })
 	injecting.Go(func() { s.injectDeadlyParts(faulty, rand.New(rand.NewPCG(s.options.Seed, deadlyParts))) })
+	injecting.Go(func() { s.loseAnswers(faulty, rand.New(rand.NewPCG(s.options.Seed, lostAnswers))) })
 	injecting.Go(func() { s.injectOversizedCalls(faulty, rand.New(rand.NewPCG(s.options.Seed, oversizedCalls))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
 	end()
@@ -189,6 +191,9 @@
 		s.timeBoundsSuspended = append(s.timeBoundsSuspended, period)
 	}
 	s.broken[f.breaks] = append(s.broken[f.breaks], period)
+	if f.suspendsTimeBounds {
+		s.unreachable[f.breaks] = append(s.unreachable[f.breaks], period)
+	}
 }
 
 // awaitReady waits until all hosts report that they are ready. It reports false after
--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -62,7 +62,7 @@
 }
 
 // spoil sets a fault of the target. Engines end their streams within an event instead of omitting a length. Half of
-// them work on when the connection of a stream has ended.
+// them work on after the connection of a stream has ended.
 func (t *target) spoil(mode platformtest.RunnerMode) {
 	ending := platformtest.StreamEnding{Framing: t.framing, CutAfter: -1}
 	ending.WorksOn = t.worksOn
