--- a/internal/decide/failover/left_run.go
+++ b/internal/decide/failover/left_run.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// LeftRun decides how the run of an engine is stopped that a generation has left for another one.
+// LeftRun decides how a run is stopped at an engine that the generation has left for another one.
 type LeftRun struct {
 	open openRuns
 }
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -13,7 +13,8 @@
 func (s *Stream) RecordOpenSwitch() { s.open.failedNext = s.canMove }
 
 // RecordRunStop records the result of StopLostRun or StopFailedSwitch: Done if the generation has been stopped and its
-// memory moved, StoppedOnly if the engine does not run it any more, Unknown if the engine did not answer.
+// memory moved, StoppedOnly if the engine does not run it any more, NotDone if it may go on, Unknown if the engine did
+// not answer, InProgress if it carries out an earlier move or stop.
 func (s *Stream) RecordRunStop(result Result, now time.Duration) {
 	step := s.pending
 	s.pending = 0
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,7 +112,7 @@
 	return false
 }
 
-// close closes the connection. The target then cancels the request.
+// close closes the connection. Most targets then cancel the request.
 func (x *exchange) close() {
 	x.detach()
 	_ = x.conn.Close()
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -32,8 +32,8 @@
 	reportResults      chan reportResult
 	moveResults        chan moveResult
 	runStopResults     chan runStopResult
-	failedSwitch       placement.Candidate // engine that last failed to go on with the generation
-	left               []leftRun
+	failedSwitch       placement.Candidate     // engine that last failed to go on with the generation
+	left               []leftRun               // at engines that the stream has left
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
 	handle             KVHandle                // of the moved KV cache
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -73,14 +73,7 @@
 	if s.waitLeft(capacityWaitFraction) == 0 {
 		return false
 	}
-	timer := time.NewTimer(capacityRetryInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
+	return waitFor(s.ctx, capacityRetryInterval)
 }
 
 func (s *streamRelay) timing() failover.Timing {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// stop closes the exchange. The target then cancels the generation.
+// stop closes the exchange. Most targets then cancel the generation.
 func (u *upstream) stop() {
 	u.stopped = true
 	u.cancel()
