--- /dev/null
+++ b/review/harness3/engine.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"siskintide.example/siskintide/platform/platformtest"
+)
+
+const (
+	prefillPerMS = 14                    // prompt tokens that an engine reads in a millisecond
+	eventTokens  = 4                     // tokens in an event
+	eventTime    = 30 * time.Millisecond // between two events
+	lossAfter    = 50 * time.Millisecond // from the arrival of a request to the loss of its connection
+)
+
+// engineRun is one run of a request at an engine, from its first token on.
+type engineRun struct {
+	id, engine   string
+	began, ended time.Time // ended is zero while it goes on
+	stop         chan struct{}
+}
+
+// engines are all engines of a pool, and what they have run.
+type engines struct {
+	record *record
+	mu     sync.Mutex
+	runs   []*engineRun // in the order of their begin
+	// losesAnswer reports whether an engine loses the answer of the request that it has just got.
+	losesAnswer func(engine string) bool
+}
+
+// engine is a stand-in of one model runner. A request runs from its first token on; before that its prompt is read, and
+// kv-move knows no run of it. The engine does not drop a request whose connection is lost.
+type engine struct {
+	pool *engines
+	id   string
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/siskintide/kv-move":
+		e.serveMove(w, r)
+	case strings.HasPrefix(r.URL.Path, "/siskintide/kv-handle/"):
+		w.WriteHeader(http.StatusOK)
+	case r.URL.Path == "/siskintide/report":
+		_ = json.NewEncoder(w).Encode(map[string]any{"state": "ready", "waiting": 0, "running": 0})
+	default:
+		e.serveStream(w, r)
+	}
+}
+
+// serveMove stops a run if last is set, and answers 404 if there is no such run.
+func (e *engine) serveMove(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	for _, run := range e.pool.runs {
+		if run.id != body.ID || run.engine != e.id || !run.ended.IsZero() {
+			continue
+		}
+		if body.Last {
+			run.ended = time.Now()
+			close(run.stop)
+		}
+		e.pool.record.note("engine %s: kv-move of %s, last %t: 200", e.id, body.ID, body.Last)
+		_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h-" + body.ID, "create-rev": 0})
+		return
+	}
+	e.pool.record.note("engine %s: kv-move of %s, last %t: 404, no such run", e.id, body.ID, body.Last)
+	w.WriteHeader(http.StatusNotFound)
+}
+
+func (e *engine) serveStream(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get(platformtest.HeaderAttemptID)
+	w.Header().Set(platformtest.HeaderAttemptID, id)
+	w.Header().Set(platformtest.HeaderRunnerID, e.id)
+	if expected := r.Header.Get(platformtest.HeaderExpectInstance); expected != "" && expected != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.Header.Get(platformtest.HeaderKVFrom) != "" { // the engine holds no copies
+		w.Header().Set(platformtest.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	prompt, output, _ := strings.Cut(r.Header.Get(platformtest.HeaderTokenUsage), ",")
+	promptTokens, _ := strconv.Atoi(prompt)
+	outputTokens, _ := strconv.Atoi(output)
+	e.pool.record.note("engine %s: got %s", e.id, id)
+	firstToken := time.After(time.Duration(promptTokens) * time.Millisecond / prefillPerMS)
+	lost := e.pool.losesAnswer(e.id)
+	if lost {
+		time.Sleep(lossAfter)
+		e.pool.record.note("engine %s: the answer to %s is lost, its connection is reset", e.id, id)
+		reset(w)
+	}
+	<-firstToken
+	run := &engineRun{id: id, engine: e.id, began: time.Now(), stop: make(chan struct{})}
+	e.pool.begin(run)
+	first := int64(0)
+	if last, err := strconv.ParseInt(r.Header.Get(platformtest.HeaderLastEventID), 10, 64); err == nil {
+		first = last + 1
+	}
+	controller := http.NewResponseController(w)
+	if !lost {
+		w.Header().Set(platformtest.HeaderSignature, platformtest.Signature(id))
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	for event := first; event < int64(outputTokens/eventTokens); event++ {
+		if !lost {
+			_, _ = io.WriteString(w, platformtest.Event(id, event))
+			_ = controller.Flush()
+		}
+		select {
+		case <-time.After(eventTime):
+		case <-run.stop:
+			e.pool.record.note("engine %s: %s is stopped", e.id, id)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	e.pool.end(run)
+}
+
+// reset closes the connection of a response with a TCP reset.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func (p *engines) begin(run *engineRun) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs = append(p.runs, run)
+	p.record.note("engine %s: %s begins to run", run.engine, run.id)
+}
+
+func (p *engines) end(run *engineRun) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if run.ended.IsZero() {
+		run.ended = time.Now()
+		p.record.note("engine %s: %s has ended", run.engine, run.id)
+	}
+}
+
+// overlaps returns the requests that ran at an engine for longer than a time after they had begun at another one, with how
+// long both worked on them.
+func (p *engines) overlaps(most time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byID, found := map[string][]*engineRun{}, []string{}
+	for _, run := range p.runs {
+		for _, before := range byID[run.id] {
+			until := before.ended
+			if until.IsZero() {
+				until = time.Now()
+			}
+			if !run.ended.IsZero() && run.ended.Before(until) {
+				until = run.ended
+			}
+			if both := until.Sub(run.began); before.engine != run.engine && both > most {
+				found = append(found, fmt.Sprintf("%s ran at %s and at %s together for %d ms", run.id, before.engine, run.engine, both.Milliseconds()))
+			}
+		}
+		byID[run.id] = append(byID[run.id], run)
+	}
+	return found
+}
