--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -22,8 +22,8 @@
 	peerPort  = 7200
 	graceS    = 8
 
-	storeHost  = 250                    // last octet of the store's address
-	startTime  = 20 * time.Second       // for hosts to become ready
+	storeHost  = 250              // last octet of the store's address
+	startTime  = 20 * time.Second // for hosts to become ready
 	heartbeat  = 1200 * time.Millisecond
 	readyEvery = 50 * time.Millisecond
 )
@@ -73,7 +73,9 @@
 	return d, nil
 }
 
-func (d *deployment) address(octet, port int) string { return fmt.Sprintf("%s.%d:%d", d.net, octet, port) }
+func (d *deployment) address(octet, port int) string {
+	return fmt.Sprintf("%s.%d:%d", d.net, octet, port)
+}
 
 // settings returns the settings file of a host in the layout of the users' pages.
 func (d *deployment) settings(name, ip, zone string) string {
@@ -88,6 +90,7 @@
 zones:
   oslo-a: "oslo"
   oslo-b: "oslo"
+  oslo-c: "oslo"
 listen:
   front: "%s:%d"
   readiness: "%s:%d"
