--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -19,6 +19,7 @@
 const (
 	frontPort = 8740
 	readyPort = 8749
+	storePort = 8742
 	peerPort  = 7200
 	graceS    = 8
 
@@ -47,30 +48,32 @@
 	exited             chan struct{}
 }
 
-// newDeployment starts the store. wrap may change how it answers; nil for no change.
-func newDeployment(r *record, wrap func(http.Handler) http.Handler) (*deployment, error) {
+// newDeployment starts the store.
+func newDeployment(r *record) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, fmt.Errorf("temporary folder: %w", err)
 	}
 	d := &deployment{record: r, dir: dir, store: platformtest.NewStore(), stopped: make(chan struct{}), memoryMB: 134}
-	var listener net.Listener
 	for range 20 { // until a range of addresses is free
 		d.net = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
-		if listener, err = net.Listen("tcp", d.address(storeHost, 8742)); err == nil {
-			break
+		if err = d.serveStore(); err == nil {
+			return d, nil
 		}
 	}
+	return nil, err
+}
+
+// serveStore serves the store at its address.
+func (d *deployment) serveStore() error {
+	listener, err := net.Listen("tcp", d.address(storeHost, storePort))
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+		return fmt.Errorf("store: %w", err)
 	}
-	var handler http.Handler = d.store
-	if wrap != nil {
-		handler = wrap(handler)
-	}
-	d.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = d.server.Serve(listener) }()
-	return d, nil
+	server := &http.Server{Handler: d.store, ReadHeaderTimeout: time.Minute}
+	d.server = server
+	go func() { _ = server.Serve(listener) }()
+	return nil
 }
 
 func (d *deployment) address(octet, port int) string {
@@ -125,7 +128,7 @@
 provider:
   address: "%s"
   form: "table"
-`, name, ip, zone, ip, frontPort, ip, readyPort, peerPort, peerPort+15, d.memoryMB, graceS, d.address(storeHost, 8742))
+`, name, ip, zone, ip, frontPort, ip, readyPort, peerPort, peerPort+15, d.memoryMB, graceS, d.address(storeHost, storePort))
 }
 
 // startHost starts a host's process.
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,13 +21,6 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) > 0 && args[0] == "runner" {
-		if err := serveRunner(args[1:]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return exitFailed
-		}
-		return exitHeld
-	}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
 		return exitFailed
--- a/review/harness3/revoked_key.go
+++ b/review/harness3/revoked_key.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -23,22 +22,10 @@
 	callTimeout  = 1500 * time.Millisecond
 )
 
-// serveStore serves the store at its address.
-func (d *deployment) serveStore() error {
-	listener, err := net.Listen("tcp", d.address(storeHost, 8742))
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	server := &http.Server{Handler: d.store, ReadHeaderTimeout: time.Minute}
-	d.server = server
-	go func() { _ = server.Serve(listener) }()
-	return nil
-}
-
 // revokedKey takes a key away. With trouble the store is lost right after it has acknowledged that, and comes back from a
 // copy that lacks the change; the operator then writes it again.
 func revokedKey(r *record, trouble bool) error {
-	d, err := newDeployment(r, nil)
+	d, err := newDeployment(r)
 	if err != nil {
 		return err
 	}
--- a/review/harness3/waiting_runs.go
+++ b/review/harness3/waiting_runs.go
@@ -26,7 +26,7 @@
 // waitingRuns sends streams that may be resumed, while half of the engines lose the answers of a few requests that they
 // run: the connection is reset while the prompt is still read.
 func waitingRuns(r *record, trouble bool) error {
-	d, err := newDeployment(r, nil)
+	d, err := newDeployment(r)
 	if err != nil {
 		return err
 	}
