--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -37,7 +38,9 @@
 	store    *platformtest.Store
 	server   *http.Server
 	hosts    []*host
-	stopped  chan struct{}
+	stopped  <-chan struct{} // closed when the deployment is closed
+	closing  context.Context // ends with it
+	stop     context.CancelFunc
 	memoryMB int
 }
 
@@ -54,7 +57,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("temporary folder: %w", err)
 	}
-	d := &deployment{record: r, dir: dir, store: platformtest.NewStore(), stopped: make(chan struct{}), memoryMB: 134}
+	d := &deployment{record: r, dir: dir, store: platformtest.NewStore(), memoryMB: 134}
+	d.closing, d.stop = context.WithCancel(context.Background())
+	d.stopped = d.closing.Done()
 	for range 20 { // until a range of addresses is free
 		d.net = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
 		if err = d.serveStore(); err == nil {
@@ -183,39 +188,47 @@
 	return fmt.Errorf("host %s did not become ready: %s", h.name, strings.TrimSpace(string(text)))
 }
 
-// register writes a runner's registry entry, and again every heartbeat until the deployment is closed or the returned
-// function is called.
-func (d *deployment) register(id, service, address string, slots int) func() {
-	ended, seq, born := make(chan struct{}), 0, time.Now().UnixMilli()
-	put := func() {
+// register writes a runner's registry entry, and again every heartbeat until the deployment is closed. The returned function
+// changes the state that the runner writes, at once; an empty state ends it and removes the entry.
+func (d *deployment) register(id, service, address string, slots int) func(state string) {
+	states, seq, born := make(chan string), 0, time.Now().UnixMilli()
+	put := func(state string) {
 		seq++
 		entry, err := json.Marshal(map[string]any{"service": service, "address": address, "zone": "oslo-a", "version": "v1",
-			"slots": slots, "state": "ready", "cold-left-ms": 0, "seq": seq, "born": born})
+			"slots": slots, "state": state, "cold-left-ms": 0, "seq": seq, "born": born})
 		if err == nil {
 			d.store.Put("servers", id, entry)
 		}
 	}
-	put()
+	put("ready")
 	go func() {
-		ticker := time.NewTicker(heartbeat)
+		ticker, state := time.NewTicker(heartbeat), "ready"
 		defer ticker.Stop()
 		for {
 			select {
 			case <-ticker.C:
-				put()
-			case <-ended:
-				return
+			case state = <-states:
 			case <-d.stopped:
 				return
 			}
+			if state == "" {
+				d.store.Delete("servers", id)
+				return
+			}
+			put(state)
 		}
 	}()
-	return func() { close(ended) }
+	return func(state string) {
+		select {
+		case states <- state:
+		case <-d.stopped:
+		}
+	}
 }
 
 // close ends all processes and removes the temporary folder.
 func (d *deployment) close() {
-	close(d.stopped)
+	d.stop()
 	for _, h := range d.hosts {
 		select {
 		case <-h.exited:
--- a/review/harness3/engine.go
+++ b/review/harness3/engine.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	prefillPerMS = 14                    // prompt tokens that an engine reads in a millisecond
-	eventTokens  = 4                     // tokens in an event
-	eventTime    = 30 * time.Millisecond // between two events
-	lossAfter    = 50 * time.Millisecond // from the arrival of a request to the loss of its connection
+	prefillPerMS = 14                     // prompt tokens that an engine reads in a millisecond
+	eventTokens  = 4                      // tokens in an event
+	eventTime    = 30 * time.Millisecond  // between two events
+	stepTime     = 10 * time.Millisecond  // of a batch; a request gets its first token at the end of one
+	copyLag      = 250 * time.Millisecond // by which a copy is behind its run at most
+	moveTime     = 20 * time.Millisecond  // of a copy on demand
 )
 
 // engineRun is one run of a request at an engine, from its first token on.
@@ -26,13 +28,17 @@
 	id, engine   string
 	began, ended time.Time // ended is zero while it goes on
 	stop         chan struct{}
+	last         int64 // event
 }
 
 // engines are all engines of a pool, and what they have run.
 type engines struct {
 	record *record
 	mu     sync.Mutex
-	runs   []*engineRun // in the order of their begin
+	runs   []*engineRun    // in the order of their begin
+	copies map[string]bool // of runs, by the address of their holder and their handle
+	// lossAfter is the time from the arrival of a request to the loss of its connection.
+	lossAfter time.Duration
 	// losesAnswer reports whether an engine loses the answer of the request that it has just got.
 	losesAnswer func(engine string) bool
 }
@@ -40,8 +46,8 @@
 // engine is a stand-in of one model runner. A request runs from its first token on; before that its prompt is read, and
 // kv-move knows no run of it. The engine does not drop a request whose connection is lost.
 type engine struct {
-	pool *engines
-	id   string
+	pool        *engines
+	id, address string
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -61,28 +67,39 @@
 func (e *engine) serveMove(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		ID   string `json:"id"`
+		To   string `json:"to"`
 		Last bool   `json:"last"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !e.move(body.ID, body.To, body.Last) {
+		e.pool.record.note("engine %s: kv-move of %s, last %t: 404, no such run", e.id, body.ID, body.Last)
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	time.Sleep(moveTime)
+	e.pool.record.note("engine %s: kv-move of %s, last %t: 200", e.id, body.ID, body.Last)
+	_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h-" + body.ID, "create-rev": 0})
+}
+
+// move copies the memory of a run to another engine, and stops it first if last is set. It reports whether there is such a run.
+func (e *engine) move(id, to string, last bool) bool {
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
 	for _, run := range e.pool.runs {
-		if run.id != body.ID || run.engine != e.id || !run.ended.IsZero() {
+		if run.id != id || run.engine != e.id || !run.ended.IsZero() {
 			continue
 		}
-		if body.Last {
+		if last {
 			run.ended = time.Now()
 			close(run.stop)
 		}
-		e.pool.record.note("engine %s: kv-move of %s, last %t: 200", e.id, body.ID, body.Last)
-		_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h-" + body.ID, "create-rev": 0})
-		return
+		e.pool.copies[to+"/h-"+id] = true
+		return true
 	}
-	e.pool.record.note("engine %s: kv-move of %s, last %t: 404, no such run", e.id, body.ID, body.Last)
-	w.WriteHeader(http.StatusNotFound)
+	return false
 }
 
 func (e *engine) serveStream(w http.ResponseWriter, r *http.Request) {
@@ -94,7 +111,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.Header.Get(platformtest.HeaderKVFrom) != "" { // the engine holds no copies
+	from := r.Header.Get(platformtest.HeaderKVFrom)
+	if from != "" && !e.pool.takeCopy(e.address, from) {
 		w.Header().Set(platformtest.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -102,11 +120,14 @@
 	prompt, output, _ := strings.Cut(r.Header.Get(platformtest.HeaderTokenUsage), ",")
 	promptTokens, _ := strconv.Atoi(prompt)
 	outputTokens, _ := strconv.Atoi(output)
-	e.pool.record.note("engine %s: got %s", e.id, id)
-	firstToken := time.After(time.Duration(promptTokens) * time.Millisecond / prefillPerMS)
+	if from != "" { // only what the copy lacks is read
+		promptTokens = int(copyLag/eventTime) * eventTokens
+	}
+	e.pool.record.note("engine %s: got %s, Kv-From %q", e.id, id, from)
+	firstToken := time.After(stepTime + time.Duration(promptTokens)*time.Millisecond/prefillPerMS)
 	lost := e.pool.losesAnswer(e.id)
 	if lost {
-		time.Sleep(lossAfter)
+		time.Sleep(e.pool.lossAfter)
 		e.pool.record.note("engine %s: the answer to %s is lost, its connection is reset", e.id, id)
 		reset(w)
 	}
@@ -127,6 +148,7 @@
 			_, _ = io.WriteString(w, platformtest.Event(id, event))
 			_ = controller.Flush()
 		}
+		e.pool.recordEvent(run, event, r.Header.Get(platformtest.HeaderKVBackup))
 		select {
 		case <-time.After(eventTime):
 		case <-run.stop:
@@ -149,6 +171,26 @@
 	_ = conn.Close()
 }
 
+// takeCopy reports whether the engine at an address holds the copy that Kv-From names, which a request uses up.
+func (p *engines) takeCopy(address, from string) bool {
+	_, handle, _ := strings.Cut(from, "/")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.copies[address+"/"+handle]
+	delete(p.copies, address+"/"+handle)
+	return held
+}
+
+// recordEvent records that a run has got to an event, and that the holder of its copy has it; empty for none.
+func (p *engines) recordEvent(run *engineRun, event int64, holder string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run.last = event
+	if holder != "" {
+		p.copies[holder+"/"+run.id] = true
+	}
+}
+
 func (p *engines) begin(run *engineRun) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/harness3/revoked_key.go
+++ b/review/harness3/revoked_key.go
@@ -46,7 +46,7 @@
 	})}
 	go func() { _ = runner.ListenAndServe() }()
 	defer func() { _ = runner.Close() }()
-	defer d.register("i-0", platformtest.WebService, address, 6)()
+	d.register("i-0", platformtest.WebService, address, 6)
 	var fronts []string
 	for i := range hostCount {
 		zone := fmt.Sprintf("oslo-%c", "abc"[i%3])
--- a/review/harness3/waiting_runs.go
+++ b/review/harness3/waiting_runs.go
@@ -32,7 +32,7 @@
 	}
 	defer d.close()
 	d.store.Put("op", "config", platformtest.Config(1, []string{apiKey}))
-	pool, draws := &engines{record: r}, rand.New(rand.NewPCG(3, 12))
+	pool, draws := &engines{record: r, copies: map[string]bool{}, lossAfter: 50 * time.Millisecond}, rand.New(rand.NewPCG(3, 12))
 	var mu sync.Mutex
 	pool.losesAnswer = func(engine string) bool {
 		mu.Lock()
@@ -40,12 +40,12 @@
 		return trouble && engine < fmt.Sprintf("i-%d", engineCount/2) && draws.Float64() < lossShare
 	}
 	for i := range engineCount {
-		e := &engine{pool: pool, id: fmt.Sprintf("i-%d", i)}
 		address := d.address(100+i, 8080)
+		e := &engine{pool: pool, id: fmt.Sprintf("i-%d", i), address: address}
 		server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: time.Minute}
 		go func() { _ = server.ListenAndServe() }()
 		defer func() { _ = server.Close() }()
-		defer d.register(e.id, platformtest.EngineService, address, 8)()
+		d.register(e.id, platformtest.EngineService, address, 8)
 	}
 	var fronts []string
 	for i, zone := range []string{"oslo-a", "oslo-b"} {
