--- a/review/harness3/revoked_key.go
+++ b/review/harness3/revoked_key.go
@@ -15,8 +15,8 @@
 const (
 	otherKey     = "wsjnbanfqasnmgkcuyj8" // of the same tenant; stays
 	copyAge      = 5 * time.Second        // of the copy from which the store comes back
-	awayTime     = 3200 * time.Millisecond
-	rewriteAfter = 2000 * time.Millisecond // from the store's return until the operator has written again
+	awayTime     = 3000 * time.Millisecond
+	rewriteAfter = 2100 * time.Millisecond // from the store's return until the operator has written again
 	hostCount    = 9
 	revokeBound  = 5 * time.Second // revoke-ms of the settings
 	callTimeout  = 1500 * time.Millisecond
@@ -93,7 +93,7 @@
 					late = append(late, fmt.Sprintf("%s (%d ms)", id, after.Milliseconds()))
 				}
 			})
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(3 * time.Millisecond)
 		}
 	})
 	if trouble {
