--- a/review/harness3/failed_switches.go
+++ b/review/harness3/failed_switches.go
@@ -63,19 +63,19 @@
 			return err
 		}
 	}
-	time.Sleep(2 * time.Second)
+	<-time.After(2 * time.Second)
 	go func() {
 		for next, starts := 0, draftEngines; ; next = (next + leavesAtOnce) % draftEngines {
-			time.Sleep(leaveEvery - servesFor - replacedAfter)
+			<-time.After(leaveEvery - servesFor - replacedAfter)
 			for i := next; i < next+leavesAtOnce; i++ {
 				r.note("engine %d says that it leaves", i)
 				setState[i]("draining")
 			}
-			time.Sleep(servesFor)
+			<-time.After(servesFor)
 			for i := next; i < next+leavesAtOnce; i++ {
 				setState[i]("")
 			}
-			time.Sleep(replacedAfter)
+			<-time.After(replacedAfter)
 			for i := next; i < next+leavesAtOnce; i++ {
 				e := &engine{pool: pool, id: fmt.Sprintf("i-%d-%d%c", i, starts, "ab"[i%2]), address: d.address(100+starts, 8080)}
 				server := &http.Server{Addr: e.address, Handler: e, ReadHeaderTimeout: time.Minute}
--- a/review/harness3/revoked_key.go
+++ b/review/harness3/revoked_key.go
@@ -61,7 +61,7 @@
 			return err
 		}
 	}
-	time.Sleep(copyAge + time.Second)
+	<-time.After(copyAge + time.Second)
 
 	revoked := platformtest.Config(2, []string{otherKey})
 	if trouble {
@@ -93,17 +93,17 @@
 					late = append(late, fmt.Sprintf("%s (%d ms)", id, after.Milliseconds()))
 				}
 			})
-			time.Sleep(3 * time.Millisecond)
+			<-time.After(3 * time.Millisecond)
 		}
 	})
 	if trouble {
-		time.Sleep(awayTime)
+		<-time.After(awayTime)
 		d.store.Restore(copyAge)
 		if err := d.serveStore(); err != nil {
 			return err
 		}
 		r.note("store: back from a copy")
-		time.Sleep(rewriteAfter)
+		<-time.After(rewriteAfter)
 		d.store.Put("op", "config", revoked)
 		r.note("operator: version 2 is written again, %d ms after its first acknowledgement", time.Since(acknowledged).Milliseconds())
 	}
--- a/review/harness3/waiting_runs.go
+++ b/review/harness3/waiting_runs.go
@@ -60,7 +60,7 @@
 			return err
 		}
 	}
-	time.Sleep(2 * time.Second)
+	<-time.After(2 * time.Second)
 	client, counts := newClient(), map[string]int{}
 	var sending sync.WaitGroup
 	ticker := time.NewTicker(time.Second / streamsPerSec)
