Calls: a refusal whose body is cut off is still a refusal

Callers saw a 502 that leaves open whether the call ran, though the target had stated in the head of its response that it was not run; the call was not sent to another target either.

Cause: a call whose response could not be read to its end was taken for one that may have run, whatever the head said. Streams looked at the head already. A target that refuses a long upload closes its connection with the rest of the upload unread, which resets it, so the body of a refusal without a length is cut off just then.

Evidence: TestCutRefusal, on: both kinds of calls got 502 in place of 503 with a body of one byte.

Change: readResponse returns a response that states that the request was not run without its body if that is cut off, for calls as for streams. The statement is in the head, which has arrived whole, and the body of such a response is never sent to a caller.

--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -40,8 +40,17 @@
 func (r *bufferedResponse) failed() bool { return r.status >= http.StatusInternalServerError }
 
 // readResponse reads the body of an exchange's response. It returns an *ExchangeError if the
-// body is cut off, or if it exceeds the budget of all responses, and a *TooLargeError if it exceeds its limit.
+// body is cut off, or if it exceeds the budget of all responses, and a *TooLargeError if it exceeds its limit. A response
+// whose head states that the request was not run is returned without a body in place of these errors.
 func (x *exchange) readResponse(info ResponseInfo, budget *bufferBudget) (*bufferedResponse, error) {
+	response, err := x.readWholeResponse(info, budget)
+	if err != nil && info.NotRun {
+		return &bufferedResponse{ResponseInfo: info, status: x.response.StatusCode}, nil
+	}
+	return response, err
+}
+
+func (x *exchange) readWholeResponse(info ResponseInfo, budget *bufferBudget) (*bufferedResponse, error) {
 	limited := &budgetReader{source: io.LimitReader(x.response.Body, maxResponseBytes+1), share: newBufferShare(budget)}
 	body, err := readBuffered(limited, x.response.ContentLength)
 	if err != nil {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -68,13 +68,10 @@
 	}
 	if x.response.StatusCode != http.StatusOK {
 		response, err := x.readResponse(info, &h.gateway.buffers)
-		if err != nil && !info.NotRun {
+		if err != nil {
 			u.send(ctx, upstreamMessage{kind: upstreamFailed, err: err})
 			return
 		}
-		if response == nil {
-			response = &bufferedResponse{ResponseInfo: info, status: x.response.StatusCode}
-		}
 		if !u.send(ctx, upstreamMessage{kind: upstreamOpened, info: info, response: response}) {
 			response.release()
 		}
