Responses: a reset that a write has met ends the response as cut off

Callers saw a part of a response as a complete one: the target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a connection's failure to one call. Where that was the write of the request, the read of the response got the end of the connection as after an orderly close, and the error of the write was dropped, as a target may respond before it has the whole request. A response with neither a length nor chunks was complete then. net/http's transport does the same.

Ruled out: framing (a length or chunks show the cut), the check whether the target listens.

Change: internal/duplex keeps a failure that a write has met and returns it to the read in place of the end, after it has interrupted a write that waits. The gateway's exchanges and responsehead.Transport, through which all responses of targets and of the platform are read, use it for every connection. EPIPE does not count: the target had closed in order before. The gateway's error is that of the read alone, as an interrupted write says nothing.

Why it works: each write goes through the connection that keeps the failure, and a read that sees the end waits until no write is under way, so the failure is with one of them, and either one fails the response.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"siskintide.example/siskintide/internal/callerlimit"
+	"siskintide.example/siskintide/internal/duplex"
 	"siskintide.example/siskintide/internal/responsehead"
 )
 
@@ -43,10 +44,11 @@
 // did not arrive. The memory is that of the host for its callers; nil for no limit.
 func open(ctx context.Context, address string, request *http.Request, memory *callerlimit.Limiter) (*exchange, error) {
 	dialer := net.Dialer{Timeout: connectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dialed, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &UnsentError{Address: address, Cause: err}
 	}
+	conn := duplex.New(dialed)
 	head := newHeadLimiter(responsehead.NewReader(conn), memory)
 	x := &exchange{address: address, conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 	x.detach = context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -60,28 +62,22 @@
 	return x, nil
 }
 
-// roundTrip writes the request and reads the response's header. A target may respond before
-// it has read the complete body, so a failed write alone does not fail the exchange.
+// roundTrip writes the request and reads the response's header. A target may respond before it has read the complete
+// body, so the error of a write alone does not fail the exchange, and is dropped. If the connection failed, reading the
+// response does.
 func (x *exchange) roundTrip(request *http.Request) error {
-	written, destination := make(chan error, 1), targetWriter(x.conn, request)
+	write := func() { _ = request.Write(targetWriter(x.conn, request)) }
 	if request.ContentLength <= inlineBodyBytes {
-		written <- request.Write(destination)
+		write()
 	} else {
-		go func() { written <- request.Write(destination) }()
+		go write()
 	}
 	response, err := x.readFinalHead(request)
-	if err == nil {
-		x.response, x.head.complete = response, true
-		return nil
-	}
-	select {
-	case writeErr := <-written:
-		if writeErr != nil {
-			return writeErr
-		}
-	default:
+	if err != nil {
+		return err
 	}
-	return err
+	x.response, x.head.complete = response, true
+	return nil
 }
 
 // readFinalHead reads the head of the response and skips informational responses before it.
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -5,10 +5,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"siskintide.example/siskintide/internal/duplex"
 )
 
 // Transport sends requests as an http.Transport does, and fails those whose response has a malformed head. The error
-// wraps a *MalformedError. It is safe for concurrent use.
+// wraps a *MalformedError. Reading the body of a response fails if the connection broke while the request was still sent,
+// also if the response ends with its connection. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
@@ -25,7 +28,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return conn{Conn: connected, reader: NewReader(connected)}, nil
+		checked := duplex.New(connected)
+		return conn{Conn: checked, reader: NewReader(checked)}, nil
 	}
 	return &Transport{base: base}
 }
--- a/tools/standin/rawhttp/server.go
+++ b/tools/standin/rawhttp/server.go
@@ -8,12 +8,16 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// Server responds to requests with fixed bytes, and keeps their connections open until the client closes them.
+// Server responds to requests with fixed bytes. It keeps their connections open until the client closes them, unless it
+// resets them.
 type Server struct {
 	listener  net.Listener
 	responses []string
+	resets    bool          // a connection after its first response, which is sent before the body of the request is read
+	pause     time.Duration // between the response and the reset
 	requests  atomic.Int64
 	serving   sync.WaitGroup
 	closed    context.Context // ended by Close
@@ -23,11 +27,21 @@
 // Start starts a server on a free port of the loopback address. The first request gets the first response, and so
 // on; those after the last response get that one.
 func Start(responses ...string) (*Server, error) {
+	return start(&Server{responses: responses})
+}
+
+// StartResetting starts a server that responds as soon as it has the head of a request, and resets the connection after a
+// pause. A client with a large body is still sending it.
+func StartResetting(response string, pause time.Duration) (*Server, error) {
+	return start(&Server{responses: []string{response}, resets: true, pause: pause})
+}
+
+func start(s *Server) (*Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, responses: responses}
+	s.listener = listener
 	s.closed, s.end = context.WithCancel(context.Background())
 	s.serving.Go(s.accept)
 	return s, nil
@@ -65,10 +79,25 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body) // the next read fails if this one does
+		if !s.resets {
+			_, _ = io.Copy(io.Discard, request.Body) // the next read fails if this one does
+		}
 		response := s.responses[min(int(s.requests.Add(1)), len(s.responses))-1]
 		if _, err := io.WriteString(conn, response); err != nil {
 			return
 		}
+		if s.resets {
+			<-time.After(s.pause)
+			reset(conn)
+			return
+		}
+	}
+}
+
+// reset closes a connection with a TCP reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = conn.Close()
 }
