--- a/internal/callerapi/reset_during_upload_test.go
+++ b/internal/callerapi/reset_during_upload_test.go
@@ -5,7 +5,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -13,16 +12,13 @@
 	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
-// resetPause is the time in which a response arrives before its connection is reset.
-const resetPause = 5 * time.Millisecond
-
 // TestServiceResponseResetDuringUpload guards against a part of a response that reaches the caller, or is kept for its
 // key, as a complete one: the service resets the connection while the call is being sent.
 func TestServiceResponseResetDuringUpload(t *testing.T) {
 	table := platformserver.New(platformserver.Options{})
 	tableServer := httptest.NewServer(table)
 	t.Cleanup(func() { tableServer.Close(); table.Close() })
-	booking, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\npart", resetPause)
+	booking, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\npart", rawhttp.ResponseTime)
 	require.NoError(t, err)
 	t.Cleanup(booking.Close)
 	server := newBookingServer(t, tableServer.Listener.Addr().String(), booking.Address())
--- a/internal/duplex/conn_test.go
+++ b/internal/duplex/conn_test.go
@@ -10,13 +10,12 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// uploadBytes is more than the buffers of a connection hold.
-const uploadBytes = 16 << 20
-
 // connect returns the two ends of a TCP connection.
 func connect(t *testing.T) (*Conn, *net.TCPConn) {
 	t.Helper()
@@ -80,7 +79,7 @@
 		conn, peer := connect(t)
 		written := make(chan error, 1)
 		go func() {
-			_, err := conn.Write(make([]byte, uploadBytes))
+			_, err := conn.Write(make([]byte, rawhttp.UploadBytes))
 			written <- err
 		}()
 		awaitUpload(t, peer)
@@ -106,7 +105,7 @@
 				require.NoError(t, end(peer))
 				written := make(chan error, 1)
 				go func() {
-					_, err := io.Copy(conn, bytes.NewReader(make([]byte, uploadBytes)))
+					_, err := io.Copy(conn, bytes.NewReader(make([]byte, rawhttp.UploadBytes)))
 					written <- err
 				}()
 				got, err := io.ReadAll(conn)
@@ -124,7 +123,7 @@
 		conn, peer := connect(t)
 		closed := make(chan error, 1)
 		go func() {
-			_, err := conn.Write(make([]byte, uploadBytes))
+			_, err := conn.Write(make([]byte, rawhttp.UploadBytes))
 			closed <- errors.Join(err, conn.Close())
 		}()
 		awaitUpload(t, peer)
--- a/internal/gateway/reset_during_upload_test.go
+++ b/internal/gateway/reset_during_upload_test.go
@@ -16,15 +16,11 @@
 	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
-// uploadBytes is more than the buffers of a connection hold, so that a body of that size is being written as long as the
-// target does not read it.
-const uploadBytes = 16 << 20
-
-// upload returns a request to an address with a body of uploadBytes.
+// upload returns a request to an address with a body of rawhttp.UploadBytes.
 func upload(address string) *http.Request {
 	request := requestTo(address)
-	request.Method, request.ContentLength = http.MethodPost, uploadBytes
-	request.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes)))
+	request.Method, request.ContentLength = http.MethodPost, rawhttp.UploadBytes
+	request.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", rawhttp.UploadBytes)))
 	return request
 }
 
@@ -32,7 +28,7 @@
 // while the request is being written, and the write takes the failure of the connection from the read.
 func TestResponseResetDuringUpload(t *testing.T) {
 	for name, head := range map[string]string{"HTTP/1.1": "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n"} {
-		for _, pause := range []time.Duration{0, 5 * time.Millisecond} {
+		for _, pause := range []time.Duration{0, rawhttp.ResponseTime} {
 			t.Run(fmt.Sprintf("%s, %s after the response", name, pause), func(t *testing.T) {
 				server, err := rawhttp.StartResetting(head+"part", pause)
 				require.NoError(t, err)
@@ -62,7 +58,7 @@
 func TestMalformedHeadDuringUpload(t *testing.T) {
 	for name, response := range rawhttp.MalformedResponses() {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawhttp.StartResetting(response, 5*time.Millisecond)
+			server, err := rawhttp.StartResetting(response, rawhttp.ResponseTime)
 			require.NoError(t, err)
 			t.Cleanup(server.Close)
 			for range 5 {
--- a/internal/platform/reset_during_upload_test.go
+++ b/internal/platform/reset_during_upload_test.go
@@ -3,29 +3,21 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
-const (
-	// uploadBytes is more than the buffers of a connection hold.
-	uploadBytes = 16 << 20
-	// resetPause is the time in which a response arrives before its connection is reset.
-	resetPause = 5 * time.Millisecond
-)
-
 // TestResponseResetDuringUpload guards against a write that counts as done though the platform's response to it was cut off:
 // the connection is reset while the write is being sent.
 func TestResponseResetDuringUpload(t *testing.T) {
-	server, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\n{", resetPause)
+	server, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\n{", rawhttp.ResponseTime)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	client := NewClient(server.Address(), testTimeout)
 	t.Cleanup(client.Close)
-	value := strings.Repeat("x", uploadBytes)
+	value := strings.Repeat("x", rawhttp.UploadBytes)
 	done := 0
 	for range 20 {
 		for _, err := range []error{client.Commit(t.Context(), insert("a", value)), client.PutObject(t.Context(), "a", []byte(value))} {
--- a/internal/responsehead/reset_during_upload_test.go
+++ b/internal/responsehead/reset_during_upload_test.go
@@ -7,28 +7,20 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/tools/standin/rawhttp"
 )
 
-const (
-	// uploadBytes is more than the buffers of a connection hold.
-	uploadBytes = 16 << 20
-	// resetPause is the time in which a response arrives before its connection is reset.
-	resetPause = 5 * time.Millisecond
-)
-
 // TestResetDuringUpload guards against clients that take a part of a response for a complete one: it ends with its
 // connection, which is reset while the request is being sent.
 func TestResetDuringUpload(t *testing.T) {
-	server, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\npart", resetPause)
+	server, err := rawhttp.StartResetting("HTTP/1.1 200 OK\r\n\r\npart", rawhttp.ResponseTime)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	client, _ := newClient(t)
-	body := strings.Repeat("x", uploadBytes)
+	body := strings.Repeat("x", rawhttp.UploadBytes)
 	complete := 0
 	for range 100 {
 		response, err := client.Post("http://"+server.Address(), "text/plain", strings.NewReader(body))
@@ -50,7 +42,7 @@
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	client, _ := newClient(t)
-	body := strings.Repeat("x", uploadBytes)
+	body := strings.Repeat("x", rawhttp.UploadBytes)
 	for range 20 {
 		accepted := make(chan net.Conn, 1)
 		go func() {
