Connections to targets: large bodies are written in large parts again

Callers saw nothing yet; a host took four times as long to send a large request.

Cause: the connection that keeps a write's failure hid ReadFrom of the connection of the system, without which net/http writes a body through its buffer of 4 KiB.

TestLargeBodyIsWrittenInLargeParts counted 257 writes for 1 MiB before.

Change: duplex.Conn has ReadFrom, which copies without that buffer. Each part still goes through Write, so that a failure is kept.

--- a/internal/duplex/conn.go
+++ b/internal/duplex/conn.go
@@ -32,6 +32,11 @@
 	return n, err
 }
 
+// ReadFrom implements io.ReaderFrom. Without it a bufio.Writer would write a large body in parts of the size of its buffer.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // Read implements net.Conn. It returns a *WriteError in place of io.EOF if a Write has met the failure of the connection.
 // Nothing can be written after io.EOF: a target that has ended its response is not sent the rest of the request.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/duplex/conn_test.go
+++ b/internal/duplex/conn_test.go
@@ -1,7 +1,9 @@
 package duplex
 
 import (
+	"bufio"
 	"bytes"
+	"crypto/rand"
 	"errors"
 	"io"
 	"net"
@@ -134,3 +136,27 @@
 		require.Error(t, <-closed)
 	}
 }
+
+// countingConn counts the writes to a connection that drops what is written.
+type countingConn struct {
+	net.Conn
+	writes int
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.writes++
+	return len(p), nil
+}
+
+// TestLargeBodyIsWrittenInLargeParts guards against a request that takes a system call for each few kilobytes of its body:
+// net/http writes it through a bufio.Writer.
+func TestLargeBodyIsWrittenInLargeParts(t *testing.T) {
+	counting := &countingConn{}
+	buffered := bufio.NewWriter(New(counting))
+	_, err := buffered.WriteString("head")
+	require.NoError(t, err)
+	_, err = io.Copy(buffered, io.LimitReader(rand.Reader, 1<<20))
+	require.NoError(t, err)
+	require.NoError(t, buffered.Flush())
+	require.LessOrEqual(t, counting.writes, 40)
+}
