Streams: an engine that knows no run yet is asked further to stop it

What callers saw: nothing, their streams were whole.

Cause: 404 in answer to a request to stop counted as the end of the run, also for a request that the engine had not been seen to begin. A request runs from its first token on, so that an engine which still queues it or reads its prompt knows no run and begins one later.

Ruled out: a second request of the host (one send an engine in the record), a stop that came late (it came first), a run that had ended (the engine begins it afterwards).

Change: the result NoRun. A run that has been seen to begin has ended then. Another one is asked further, every 100 ms until twice the route's answer goal from its sending, at least 2 s: beside the stream, so that its caller waits for nothing. An engine that did not answer three requests is asked further as well, after pauses that double up to 1.6 s, until the request's deadline. No memory is moved to an engine that may still have the request.

Why it works: a run that begins late is stopped within one interval, well below the 400 ms for which two engines may work on a generation; one that is reached again late is stopped within 1.6 s, below the 3 s after which its host counts as in touch.

--- a/internal/decide/failover/open_runs.go
+++ b/internal/decide/failover/open_runs.go
@@ -5,8 +5,8 @@
 const (
 	// maxRunStops bounds the requests to stop one run. The generation is given up if the engine refuses all.
 	maxRunStops = 5
-	// maxUnansweredStops is the number of such requests without an answer after which the run counts as stopped:
-	// a process that has got one of them stops the run, and a process that has ended runs nothing.
+	// maxUnansweredStops is the number of such requests without an answer after which the generation goes on without
+	// one, as the engine has ended or cannot be reached.
 	maxUnansweredStops = 3
 	// stopRetryDelay is the wait after a request to stop a run that had no effect, or that was not answered.
 	stopRetryDelay = 100 * time.Millisecond
@@ -15,8 +15,9 @@
 // openRuns are the runs of a generation that may go on at engines whose connections have ended.
 type openRuns struct {
 	current    bool // at the engine that the generation has last run at
+	begun      bool // that engine has been seen to run it
 	failedNext bool // at the engine of the last switch, which failed
-	requests   int  // to stop the run that is stopped first
+	requests   int  // to stop the run that is stopped first, apart from those answered with NoRun
 	unanswered int  // of them
 	retryAt    time.Duration
 }
@@ -38,8 +39,19 @@
 	}
 }
 
-// record records the result of a request to stop the first run.
-func (r *openRuns) record(result Result, now time.Duration) {
+// record records the result of a request to stop the first run. If the engine has not begun the run, it is asked again
+// until beginBy; zero if the generation does not wait for that. record reports whether the run has been closed although
+// the engine may still work on it, or may begin it.
+func (r *openRuns) record(result Result, beginBy, now time.Duration) (unconfirmed bool) {
+	if result == NoRun {
+		unbegun := r.failedNext || !r.begun
+		if unbegun && now < beginBy {
+			r.retryAt = now + stopRetryDelay
+			return false
+		}
+		r.closeFirst()
+		return unbegun
+	}
 	r.requests++
 	if result == InProgress {
 		result = NotDone
@@ -50,12 +62,19 @@
 	if result == Unknown {
 		r.unanswered++
 	}
-	switch {
-	case result == NotDone, result == Unknown && r.unanswered < maxUnansweredStops:
+	if result == NotDone || result == Unknown && r.unanswered < maxUnansweredStops {
 		r.retryAt = now + stopRetryDelay
-	case r.failedNext:
-		*r = openRuns{current: r.current}
-	default:
-		*r = openRuns{}
+		return false
+	}
+	r.closeFirst()
+	return result == Unknown
+}
+
+// closeFirst removes the first run.
+func (r *openRuns) closeFirst() {
+	if r.failedNext {
+		*r = openRuns{current: r.current, begun: r.begun}
+		return
 	}
+	*r = openRuns{}
 }
--- a/internal/decide/failover/open_runs_test.go
+++ b/internal/decide/failover/open_runs_test.go
@@ -25,6 +25,7 @@
 		"moved to the copy":            {true, true, false, []Result{Done}, SwitchToCopy},
 		"not running":                  {true, true, false, []Result{StoppedOnly}, SwitchToCopy},
 		"not running, resumable":       {true, false, true, []Result{StoppedOnly}, Rerun},
+		"not begun, resumable":         {true, false, true, []Result{NoRun}, Rerun},
 		"moved, resumable":             {true, false, true, []Result{Done}, SwitchToMoved},
 		"nowhere to go on":             {true, false, false, nil, GiveUp},
 		"no answer, then stopped":      {true, true, false, []Result{Unknown, Unknown, StoppedOnly}, SwitchToCopy},
@@ -75,6 +76,15 @@
 	stream.RecordRunStop(Done, 0)
 	require.Equal(t, GiveUp, stream.Next(0).Kind, "the memory of the failed switch is not used")
 
+	stream = New(timing, true, true, 0)
+	stream.RecordEvent(0)
+	require.Equal(t, SwitchToCopy, stream.Next(timing.SilenceTimeout).Kind)
+	stream.RecordSwitch(Unknown, false, 0)
+	stream.RecordOpenSwitch()
+	require.Equal(t, StopFailedSwitch, stream.Next(0).Kind)
+	require.True(t, stream.RecordRunStop(NoRun, 0), "the engine may begin the run")
+	require.Equal(t, Wait, stream.Next(0).Kind)
+
 	stream = New(timing, true, true, 0)
 	stream.RecordEvent(0)
 	stream.Next(timing.SilenceTimeout)
@@ -104,7 +114,7 @@
 }
 
 // For any sequence of events, a generation goes on at another engine only if no engine whose connection has ended may
-// still run it, and a stop is requested a limited number of times.
+// still run it, or if that engine is asked further to stop it, and a stop is requested a limited number of times.
 func TestGenerationGoesOnAfterOpenRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		stream := New(timing, true, rapid.Bool().Draw(t, "copied"), 0)
@@ -112,20 +122,22 @@
 		var now time.Duration
 		current, failedNext := false, false // may run at these engines
 		unanswered, requests := 0, 0
-		stopped := false // the current engine has stopped the generation
+		stopped := false               // the current engine has stopped the generation
+		started, begun := false, false // the current engine has been seen to run it; it had when its connection ended
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "wait")) * time.Millisecond
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
 				stream.RecordEvent(now)
+				started = true
 			case 1:
 				stream.RecordLeaving(now)
 			case 2:
 				loseConnection(stream)
-				current = !stopped
+				current, begun = !stopped, started
 			}
 			step := stream.Next(now)
-			result := Result(rapid.IntRange(int(Done), int(InProgress)).Draw(t, "result"))
+			result := Result(rapid.IntRange(int(Done), int(NoRun)).Draw(t, "result"))
 			switch step.Kind {
 			case GiveUp, Finish:
 				return
@@ -133,22 +145,29 @@
 				continue
 			case StopLostRun, StopFailedSwitch:
 				require.True(t, step.Kind == StopLostRun && current || step.Kind == StopFailedSwitch && failedNext)
-				requests++
-				require.LessOrEqual(t, requests, maxRunStops)
+				lost := step.Kind == StopLostRun
+				if result != NoRun {
+					requests++
+				}
 				if result == Unknown || result == InProgress && unanswered > 0 {
 					unanswered++
 				}
-				if result == Done || result == StoppedOnly || unanswered == maxUnansweredStops {
+				require.LessOrEqual(t, requests, maxRunStops)
+				ended := result == Done || result == StoppedOnly || result == NoRun && lost && begun
+				askedFurther := stream.RecordRunStop(result, now)
+				if askedFurther {
+					require.True(t, !ended && (result == NoRun || unanswered == maxUnansweredStops))
+				}
+				switch {
+				case !ended && !askedFurther:
+				case lost:
 					requests, unanswered = 0, 0
-					if step.Kind == StopLostRun {
-						current, stopped = false, stopped || result == Done && !stream.HasCopy()
-					} else {
-						failedNext = false
-					}
+					current, stopped = false, stopped || result == Done && !stream.HasCopy()
+				default:
+					requests, unanswered, failedNext = 0, 0, false
 				}
-				stream.RecordRunStop(result, now)
 			case PrecopyMemory, StopAndCopyMemory:
-				if result == InProgress {
+				if result == InProgress || result == NoRun {
 					result = NotDone
 				}
 				stream.RecordMove(result, 0, now)
@@ -160,13 +179,13 @@
 				if step.Kind == Rerun {
 					return
 				}
-				if result == InProgress {
+				if result == InProgress || result == NoRun {
 					result = NotDone
 				}
 				stream.RecordSwitch(result, rapid.Bool().Draw(t, "next copy"), now)
 				switch result {
 				case Done:
-					stopped = false
+					stopped, started = false, false
 				case Unknown:
 					stream.RecordOpenSwitch()
 					failedNext, stopped = true, false
--- a/internal/decide/failover/result.go
+++ b/internal/decide/failover/result.go
@@ -14,4 +14,6 @@
 	StoppedOnly
 	// InProgress means that the engine still carries out an earlier step.
 	InProgress
+	// NoRun means that the engine knows no run of the request now. It may still begin one that it has not been seen to run.
+	NoRun
 )
--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -36,6 +36,7 @@
 	pending      StepKind      // step whose result has not been recorded; zero if none
 	leavingSince time.Duration // notice that the engine is leaving
 	lastEvent    time.Duration
+	beginBy      time.Duration // the engine begins to run the request until then or not at all
 	switches     int
 	moves        int
 	retryMoveAt  time.Duration // earliest next move after a failed one, or one that the retry budget does not cover
@@ -46,7 +47,7 @@
 
 // New returns the state of a generation that has just been sent to an engine.
 func New(timing Timing, canMove, copied bool, now time.Duration) *Stream {
-	return &Stream{timing: timing, canMove: canMove, copied: copied, lastEvent: now}
+	return &Stream{timing: timing, canMove: canMove, copied: copied, lastEvent: now, beginBy: now + timing.BeginWindow}
 }
 
 // UseReruns sets what decides whether the request is sent again once the generation is lost.
@@ -55,6 +56,9 @@
 // RecordEvent records that an event of the generation has arrived.
 func (s *Stream) RecordEvent(now time.Duration) { s.started, s.lastEvent = true, now }
 
+// Started reports whether the engine has been seen to run the generation.
+func (s *Stream) Started() bool { return s.started }
+
 // RecordLeaving records that the engine is leaving. Repeated calls have no effect.
 func (s *Stream) RecordLeaving(now time.Duration) {
 	if !s.leaving {
@@ -191,5 +195,5 @@
 	s.open = openRuns{}
 	s.copied, s.started, s.disconnected, s.leaving, s.precopied, s.linksFree = copied, false, false, false, false, false
 	s.stop, s.ended = notStopped, false
-	s.moves, s.retryMoveAt, s.lastEvent = 0, 0, now
+	s.moves, s.retryMoveAt, s.lastEvent, s.beginBy = 0, 0, now, now+s.timing.BeginWindow
 }
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -6,6 +6,7 @@
 // move memory cannot be asked to stop a generation either; for them, the end of the connection counts as that of the run.
 func (s *Stream) RecordOpenRun() {
 	s.open.current = s.canMove && !s.memoryMoved && s.stop != stopped
+	s.open.begun = s.started
 }
 
 // RecordOpenSwitch records that the engine of the failed switch may have gone on with the generation, and may still
@@ -14,14 +15,21 @@
 
 // RecordRunStop records the result of StopLostRun or StopFailedSwitch: Done if the generation has been stopped and its
 // memory moved, StoppedOnly if the engine does not run it any more, NotDone if it may go on, Unknown if the engine did
-// not answer, InProgress if it carries out an earlier move or stop.
-func (s *Stream) RecordRunStop(result Result, now time.Duration) {
+// not answer, InProgress if it carries out an earlier move or stop, NoRun if it knows no run of the request now. It
+// reports whether the generation goes on although the engine may still work on it, or may begin it; the engine is to be
+// asked further then.
+func (s *Stream) RecordRunStop(result Result, now time.Duration) (unconfirmed bool) {
 	step := s.pending
 	s.pending = 0
-	s.open.record(result, now)
+	var beginBy time.Duration
+	if step == StopLostRun && !s.copied && !s.reruns.Allowed() {
+		beginBy = s.beginBy // the generation can go on only from this run
+	}
+	unconfirmed = s.open.record(result, beginBy, now)
 	if step == StopLostRun && result == Done {
 		s.memoryMoved = !s.copied
 	}
+	return unconfirmed
 }
 
 // MayRunOn reports whether the engine that the generation has last run at may still run it.
--- a/internal/decide/failover/stream_test.go
+++ b/internal/decide/failover/stream_test.go
@@ -10,7 +10,7 @@
 )
 
 var timing = Timing{SwitchAfter: 900 * time.Millisecond, SwitchUnstartedAfter: 1300 * time.Millisecond, SilenceTimeout: 140 * time.Millisecond,
-	PrecopyDeadline: 800 * time.Millisecond, StopAndCopyAfter: 600 * time.Millisecond, StopAndCopyDeadline: 1100 * time.Millisecond, FastPrecopy: 50 * time.Millisecond, DestinationGrace: 600 * time.Millisecond}
+	PrecopyDeadline: 800 * time.Millisecond, StopAndCopyAfter: 600 * time.Millisecond, StopAndCopyDeadline: 1100 * time.Millisecond, FastPrecopy: 50 * time.Millisecond, DestinationGrace: 600 * time.Millisecond, BeginWindow: time.Second}
 
 func TestNextStep(t *testing.T) {
 	const ms = time.Millisecond
--- a/internal/decide/failover/timing.go
+++ b/internal/decide/failover/timing.go
@@ -25,4 +25,6 @@
 	// SilenceTimeout is the time without an event after which the engine counts as lost. Zero
 	// disables the check.
 	SilenceTimeout time.Duration
+	// BeginWindow is the time from the sending of a request within which an engine begins to run it.
+	BeginWindow time.Duration
 }
--- a/internal/gateway/left_run_test.go
+++ b/internal/gateway/left_run_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"siskintide.example/siskintide/internal/boottime"
+	"siskintide.example/siskintide/internal/decide/failover"
 	"siskintide.example/siskintide/internal/decide/placement"
 	"siskintide.example/siskintide/internal/edgecontrol"
 )
@@ -34,7 +36,8 @@
 		if returns {
 			s.returnTo("first")
 		}
-		s.stopLeftRun(ctx, s.current, placement.Candidate{Target: "copy", Address: "127.0.0.1:1"})
+		run := failover.NewLeftRun(boottime.Now()+closeGrace, true, 0, boottime.Now()+time.Minute)
+		s.stopLeftRun(ctx, run, placement.Candidate{Target: "first", Address: "127.0.0.1:1"}, "127.0.0.1:2")
 		require.Equal(t, want, mover.moves)
 	}
 }
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -208,7 +208,7 @@
 	default:
 		s.recordCrash(s.next.assignment.Target.Target, message.err)
 		var unsent *UnsentError
-		s.failedSwitch = s.next.assignment.Target
+		s.failedSwitch, s.failedSwitchSentAt = s.next.assignment.Target, s.next.sentAt
 		s.revertSwitch(errors.As(message.err, &unsent), placement.Unreachable, message.err.Error())
 		if mayRunOn(message.err) {
 			s.failover.RecordOpenSwitch()
--- a/internal/gateway/stream_move.go
+++ b/internal/gateway/stream_move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"siskintide.example/siskintide/internal/core"
 	"siskintide.example/siskintide/internal/decide/failover"
@@ -96,7 +97,7 @@
 	if len(s.moveExclusions) > maxMoveExclusions {
 		s.moveExclusions = []core.TargetID{s.current.assignment.Target.Target} // the others may have capacity by now
 	}
-	request := s.placementRequest(s.moveExclusions)
+	request := s.placementRequest(append(slices.Clone(s.moveExclusions), s.leftTargets()...))
 	// Moves to an engine share its link as prompts share its processor, so the size of the
 	// KV cache counts as prompt tokens that are not processed yet.
 	request.Prompt, request.TransfersMemory, request.DataCentre = request.Memory, true, s.current.assignment.Target.DataCentre
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -33,6 +33,7 @@
 	moveResults        chan moveResult
 	runStopResults     chan runStopResult
 	failedSwitch       placement.Candidate     // engine that last failed to go on with the generation
+	failedSwitchSentAt time.Duration           // when it was asked to
 	left               []leftRun               // at engines that the stream has left
 	moveAssignment     *edgecontrol.Assignment // reservation at the engine that the KV cache is moved to
 	moveExclusions     []core.TargetID         // engines not to move to: the current one and those without capacity
--- a/internal/gateway/stream_run_stop.go
+++ b/internal/gateway/stream_run_stop.go
@@ -64,7 +64,8 @@
 	if err != nil {
 		entry = entry.WithField("cause", err.Error())
 	}
-	entry.WithField("stopped", stop.result == failover.Done || stop.result == failover.StoppedOnly).WithField("moved", err == nil).
+	entry.WithField("stopped", stop.result == failover.Done || stop.result == failover.StoppedOnly).
+		WithField("no_run", stop.result == failover.NoRun).WithField("moved", err == nil).
 		Info("engine was asked to stop a generation whose connection has ended")
 	return stop
 }
@@ -78,7 +79,9 @@
 		return failover.Done
 	case errors.As(err, &refused) && refused.Busy:
 		return failover.InProgress
-	case errors.As(err, &refused) && (refused.NoRun || refused.Stopped), errors.As(err, &silent) && silent.Gone:
+	case errors.As(err, &refused) && refused.NoRun:
+		return failover.NoRun
+	case errors.As(err, &refused) && refused.Stopped, errors.As(err, &silent) && silent.Gone:
 		return failover.StoppedOnly
 	case errors.As(err, &silent):
 		return failover.Unknown
@@ -98,5 +101,7 @@
 		go s.freeHandle(stop.at, stop.handle.ID)
 		stop.result = failover.StoppedOnly
 	}
-	s.failover.RecordRunStop(stop.result, s.now())
+	if s.failover.RecordRunStop(stop.result, s.now()) {
+		s.keepStopping(stop)
+	}
 }
--- a/internal/gateway/stream_run_stop_test.go
+++ b/internal/gateway/stream_run_stop_test.go
@@ -18,7 +18,7 @@
 		want failover.Result
 	}{
 		"moved":              {nil, failover.Done},
-		"no run":             {&MoveRefusedError{NoRun: true}, failover.StoppedOnly},
+		"no run":             {&MoveRefusedError{NoRun: true}, failover.NoRun},
 		"stopped, not moved": {&MoveRefusedError{Stopped: true}, failover.StoppedOnly},
 		"process has ended":  {&NoResponseError{Gone: true}, failover.StoppedOnly},
 		"busy":               {&MoveRefusedError{Busy: true}, failover.InProgress},
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -86,9 +86,13 @@
 		FastPrecopy:          fastPrecopy,
 		DestinationGrace:     destinationGrace,
 		SilenceTimeout:       time.Duration(silenceFraction * float64(s.route.GapGoal)),
+		BeginWindow:          s.beginWindow(),
 	}
 }
 
+// beginWindow returns the time from the sending of a request within which an engine is expected to begin to run it.
+func (s *streamRelay) beginWindow() time.Duration { return max(s.route.AnswerGoal, minBeginWindow) }
+
 // canMove reports whether the pool's engines can move the KV cache of a generation.
 func (s *streamRelay) canMove() bool {
 	return s.spec != nil && s.spec.Engine != nil && s.spec.Engine.Moves
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -27,8 +27,12 @@
 	freeTimeout = time.Second
 	// runStopTimeout bounds one request to stop a generation.
 	runStopTimeout = 300 * time.Millisecond
-	// closeGrace is the time from the close of an exchange with an engine that the stream has left until the engine is
-	// asked to stop the generation: together with maxSwitchOverlap it stays below 400 ms.
+	// minBeginWindow is the smallest time for which an engine is expected to queue a request and to read its prompt.
+	minBeginWindow = time.Second
+	// latestBeginWindows is how many times that an engine that is crowded may take.
+	latestBeginWindows = 2
+	// closeGrace is the time until an engine that the stream has left is asked to stop the generation, from the close of
+	// the exchange or from the last request to stop it: together with maxSwitchOverlap it stays below 400 ms.
 	closeGrace = 50 * time.Millisecond
 	// maxMoveExclusions bounds the list of engines that are not moved to again because they
 	// had no capacity.
