Streams: log lines that tell why a stream leaves its engine

The lines of a switch did not tell a notice that an engine leaves from an engine that was silent, nor an engine whose entry is missing from one that has said that it leaves; nothing was logged when the next engine responded, or when the former engine's stream was closed before that. `stream goes on at another engine` now has notice (entry, no_entry, report), notice_ms and connected, and `engine has taken over the stream` and `engine's stream is closed before the next engine has responded` are new. silent_ms is left out where no event has arrived; it was the time since the machine's start.

A former engine whose connection had ended, and whose run had been shown to have ended, counted as running again once the overlap was over; it is left as it is now.

--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -190,7 +190,9 @@
 		s.gateway.options.Controller.Release(s.current.assignment, placement.Inconclusive)
 		s.leaveCurrent()
 		s.countSilentRun()
-		s.current, s.next = s.next, nil
+		s.log.WithField("target", s.next.assignment.Target.Target).WithField("took_ms", (s.now() - s.next.sentAt).Milliseconds()).
+			Info("engine has taken over the stream")
+		s.current, s.next, s.notice = s.next, nil, ""
 		s.current.counted = true
 		s.reruns.RecordRun()
 		s.ids.resume()
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -28,6 +28,8 @@
 	current            *upstream         // engine whose events are forwarded
 	next               *upstream         // engine that takes over; nil while no switch is open
 	overlapDeadline    time.Duration
+	notice             leaveNotice   // that the current engine leaves; empty for none
+	noticeAt           time.Duration // of that notice
 	reports            failover.ReportSchedule
 	reportResults      chan reportResult
 	moveResults        chan moveResult
@@ -110,8 +112,10 @@
 		s.withdraw(hold)
 		return true
 	}
-	if view.TargetLeaves(s.current.assignment.Target.Target) {
-		s.failover.RecordLeaving(s.now())
+	if entry, ok := view.Targets[s.current.assignment.Target.Target]; !ok {
+		s.recordLeaving(noticeNoEntry, s.now())
+	} else if entry.Leaving {
+		s.recordLeaving(noticeEntry, s.now())
 	}
 	if s.current.assignment.HasCopy() && !view.Usable(s.current.assignment.Copy.Target) {
 		s.failover.RecordCopyLost()
@@ -148,6 +152,14 @@
 	return false
 }
 
+// recordLeaving records a notice that the current engine leaves, which was given at a time.
+func (s *streamRelay) recordLeaving(notice leaveNotice, at time.Duration) {
+	s.failover.RecordLeaving(at)
+	if s.notice == "" {
+		s.notice, s.noticeAt = notice, at
+	}
+}
+
 // placeSwitch assigns the engine that has the generation's KV cache, or will have it, to the request that goes on
 // there. It returns nil if the retry budget does not cover that request.
 func (s *streamRelay) placeSwitch(to placement.Candidate) *edgecontrol.Assignment {
@@ -175,9 +187,15 @@
 	}
 	s.retryCovered = false
 	assignment := *placed
-	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", to.Target).
-		WithField("after_event", s.ids.last).WithField("silent_ms", (s.now()-s.lastEventAt).Milliseconds()).
-		WithField("copied", handle.ID == s.request.ID).Info("stream goes on at another engine")
+	entry := s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", to.Target).
+		WithField("after_event", s.ids.last).WithField("connected", !s.current.stopped).WithField("copied", handle.ID == s.request.ID)
+	if s.firstEventAt > 0 {
+		entry = entry.WithField("silent_ms", (s.now() - s.lastEventAt).Milliseconds())
+	}
+	if s.notice != "" {
+		entry = entry.WithField("notice", s.notice).WithField("notice_ms", (s.now() - s.noticeAt).Milliseconds())
+	}
+	entry.Info("stream goes on at another engine")
 	s.returnTo(to.Target)
 	s.next = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, &handle))
 	s.overlapDeadline = s.now() + maxSwitchOverlap
@@ -213,7 +231,9 @@
 		if s.pace.overdue(s.now()) {
 			s.reportPace()
 		}
-		if s.next != nil && s.now() >= s.overlapDeadline {
+		if s.next != nil && s.now() >= s.overlapDeadline && !s.current.stopped {
+			s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", s.next.assignment.Target.Target).
+				WithField("last_event", s.ids.last).Info("engine's stream is closed before the next engine has responded")
 			s.current.stop()
 			s.failover.RecordDisconnect()
 			s.failover.RecordOpenRun()
--- a/internal/gateway/stream_report.go
+++ b/internal/gateway/stream_report.go
@@ -44,6 +44,6 @@
 	}
 	s.log.WithField("target", result.target).WithField("leaves_in_ms", result.report.LeavesIn.Milliseconds()).
 		Info("engine reports that it leaves")
-	s.failover.RecordLeaving(noticeAt)
+	s.recordLeaving(noticeReport, noticeAt)
 	s.gateway.options.Controller.MarkLeaving(result.target)
 }
