Streams: a generation that has not begun is not sent to the engine with its copy

What callers saw: 502, or nothing until they gave up.

Cause: a request asks its engine to keep a copy of the generation at another one, and a switch to that copy was taken once the connection had ended, or the engine left, also before any event. There is no copy of a generation that has not begun, so that the other engine was relied on to refuse the request; one that fails has run it.

Ruled out: 404 to the request to stop the run as the cause of this form (the run had ended; the other engine gets the request all the same, also if the first one is gone and is not asked), the cut itself (the form shows without one, below).

Change: a switch to a copy needs an event of the generation, or the answer of an engine that it has stopped the run and moved its memory. A lost request without an event is no longer given up at the first 404: the engine is asked until the route's answer goal, at least 1 s after the sending, whether it has begun, as the generation can go on from its memory then.

Why it works: nothing is sent to a second engine unless the first run has been seen; the caller gets its 502 as before.

--- a/internal/decide/failover/stream.go
+++ b/internal/decide/failover/stream.go
@@ -22,6 +22,7 @@
 	reruns       *Reruns // nil if the request must not be sent again
 	canMove      bool
 	copied       bool // another engine keeps a copy
+	begun        bool // the generation has been seen to run, here or at an earlier engine
 	started      bool // an event has arrived since the last switch
 	disconnected bool // the connection to the engine ended before the generation did
 	leaving      bool // the engine is leaving
@@ -54,7 +55,7 @@
 func (s *Stream) UseReruns(reruns *Reruns) { s.reruns = reruns }
 
 // RecordEvent records that an event of the generation has arrived.
-func (s *Stream) RecordEvent(now time.Duration) { s.started, s.lastEvent = true, now }
+func (s *Stream) RecordEvent(now time.Duration) { s.begun, s.started, s.lastEvent = true, true, now }
 
 // Started reports whether the engine has been seen to run the generation.
 func (s *Stream) Started() bool { return s.started }
@@ -93,9 +94,13 @@
 // Precopied reports whether the memory has been pre-copied to the engine chosen for the move.
 func (s *Stream) Precopied() bool { return s.precopied }
 
-// HasCopy reports whether a copy is expected to exist.
+// HasCopy reports whether another engine has been asked to keep a copy.
 func (s *Stream) HasCopy() bool { return s.copied }
 
+// copyUsable reports whether the generation may go on from the copy. There is none of a generation that has not begun;
+// the engine that would hold it could run the request a second time.
+func (s *Stream) copyUsable() bool { return s.copied && s.begun }
+
 // RecordDisconnect records that the connection to the engine ended before the generation did.
 func (s *Stream) RecordDisconnect() { s.disconnected = true }
 
@@ -132,14 +137,16 @@
 		return Step{Kind: SwitchToMoved}
 	case s.switches >= maxSwitches && s.disconnected:
 		return s.lost()
-	case s.disconnected && s.copied:
+	case s.disconnected && s.copyUsable():
 		return Step{Kind: SwitchToCopy}
 	case s.disconnected:
 		return s.lost()
 	case s.switches >= maxSwitches:
 		return Step{Kind: Wait}
-	case s.copied:
+	case s.copyUsable():
 		return s.nextWithCopy(now)
+	case s.copied:
+		return Step{Kind: Wait}
 	case s.leaving && s.canMove && s.moves < maxMoves:
 		return s.nextMove(now)
 	default:
@@ -147,7 +154,8 @@
 	}
 }
 
-// goesOn reports whether the generation runs at its engine, or would go on at another one.
+// goesOn reports whether the generation runs at its engine, or would go on at another one: also from the memory of a
+// run that has not been seen to begin, if the engine with the copy has room for it.
 func (s *Stream) goesOn() bool {
 	return !s.disconnected || s.copied || s.memoryMoved || s.reruns.Allowed()
 }
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -22,12 +22,12 @@
 	step := s.pending
 	s.pending = 0
 	var beginBy time.Duration
-	if step == StopLostRun && !s.copied && !s.reruns.Allowed() {
+	if step == StopLostRun && !s.copyUsable() && !s.reruns.Allowed() {
 		beginBy = s.beginBy // the generation can go on only from this run
 	}
 	unconfirmed = s.open.record(result, beginBy, now)
 	if step == StopLostRun && result == Done {
-		s.memoryMoved = !s.copied
+		s.begun, s.memoryMoved = true, !s.copied
 	}
 	return unconfirmed
 }
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -113,6 +113,7 @@
 			s := newTestRelay(controller)
 			s.headerSent = true
 			s.next = newTestUpstream("copy")
+			s.failover.RecordEvent(s.now())
 			s.failover.RecordDisconnect()
 			require.Equal(t, failover.SwitchToCopy, s.failover.Next(s.now()).Kind)
 			require.False(t, s.handleNextMessage(failure))
