Streams: a missing registry entry is no notice that an engine leaves

What callers saw: their draft stood still, and they gave up. Its engine was sound; the host had sent the draft to a second engine that hung, crashed or lost the answer, and closed the stream of the first one after 300 ms.

Cause: an entry that is missing from the host's registry counted as the engine's notice, for good. Entries also lapse after three heartbeats of an engine that is cut off from the store and runs on, and after a cut a host takes the registry of a hub that was on the other side of it, which has dropped them. The engine writes its entry again within 1.2 s; the switch came 0.9 s after the notice, also if the entry was back.

Ruled out: silence of the engine (silent_ms 1 to 39 in six traces), a notice of its own (its entry never said so, and its report does not), the switch to a copy of a generation that has not begun (mended before; the drafts had 73 to 101 events).

Change: while an engine's entry is missing, the stream asks the engine itself, at once and every 350 ms, as it does while the registry is out of date. The engine leaves if its report says so; the notice counts from the time at which the entry was missing. An engine that answers without a report has nothing else to go by, and the missing entry counts as before. New requests are not sent to an engine without an entry, as before.

Why it works: an engine that leaves says so in its reports and answers.

--- a/internal/decide/failover/report_schedule.go
+++ b/internal/decide/failover/report_schedule.go
@@ -12,20 +12,24 @@
 )
 
 // ReportSchedule decides when to ask a generation's engine for a report. It answers an outage of
-// the registry, during which a notice that an engine leaves is not seen otherwise.
+// the registry, during which a notice that an engine leaves is not seen otherwise, and an entry that is missing: that
+// of an engine that leaves without a notice, or of one that is cut off from the registry and runs on.
 type ReportSchedule struct {
 	asked   bool // a report has been requested
 	pending bool // the last request has no result yet
 	askedAt time.Duration
 }
 
-// Due returns when the next report is due, given the age of the registry. It returns zero while
-// a request is pending.
-func (s *ReportSchedule) Due(now, registryAge time.Duration) time.Duration {
+// Due returns when the next report is due, given the age of the registry, and whether it lacks the engine's entry. It
+// returns zero while a request is pending.
+func (s *ReportSchedule) Due(now, registryAge time.Duration, entryMissing bool) time.Duration {
 	if s.pending {
 		return 0
 	}
-	due := now + max(reportAfter-registryAge, 0)
+	due := now
+	if !entryMissing {
+		due += max(reportAfter-registryAge, 0)
+	}
 	if s.asked {
 		due = max(due, s.askedAt+reportInterval)
 	}
--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -192,7 +192,7 @@
 		s.countSilentRun()
 		s.log.WithField("target", s.next.assignment.Target.Target).WithField("took_ms", (s.now() - s.next.sentAt).Milliseconds()).
 			Info("engine has taken over the stream")
-		s.current, s.next, s.notice = s.next, nil, ""
+		s.current, s.next, s.notice, s.missingSince = s.next, nil, "", 0
 		s.current.counted = true
 		s.reruns.RecordRun()
 		s.ids.resume()
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -30,6 +30,7 @@
 	overlapDeadline    time.Duration
 	notice             leaveNotice   // that the current engine leaves; empty for none
 	noticeAt           time.Duration // of that notice
+	missingSince       time.Duration // when the current engine's entry was found missing; zero if it is there
 	reports            failover.ReportSchedule
 	reportResults      chan reportResult
 	moveResults        chan moveResult
@@ -112,11 +113,7 @@
 		s.withdraw(hold)
 		return true
 	}
-	if entry, ok := view.Targets[s.current.assignment.Target.Target]; !ok {
-		s.recordLeaving(noticeNoEntry, s.now())
-	} else if entry.Leaving {
-		s.recordLeaving(noticeEntry, s.now())
-	}
+	s.readEntry(view)
 	if s.current.assignment.HasCopy() && !view.Usable(s.current.assignment.Copy.Target) {
 		s.failover.RecordCopyLost()
 	}
@@ -152,6 +149,23 @@
 	return false
 }
 
+// readEntry reads from the registry whether the current engine leaves. An entry that is missing does not say so: it
+// lapses when the engine is cut off from the registry, and the host may have a registry that was read meanwhile. The
+// engine is asked then.
+func (s *streamRelay) readEntry(view *edgecontrol.View) {
+	entry, ok := view.Targets[s.current.assignment.Target.Target]
+	switch {
+	case ok && entry.Leaving:
+		s.recordLeaving(noticeEntry, s.now())
+	case ok:
+		s.missingSince = 0
+	case s.missingSince == 0:
+		s.missingSince = s.now()
+		s.log.WithField("target", s.current.assignment.Target.Target).WithField("last_event", s.ids.last).
+			Info("engine's entry is missing, and the engine is asked whether it leaves")
+	}
+}
+
 // recordLeaving records a notice that the current engine leaves, which was given at a time.
 func (s *streamRelay) recordLeaving(notice leaveNotice, at time.Duration) {
 	s.failover.RecordLeaving(at)
@@ -255,7 +269,7 @@
 		return s.timeLeft()
 	}
 	left := s.timeLeft()
-	for _, due := range []time.Duration{s.failover.Due(s.now()), s.reports.Due(s.now(), registryAge), s.pace.due()} {
+	for _, due := range []time.Duration{s.failover.Due(s.now()), s.reports.Due(s.now(), registryAge, s.missingSince > 0), s.pace.due()} {
 		if due > 0 {
 			left = min(left, max(due-s.now(), 0))
 		}
--- a/internal/gateway/stream_report.go
+++ b/internal/gateway/stream_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 
 // requestReport asks the current engine whether it leaves, if that is due.
 func (s *streamRelay) requestReport(registryAge time.Duration) {
-	due := s.reports.Due(s.now(), registryAge)
+	due := s.reports.Due(s.now(), registryAge, s.missingSince > 0)
 	if s.current == nil || due == 0 || due > s.now() {
 		return
 	}
@@ -27,18 +28,29 @@
 		if err != nil {
 			s.log.WithError(err).WithField("target", assignment.Target.Target).Debug("engine gave no report")
 		}
-		results <- reportResult{target: assignment.Target.Target, report: report}
+		var refused *NoReportError
+		results <- reportResult{target: assignment.Target.Target, report: report, refused: errors.As(err, &refused)}
 	}()
 }
 
-// handleReport records a notice that the current engine leaves, and tells the control goroutine,
-// so that the engine gets no new work.
+// handleReport records a notice that the current engine leaves, and tells the control goroutine, so that the engine
+// gets no new work. An engine that leaves without a notice is one from the time at which its entry was missing.
 func (s *streamRelay) handleReport(result reportResult) {
 	s.reports.RecordResult()
-	if !result.report.Leaving || s.current == nil || s.current.assignment.Target.Target != result.target {
+	if s.current == nil || s.current.assignment.Target.Target != result.target {
+		return
+	}
+	if result.refused && s.missingSince > 0 {
+		s.recordLeaving(noticeNoEntry, s.missingSince)
+		return
+	}
+	if !result.report.Leaving {
 		return
 	}
 	noticeAt := s.now()
+	if s.missingSince > 0 {
+		noticeAt = s.missingSince
+	}
 	if result.report.LeavesKnown {
 		noticeAt = min(noticeAt, noticeAt+result.report.LeavesIn-shortestNotice)
 	}
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -37,6 +37,8 @@
 
 func (c *placingController) RecordRateLimit(core.TargetID, *float64, bool, time.Duration) {}
 
+func (c *placingController) MarkLeaving(core.TargetID) {}
+
 // silentMetrics drops all figures.
 type silentMetrics struct{ Metrics }
 
--- a/internal/gateway/stream_start.go
+++ b/internal/gateway/stream_start.go
@@ -42,7 +42,7 @@
 	s.tried = append(s.tried, assignment.Target.Target)
 	s.failover = failover.New(s.timing(), s.canMove(), assignment.HasCopy(), s.now())
 	s.failover.UseReruns(s.reruns)
-	s.runEvents, s.notice = 0, ""
+	s.runEvents, s.notice, s.missingSince = 0, "", 0
 	s.current = s.startUpstream(s.ctx, assignment, s.newAttempt(assignment, nil))
 	return true
 }
