Streams: a sound engine is not left for one that does not respond

What callers saw: their draft stopped after an event, and they gave up after some seconds. Its engine had sent events until the host closed the connection.

Cause: while a switch was open, the host read nothing from the former engine, and closed its connection after 300 ms, whether or not the next one had responded; two engines must not work on one generation for 400 ms. It then waited for the next engine without an end.

Change: the first message of the former engine that arrives during a switch is held. If it is an event, or the end of the stream, the host closes the connection to the next engine after 300 ms and asks that engine to stop, and the stream goes on with the former one. Otherwise the former one is closed, as before. Events of both are not mixed: those of the former engine wait until the switch has failed. Where engines cannot be asked to stop a run, the former one is closed as before.

Why it works: at the end of the overlap one of both engines is stopped, as before, but not the one that is known to work.

--- a/internal/gateway/stream_messages.go
+++ b/internal/gateway/stream_messages.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -192,7 +193,7 @@
 		s.countSilentRun()
 		s.log.WithField("target", s.next.assignment.Target.Target).WithField("took_ms", (s.now() - s.next.sentAt).Milliseconds()).
 			Info("engine has taken over the stream")
-		s.current, s.next, s.notice, s.missingSince = s.next, nil, "", 0
+		s.current, s.next, s.held, s.notice, s.missingSince = s.next, nil, nil, "", 0
 		s.current.counted = true
 		s.reruns.RecordRun()
 		s.ids.resume()
@@ -209,16 +210,27 @@
 		s.revertSwitch(message.response.NotRun, s.outcome(message.response, nil), strconv.Itoa(message.response.status))
 	default:
 		s.recordCrash(s.next.assignment.Target.Target, message.err)
-		var unsent *UnsentError
-		s.failedSwitch, s.failedSwitchSentAt = s.next.assignment.Target, s.next.sentAt
-		s.revertSwitch(errors.As(message.err, &unsent), placement.Unreachable, message.err.Error())
-		if mayRunOn(message.err) {
-			s.failover.RecordOpenSwitch()
-		}
+		s.failSwitch(message.err)
 	}
 	return false
 }
 
+// abandonSwitch returns to the current engine, which is sound, from an engine that has not responded in time.
+func (s *streamRelay) abandonSwitch() {
+	s.failSwitch(&ExchangeError{Address: s.next.assignment.Target.Address, Phase: phaseRequest, Cause: context.DeadlineExceeded})
+}
+
+// failSwitch returns to the former engine after the exchange with the next one has failed. That engine may have got the
+// request, and is asked to stop it.
+func (s *streamRelay) failSwitch(cause error) {
+	var unsent *UnsentError
+	s.failedSwitch, s.failedSwitchSentAt = s.next.assignment.Target, s.next.sentAt
+	s.revertSwitch(errors.As(cause, &unsent), placement.Unreachable, cause.Error())
+	if mayRunOn(cause) {
+		s.failover.RecordOpenSwitch()
+	}
+}
+
 // revertSwitch returns to the former engine after a failed switch.
 func (s *streamRelay) revertSwitch(notRun bool, outcome placement.Outcome, cause string) {
 	target := s.next.assignment.Target.Target
--- a/internal/gateway/stream_relay.go
+++ b/internal/gateway/stream_relay.go
@@ -28,9 +28,10 @@
 	current            *upstream         // engine whose events are forwarded
 	next               *upstream         // engine that takes over; nil while no switch is open
 	overlapDeadline    time.Duration
-	notice             leaveNotice   // that the current engine leaves; empty for none
-	noticeAt           time.Duration // of that notice
-	missingSince       time.Duration // when the current engine's entry was found missing; zero if it is there
+	held               *upstreamMessage // of the current engine, received while the switch is open; nil for none
+	notice             leaveNotice      // that the current engine leaves; empty for none
+	noticeAt           time.Duration    // of that notice
+	missingSince       time.Duration    // when the current engine's entry was found missing; zero if it is there
 	reports            failover.ReportSchedule
 	reportResults      chan reportResult
 	moveResults        chan moveResult
@@ -218,11 +219,16 @@
 // awaitEvent waits for a message, the end of a move, a new view, a timer or the end of the
 // request, and handles it. It reports whether the request is finished.
 func (s *streamRelay) awaitEvent(view *edgecontrol.View) bool {
+	if s.next == nil && s.held != nil {
+		message := *s.held
+		s.held = nil
+		return s.handleMessage(message)
+	}
 	var current, next chan upstreamMessage
-	switch {
-	case s.next != nil:
+	if s.next != nil {
 		next = s.next.messages
-	case !s.current.stopped:
+	}
+	if !s.current.stopped && s.held == nil {
 		current = s.current.messages
 	}
 	registryAge, _ := view.RegistryProof.Age(s.now())
@@ -231,6 +237,10 @@
 	defer timer.Stop()
 	select {
 	case message := <-current:
+		if s.next != nil {
+			s.held = &message // events of both engines must not be mixed
+			return false
+		}
 		return s.handleMessage(message)
 	case message := <-next:
 		return s.handleNextMessage(message)
@@ -246,11 +256,7 @@
 			s.reportPace()
 		}
 		if s.next != nil && s.now() >= s.overlapDeadline && !s.current.stopped {
-			s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", s.next.assignment.Target.Target).
-				WithField("last_event", s.ids.last).Info("engine's stream is closed before the next engine has responded")
-			s.current.stop()
-			s.failover.RecordDisconnect()
-			s.failover.RecordOpenRun()
+			s.endOverlap()
 		}
 	case <-s.ctx.Done():
 		s.endEarly()
@@ -259,6 +265,22 @@
 	return false
 }
 
+// endOverlap ends one of two exchanges, since two engines must not work on one generation: that with the next engine if
+// the current one is sound, and otherwise that with the current one, which has been silent since the switch began.
+func (s *streamRelay) endOverlap() {
+	sound := s.held != nil && s.held.kind != upstreamFailed
+	if sound && s.canMove() && s.failover.MayRunOn() {
+		s.abandonSwitch()
+		return
+	}
+	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", s.next.assignment.Target.Target).
+		WithField("last_event", s.ids.last).Info("engine's stream is closed before the next engine has responded")
+	s.current.stop()
+	s.held = nil
+	s.failover.RecordDisconnect()
+	s.failover.RecordOpenRun()
+}
+
 // untilNextStep returns the time until the failover decision, the overlap of an open switch, or
 // the engine's next report is due.
 func (s *streamRelay) untilNextStep(registryAge time.Duration) time.Duration {
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -40,8 +40,8 @@
 	// silenceFraction is the part of the route's GapGoal after which a silent engine counts
 	// as lost. The rest of the goal is left for the switch.
 	silenceFraction = 0.75
-	// maxSwitchOverlap is how long the former engine is kept running while the engine that
-	// takes over has not responded: two engines must not work on one generation for 400 ms.
+	// maxSwitchOverlap is how long both engines are kept running while the one that takes over has not responded: two
+	// engines must not work on one generation for 400 ms.
 	maxSwitchOverlap = 300 * time.Millisecond
 	// pacedEvents is the number of events from which the pace of an engine shows. A stream of a slow version may
 	// last longer than the rollout.
