Streams: a run that cannot be stopped is not taken for an ended one

What callers saw: nothing, their streams were whole. In a pool whose engines cannot move memory, a generation whose answer was lost went on at the engine with its copy, or was sent again if it may be resumed, while the first engine worked on to its end.

Cause: such engines cannot be asked to stop a run, so the end of the connection counted as the end of the run.

Change: the run is open as in other pools. The engine counts as having stopped it only if it refuses connections, as its process has ended then; five checks, 100 ms apart. Otherwise the stream ends: 502, or a broken connection if its head has been sent. The same after a failed switch.

Cost: in such a pool a stream whose connection breaks while its engine lives on is lost within 0.5 s. The caller may resume it where the route allows that. A stream whose engine has crashed goes on as before.

TestLostRunIsStoppedFirst expected the switch for an engine that cannot be asked; it expects the end of the stream now, and the switch if the process has ended. TestRerunAvoidsEngineOfFailedSwitch answers the request to stop the failed switch, which is now made here too.

--- a/internal/decide/failover/open_runs_test.go
+++ b/internal/decide/failover/open_runs_test.go
@@ -43,7 +43,9 @@
 		"refused, resumable":           {true, false, true, begun, []Result{NotDone, NotDone, NotDone, NotDone, NotDone}, GiveUp},
 		"refused, then stopped":        {true, true, false, begun, []Result{NotDone, NotDone, StoppedOnly}, SwitchToCopy},
 		"another move is in progress":  {true, true, false, begun, []Result{InProgress, InProgress, InProgress, InProgress, InProgress}, GiveUp},
-		"engine cannot be asked":       {false, true, false, begun, nil, SwitchToCopy},
+		"engine cannot be asked":       {false, true, false, begun, []Result{NotDone, NotDone, NotDone, NotDone, NotDone}, GiveUp},
+		"process has ended":            {false, true, false, begun, []Result{NotDone, StoppedOnly}, SwitchToCopy},
+		"process ended, resumable":     {false, false, true, begun, []Result{StoppedOnly}, Rerun},
 		"stops and refusals by turns":  {true, true, false, begun, []Result{Unknown, NotDone, Unknown, NotDone, NotDone}, GiveUp},
 		"refused, then no answer left": {true, true, false, begun, []Result{NotDone, NotDone, NotDone, Unknown, Unknown}, GiveUp},
 	} {
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -2,16 +2,15 @@
 
 import "time"
 
-// RecordOpenRun records that the engine whose connection has ended may still run the generation. Engines that cannot
-// move memory cannot be asked to stop a generation either; for them, the end of the connection counts as that of the run.
+// RecordOpenRun records that the engine whose connection has ended may still run the generation.
 func (s *Stream) RecordOpenRun() {
-	s.open.current = s.canMove && !s.memoryMoved && s.stop != stopped
+	s.open.current = !s.memoryMoved && s.stop != stopped
 	s.open.begun = s.started
 }
 
 // RecordOpenSwitch records that the engine of the failed switch may have gone on with the generation, and may still
 // run it.
-func (s *Stream) RecordOpenSwitch() { s.open.failedNext = s.canMove }
+func (s *Stream) RecordOpenSwitch() { s.open.failedNext = true }
 
 // RecordRunStop records the result of StopLostRun or StopFailedSwitch: Done if the generation has been stopped and its
 // memory moved, StoppedOnly if the engine does not run it any more, NotDone if it may go on, Unknown if the engine did
--- a/internal/gateway/stream_resumption_test.go
+++ b/internal/gateway/stream_resumption_test.go
@@ -119,6 +119,10 @@
 			s.failover.RecordDisconnect()
 			require.Equal(t, failover.SwitchToCopy, s.failover.Next(s.now()).Kind)
 			require.False(t, s.handleNextMessage(failure))
+			if failure.kind == upstreamFailed {
+				require.Equal(t, failover.StopFailedSwitch, s.failover.Next(s.now()).Kind)
+				s.failover.RecordRunStop(failover.StoppedOnly, s.now())
+			}
 			require.PanicsWithValue(t, http.ErrAbortHandler, func() { s.applyNextStep(controller.view) })
 			require.Len(t, controller.placed, 1)
 			require.ElementsMatch(t, []core.TargetID{"first", "copy"}, controller.placed[0].Request.Avoid)
--- a/internal/gateway/stream_run_stop.go
+++ b/internal/gateway/stream_run_stop.go
@@ -18,9 +18,12 @@
 
 // startRunStop starts a goroutine that carries out StopLostRun or StopFailedSwitch.
 func (s *streamRelay) startRunStop(step failover.StepKind) {
-	from, to := s.failedSwitch, s.current.assignment.Target.Address
-	if step == failover.StopLostRun {
+	from, to := s.failedSwitch, ""
+	switch {
+	case step == failover.StopLostRun:
 		from, to = s.current.assignment.Target, s.stopDestination()
+	case s.canMove():
+		to = s.current.assignment.Target.Address
 	}
 	streamCtx, results := s.ctx, s.runStopResults
 	go func() {
@@ -35,8 +38,11 @@
 }
 
 // stopDestination returns the address of the engine to which the memory of the stopped generation moves; empty if no
-// engine has capacity.
+// engine has capacity, or if the engines cannot move memory.
 func (s *streamRelay) stopDestination() string {
+	if !s.canMove() {
+		return ""
+	}
 	if s.failover.HasCopy() {
 		return s.current.assignment.Copy.Address
 	}
@@ -46,14 +52,15 @@
 	return s.moveAssignment.Target.Address
 }
 
-// stopRun asks an engine once to stop the generation and to move its memory.
+// stopRun asks an engine once to stop the generation and to move its memory. An engine that cannot be asked, since its
+// memory can be moved nowhere, has stopped it only if its process has ended.
 func (s *streamRelay) stopRun(ctx context.Context, from placement.Candidate, to string) runStopResult {
 	ctx, cancel := context.WithTimeout(ctx, runStopTimeout)
 	defer cancel()
 	entry := s.log.WithField("target", from.Target)
 	if to == "" {
 		gone := refusesConnections(ctx, from.Address)
-		entry.WithField("target_gone", gone).Info("generation is not stopped: no engine has capacity for its memory")
+		entry.WithField("target_gone", gone).Info("engine was not asked to stop a generation: its memory can be moved nowhere")
 		if gone {
 			return runStopResult{result: failover.StoppedOnly}
 		}
