Soak: engines that begin late, and entries that lapse

The soak now sends streams whose first engine, or the one that takes over, resets the connection and begins to run the request up to 0.6 s later; removes the entries of engines that run on for up to 2.5 s; and lets engines in the mode that drops responses lose the answer at once, also without a copy of the generation that is to go on. Each has its own draws, so that a seed keeps its other faults. Two engines may work on a request that one of them begins late for 400 ms; the check of all other streams is as before.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -78,7 +78,11 @@
 	if !request.answered && !request.abandoned && len(runs) > 0 && !excused(s.broken, request, runs) {
 		s.recordViolation("request %s was passed on by %s to %s and ended without an answer, %s after it was sent", request.id, request.host, runs[len(runs)-1].Runner, request.endedAt.Sub(request.sentAt))
 	}
-	if request.stream && !excused(s.unreachable, request, runs) && len(s.recorder.Overlaps(request.id)) > 0 {
+	together := s.recorder.Overlaps
+	if request.beginsLate { // a run that is stopped soon after its begin is allowed beside another one
+		together = s.recorder.Together
+	}
+	if request.stream && !excused(s.unreachable, request, runs) && len(together(request.id)) > 0 {
 		s.recordViolation("request %s ran at two targets at once", request.id)
 	}
 }
--- a/tools/soak/draws.go
+++ b/tools/soak/draws.go
@@ -8,4 +8,6 @@
 	deadlyCaller    = 201
 	oversizedCalls  = 202
 	lostAnswers     = 203
+	earlyLosses     = 204
+	lapses          = 205
 )
--- a/tools/soak/sent_request.go
+++ b/tools/soak/sent_request.go
@@ -16,5 +16,6 @@
 	answered   bool          // a complete response has arrived, whatever its status
 	uploading  time.Duration // pause within the body
 	abandoned  bool          // the run ended, or the caller's link broke, before the response
+	beginsLate bool          // an engine loses the connection before it begins to run the request
 	linkBroken bool          // the caller's link broke, without a fault of the deployment
 }
--- a/tools/soak/soak.go
+++ b/tools/soak/soak.go
@@ -144,6 +144,8 @@
 	injecting.Go(func() { s.injectRestorations(faulty, rand.New(rand.NewPCG(s.options.Seed, 1))) })
 	injecting.Go(func() { s.injectDeadlyParts(faulty, rand.New(rand.NewPCG(s.options.Seed, deadlyParts))) })
 	injecting.Go(func() { s.loseAnswers(faulty, rand.New(rand.NewPCG(s.options.Seed, lostAnswers))) })
+	injecting.Go(func() { s.loseAnswersEarly(faulty, rand.New(rand.NewPCG(s.options.Seed, earlyLosses))) })
+	injecting.Go(func() { s.injectLapses(faulty, rand.New(rand.NewPCG(s.options.Seed, lapses))) })
 	injecting.Go(func() { s.injectOversizedCalls(faulty, rand.New(rand.NewPCG(s.options.Seed, oversizedCalls))) })
 	s.injectFaults(rand.New(rand.NewPCG(s.options.Seed, 0)))
 	end()
