Failover: comments on begins, entries and left runs

Comments and one name only: SwitchUnstartedAfter counts from the last switch now, View.TargetLeaves no longer tells that a stream is to move, and recordLeft records.

--- a/internal/decide/failover/timing.go
+++ b/internal/decide/failover/timing.go
@@ -7,7 +7,7 @@
 	// SwitchAfter is the time from the notice that the engine is leaving to the switch, which
 	// lets the copy receive what the engine generates until then.
 	SwitchAfter time.Duration
-	// SwitchUnstartedAfter is the same for a generation that has sent no event yet.
+	// SwitchUnstartedAfter is the same for a generation that has sent no event since it has gone on at the engine.
 	SwitchUnstartedAfter time.Duration
 	// PrecopyDeadline is the time from the notice after which no first pre-copy begins: it would
 	// not finish in time and would delay the moves of other generations.
--- a/internal/edgecontrol/view.go
+++ b/internal/edgecontrol/view.go
@@ -41,8 +41,8 @@
 	return ok && !entry.Leaving && !v.Evacuated[entry.DataCentre]
 }
 
-// TargetLeaves reports whether a target is leaving or gone, so that its generations must continue
-// elsewhere. A target of an evacuated data centre gets no new work, but completes what it runs.
+// TargetLeaves reports whether a target is leaving or has no entry, so that it gets no new work. A target of an
+// evacuated data centre gets none either, but does not leave.
 func (v *View) TargetLeaves(id core.TargetID) bool {
 	entry, ok := v.Targets[id]
 	return !ok || entry.Leaving
--- a/internal/gateway/left_run.go
+++ b/internal/gateway/left_run.go
@@ -24,7 +24,7 @@
 	}
 	left, to, begun := s.current, s.next.assignment.Target.Address, s.failover.Started()
 	beginBy, deadline := left.sentAt+s.latestBegin(), s.arrived+s.deadline
-	ctx := s.keepLeft(left.assignment.Target.Target)
+	ctx := s.recordLeft(left.assignment.Target.Target)
 	go func() {
 		<-left.done
 		s.stopLeftRun(ctx, failover.NewLeftRun(s.now()+closeGrace, begun, beginBy, deadline), left.assignment.Target, to)
@@ -40,12 +40,12 @@
 	}
 	run := failover.NewLeftRun(s.now()+closeGrace, begun, sentAt+s.latestBegin(), s.arrived+s.deadline)
 	s.log.WithField("target", from.Target).WithField("begun", begun).Info("engine may still run a generation, and is asked further to stop it")
-	go s.stopLeftRun(s.keepLeft(from.Target), run, from, stop.at)
+	go s.stopLeftRun(s.recordLeft(from.Target), run, from, stop.at)
 }
 
-// keepLeft records that a run is stopped at an engine that the stream has left. The context ends once the stream
+// recordLeft records that a run is stopped at an engine that the stream has left. The context ends once the stream
 // returns there.
-func (s *streamRelay) keepLeft(target core.TargetID) context.Context {
+func (s *streamRelay) recordLeft(target core.TargetID) context.Context {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(s.ctx))
 	s.left = append(s.left, leftRun{target: target, cancel: cancel})
 	return ctx
--- a/internal/gateway/stream_timing.go
+++ b/internal/gateway/stream_timing.go
@@ -7,7 +7,7 @@
 	// switchAfter is the time from the notice that an engine leaves to the switch to the
 	// copy. Engines leave 1.5 s after their notice at the earliest; copies lag by up to 0.3 s.
 	switchAfter = 900 * time.Millisecond
-	// switchUnstartedAfter is the same for a generation that has sent no event yet.
+	// switchUnstartedAfter is the same for a generation that has sent no event since it has gone on at the engine.
 	switchUnstartedAfter = 1100 * time.Millisecond
 	// The following bound the time from the notice to the moves of a generation without a
 	// copy: precopyDeadline is the latest start of the first pre-copy, stopAndCopyAfter and
@@ -27,9 +27,10 @@
 	freeTimeout = time.Second
 	// runStopTimeout bounds one request to stop a generation.
 	runStopTimeout = 300 * time.Millisecond
-	// minBeginWindow is the smallest time for which an engine is expected to queue a request and to read its prompt.
+	// minBeginWindow is the shortest time that an engine is given to queue a request and to read its prompt; the route's
+	// AnswerGoal if that is longer.
 	minBeginWindow = time.Second
-	// latestBeginWindows is how many times that an engine that is crowded may take.
+	// latestBeginWindows is the number of such windows after which even a crowded engine has begun.
 	latestBeginWindows = 2
 	// closeGrace is the time until an engine that the stream has left is asked to stop the generation, from the close of
 	// the exchange or from the last request to stop it: together with maxSwitchOverlap it stays below 400 ms.
