Soak: a broken promise names the times of its runs

A request that ran at two targets at once was reported by its id alone: whether the second run began late, the first one was not stopped, or the host had been killed could be told only from the hosts' logs of the same run, if those named it. The line now has the host, when it got the request, and for each run when the engine got the request, began and ended it. No check has changed.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -83,7 +83,7 @@
 		together = s.recorder.Together
 	}
 	if request.stream && !excused(s.unreachable, request, runs) && len(together(request.id)) > 0 {
-		s.recordViolation("request %s ran at two targets at once", request.id)
+		s.recordViolation("request %s ran at two targets at once: %s", request.id, runTimes(request, runs))
 	}
 }
 
@@ -94,7 +94,7 @@
 	runners := map[string]bool{}
 	for _, run := range runs {
 		if _, moved := run.Headers[platformtest.HeaderKVFrom]; !moved && len(runners) >= platformtest.ResumableAttempts {
-			s.recordViolation("request %s was run again after it had run at %d engines", request.id, len(runners))
+			s.recordViolation("request %s was run again after it had run at %d engines: %s", request.id, len(runners), runTimes(request, runs))
 		}
 		runners[run.Runner] = true
 	}
