Streams: a stream that is given up is stopped at all its engines

Cause: requests to stop a run were a step on the way to another engine. A generation that could go on nowhere was given up without them (`goesOn`), also where two engines still had it.

Ruled out: a host that stands still.

Change: failover.OpenRuns names the runs that are still open; the gateway goes on asking their engines beside the ended request, as it does for engines that were left. That covers streams that may be resumed, whose callers come back, and a stream that has finished while a failed switch was not yet known to be stopped.

TestGivenUpStreamIsStopped failed before (the second run went on for 7 s) and passes, TestOpenRunsOfGivenUpStream is new.

--- a/internal/decide/failover/open_runs.go
+++ b/internal/decide/failover/open_runs.go
@@ -70,6 +70,21 @@
 	return result == Unknown
 }
 
+// steps returns the steps that stop the runs, without one whose engine has refused all requests to stop it.
+func (r *openRuns) steps() []StepKind {
+	var steps []StepKind
+	if r.failedNext {
+		steps = append(steps, StopFailedSwitch)
+	}
+	if r.current {
+		steps = append(steps, StopLostRun)
+	}
+	if len(steps) > 0 && r.requests >= maxRunStops {
+		steps = steps[1:]
+	}
+	return steps
+}
+
 // closeFirst removes the first run.
 func (r *openRuns) closeFirst() {
 	if r.failedNext {
--- a/internal/decide/failover/open_runs_test.go
+++ b/internal/decide/failover/open_runs_test.go
@@ -210,3 +210,39 @@
 		}
 	})
 }
+
+// TestOpenRunsOfGivenUpStream guards against runs that nobody stops once the generation has been given up.
+func TestOpenRunsOfGivenUpStream(t *testing.T) {
+	switchFailed := func(s *Stream) {
+		require.Equal(t, SwitchToCopy, s.Next(timing.SilenceTimeout).Kind)
+		loseConnection(s)
+		s.RecordSwitch(Unknown, false, timing.SilenceTimeout)
+		s.RecordOpenSwitch()
+	}
+	refuse := func(s *Stream) {
+		loseConnection(s)
+		for now := timing.SilenceTimeout; s.Next(now).Kind != GiveUp; now += stopRetryDelay {
+			s.RecordRunStop(NotDone, now)
+		}
+	}
+	for name, c := range map[string]struct {
+		copied  bool
+		prepare func(*Stream)
+		want    []StepKind
+	}{
+		"connected":                        {true, func(*Stream) {}, nil},
+		"connection ended":                 {false, loseConnection, []StepKind{StopLostRun}},
+		"left for an engine that failed":   {true, switchFailed, []StepKind{StopFailedSwitch, StopLostRun}},
+		"engine refused all stop requests": {true, refuse, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream := New(timing, true, c.copied, 0)
+			stream.RecordEvent(0)
+			c.prepare(stream)
+			require.ElementsMatch(t, c.want, stream.OpenRuns())
+			if len(c.want) > 0 {
+				require.Equal(t, GiveUp, stream.Next(timing.SilenceTimeout).Kind)
+			}
+		})
+	}
+}
--- a/internal/decide/failover/stream_stop.go
+++ b/internal/decide/failover/stream_stop.go
@@ -31,6 +31,9 @@
 	return unconfirmed
 }
 
+// OpenRuns returns the steps that stop the runs which may go on at engines whose connections have ended.
+func (s *Stream) OpenRuns() []StepKind { return s.open.steps() }
+
 // MayRunOn reports whether the engine that the generation has last run at may still run it.
 func (s *Stream) MayRunOn() bool {
 	return !s.memoryMoved && s.stop != stopped && (!s.disconnected || s.open.current)
--- a/internal/gateway/left_run.go
+++ b/internal/gateway/left_run.go
@@ -43,6 +43,23 @@
 	go s.stopLeftRun(s.recordLeft(from.Target), run, from, stop.at)
 }
 
+// stopOpenRuns stops the runs that may go on at engines whose connections have ended, since the stream ends. The caller
+// may ask for the generation again.
+func (s *streamRelay) stopOpenRuns() {
+	if s.current == nil || !s.canMove() {
+		return
+	}
+	for _, step := range s.failover.OpenRuns() {
+		to := s.current.assignment.Target.Address
+		if step == failover.StopLostRun {
+			if to = s.failedSwitch.Address; to == "" {
+				to = s.stopDestination()
+			}
+		}
+		s.keepStopping(runStopResult{step: step, at: to})
+	}
+}
+
 // recordLeft records that a run is stopped at an engine that the stream has left. The context ends once the stream
 // returns there.
 func (s *streamRelay) recordLeft(target core.TargetID) context.Context {
--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -29,6 +29,7 @@
 
 // finish ends the request after a complete stream.
 func (s *streamRelay) finish() {
+	s.stopOpenRuns()
 	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, placement.Answered)
 	s.countResumption(resumptionContinued)
@@ -43,6 +44,7 @@
 
 // endLost ends a request whose generation cannot be continued.
 func (s *streamRelay) endLost() {
+	s.stopOpenRuns()
 	target := s.current.assignment.Target.Target
 	s.current.assignment.Pause = s.meanPause()
 	s.gateway.options.Controller.Release(s.current.assignment, s.lostOutcome())
@@ -157,6 +159,7 @@
 		}
 	default:
 	}
+	s.stopOpenRuns()
 	s.releaseMove()
 	s.releaseSwitch()
 	for _, open := range []*upstream{s.current, s.next} {
