Streams: a silent engine is asked to stop when its exchange is closed

What callers saw: nothing; two engines worked on one draft that may not be repeated, and the second one kept waiting callers from its room.

Cause: a switch away from a silent engine closes the exchange with it after 0.3 s, so that two engines do not work on the generation. The close of a connection is not the end of a run, so engines that are left are asked to stop, but here only once the next engine had responded or failed. Until then, at the longest to the request's deadline, the silent engine worked on beside it.

Change: the engine is asked when the exchange is closed, by the function that does so after a takeover; it does nothing the second time.

--- a/internal/gateway/left_run.go
+++ b/internal/gateway/left_run.go
@@ -15,9 +15,12 @@
 	cancel context.CancelFunc // ends the requests to stop it
 }
 
-// leaveCurrent closes the exchange with the current engine after another one has gone on with the generation. An
-// engine may work on for a while after the close, so it is also asked to stop.
+// leaveCurrent closes the exchange with the current engine, since another one has gone on with the generation or may
+// do so. An engine may work on for a while after the close, so it is also asked to stop.
 func (s *streamRelay) leaveCurrent() {
+	if s.current.stopped {
+		return
+	}
 	s.current.stop()
 	if !s.canMove() || !s.failover.MayRunOn() {
 		return
--- a/internal/gateway/stream_switch.go
+++ b/internal/gateway/stream_switch.go
@@ -60,7 +60,7 @@
 	}
 	s.log.WithField("from", s.current.assignment.Target.Target).WithField("to", s.next.assignment.Target.Target).
 		WithField("last_event", s.ids.last).Info("engine's stream is closed before the next engine has responded")
-	s.current.stop()
+	s.leaveCurrent()
 	s.held = nil
 	s.failover.RecordDisconnect()
 	s.failover.RecordOpenRun()
