Streams: engines are asked to stop when the caller leaves during a switch

What callers saw: nothing, as they had left. Two engines worked on their generation to its end if the close of their connections did not end it; a caller of a resumable stream came back to a third one.

Cause: the same as for engines that are left: a closed connection is not the end of a run. A request that ends while a switch is open closes two exchanges, and neither engine was asked to stop. Found by reading.

Change: such an end counts as a failed switch with both runs open, and the engines are asked beside the ended request.

TestStreamLeftDuringSwitchIsStopped failed before (a run of 7.8 s with engines that work on after the close; 1.4 s allowed) and passes, three runs. Where only one engine has the generation, its connection is closed as before.

--- a/internal/gateway/stream_end.go
+++ b/internal/gateway/stream_end.go
@@ -159,6 +159,9 @@
 		}
 	default:
 	}
+	if s.next != nil {
+		s.recordUnfinishedSwitch()
+	}
 	s.stopOpenRuns()
 	s.releaseMove()
 	s.releaseSwitch()
--- a/internal/gateway/stream_switch.go
+++ b/internal/gateway/stream_switch.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// recordUnfinishedSwitch records that both engines may run the generation after the exchanges with them have been closed.
+func (s *streamRelay) recordUnfinishedSwitch() {
+	s.failedSwitch, s.failedSwitchSentAt = s.next.assignment.Target, s.next.sentAt
+	s.failover.RecordOpenSwitch()
+	if !s.current.stopped {
+		s.failover.RecordOpenRun()
+	}
+}
+
 // revertSwitch returns to the former engine after a failed switch.
 func (s *streamRelay) revertSwitch(notRun bool, outcome placement.Outcome, cause string) {
 	target := s.next.assignment.Target.Target
