Soak: a host that was killed stops no runs

The check already leaves out hosts that were paused.

Change: a request is left out if its own host was killed or paused between the request and its end, without the margin of other faults. Planned stops, kills of other hosts and kills after the request count as before.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -82,7 +82,7 @@
 	if request.beginsLate { // a run that is stopped soon after its begin is allowed beside another one
 		together = s.recorder.Together
 	}
-	if request.stream && !excused(s.unreachable, request, runs) && len(together(request.id)) > 0 {
+	if request.stream && !excused(s.unreachable, request, runs) && !s.hostFailedDuring(request) && len(together(request.id)) > 0 {
 		s.recordViolation("request %s ran at two targets at once: %s", request.id, runTimes(request, runs))
 	}
 }
@@ -121,6 +121,17 @@
 	return false
 }
 
+// hostFailedDuring reports whether the host of a request was killed or paused while it had the request. Nobody stops the
+// runs that it knew of.
+func (s *soak) hostFailedDuring(request *sentRequest) bool {
+	for _, period := range s.broken[request.host] {
+		if !period.end.Before(request.sentAt) && !period.start.After(request.endedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // timeBoundsApply reports whether no fault suspended the time bounds in a period.
 func (s *soak) timeBoundsApply(from, to time.Time) bool {
 	for _, period := range s.timeBoundsSuspended {
