Soak: engines that run a stream count in the order in which they got it

No request was sent beyond the number of engines; the check took the late begin for one, since it read the runs in the order of their begin.

That order also misses a real one: a request sent to a fourth engine that begins before the others.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -92,7 +93,9 @@
 // a generation with its memory beyond that number.
 func (s *soak) checkResumable(request *sentRequest, runs []platformtest.Run) (beyond bool) {
 	runners := map[string]bool{}
-	for _, run := range runs {
+	// An engine that begins late got the request before those that have begun meanwhile.
+	sent := slices.SortedStableFunc(slices.Values(runs), func(a, b platformtest.Run) int { return a.Received.Compare(b.Received) })
+	for _, run := range sent {
 		if _, moved := run.Headers[platformtest.HeaderKVFrom]; !moved && len(runners) >= platformtest.ResumableAttempts {
 			s.recordViolation("request %s was run again after it had run at %d engines: %s", request.id, len(runners), runTimes(request, runs))
 		}
