Soak: a crash resets its connections before the runner ends

Cause: the crash first killed the stand-in, whose handlers end their connections in order, and then reset those of the proxy before it. On a busy machine the proxy passed the orderly ends on while it still accepted connections. For streams without a length that is the end of a complete one, which no host can tell apart (docs/PLATFORM.md, "When a stream is complete"); the form was meant to be a reset.

Change: the proxy is closed, which resets its connections, before the runner is killed. The other form of a crash, which ends in order, and all checks are as before.

--- a/tools/soak/target.go
+++ b/tools/soak/target.go
@@ -73,10 +73,11 @@
 	t.SetMode(mode)
 }
 
-// crash stops the target and resets its connections.
+// crash stops the target and resets its connections. They are reset first, since a killed runner closes them in order,
+// which completes streams without a length.
 func (t *target) crash() {
-	t.Kill()
 	t.proxy.close()
+	t.Kill()
 	_ = t.server.Close()
 }
 
